--- /dev/null
+++ b/include/sycamore/Outbox.h
@@ -0,0 +1,19 @@
+// Messages that decision code wants sent; PeerTransport sends them.
+#pragma once
+
+#include "sycamore/PeerMessages.pb.h"
+
+#include <string>
+#include <vector>
+
+namespace sycamore {
+
+struct Outgoing {
+  std::string To_; ///< Name of the receiving server.
+  wire::PeerMessage Message_;
+  std::string Body_; ///< Second frame; only calls have one.
+};
+
+using Outbox = std::vector<Outgoing>;
+
+} // namespace sycamore
