Add peer transport, metrics, traces and logs

Cause: daemons need links to each other on the libevent loop, and operators need counters, spans and log lines. Change: one ROUTER socket for what peers dial and one DEALER socket for each peer dialled; CURVE with an allow list by the ZeroMQ authentication protocol; Boost.Histogram durations in the Prometheus text format; W3C trace context and OTLP JSON; JSON log lines by log4cxx. Ruled out: automatic reconnection of a DEALER socket, because it delivers messages queued on a dead link late; a lost link is closed and dialled anew. Conclusion: a link that ends reports whether anything given to it has left.

--- /dev/null
+++ b/include/sycamore/PeerTransport.h
@@ -0,0 +1,126 @@
+// Messages between daemons over ZeroMQ on the libevent loop: one ROUTER socket
+// for what peers dial, one DEALER socket (a link) for each peer dialled.
+#pragma once
+
+#include "sycamore/Error.h"
+#include "sycamore/PeerMessages.pb.h"
+#include "sycamore/Time.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+struct event_base;
+
+namespace sycamore {
+
+/// Keys in Z85 text; both empty for links without encryption.
+struct CurveKeys {
+  std::string PublicKey_;
+  std::string SecretKey_;
+};
+
+CurveKeys makeCurveKeys();
+
+/// The public key that belongs to a secret key. Errors: InvalidSettings.
+Result<std::string> curvePublicKey(const std::string &SecretKey);
+
+/// Public keys (Z85) of the servers that may connect, and their names.
+using AllowedKeys = std::map<std::string, std::string, std::less<>>;
+
+struct PeerAddress {
+  std::string Address_;   ///< "IP:PORT".
+  std::string PublicKey_; ///< Z85; empty without encryption.
+
+  bool operator==(const PeerAddress &) const = default;
+};
+
+struct PeerTransportConfig {
+  std::string Self_;
+  std::uint64_t Incarnation_ = 0;
+  std::string ListenAddress_; ///< "IP:PORT"; port 0 for any free one.
+  CurveKeys Curve_;
+  AllowedKeys AllowedKeys_;
+  /// Links dialled at the same time. A server has about 130 connections.
+  std::size_t MaxLinks_ = 110;
+  std::size_t MaxMessageBytes_ = 64U << 20U;
+  milliseconds HeartbeatInterval_{5000};
+  milliseconds HeartbeatTimeout_{10000};
+  milliseconds DialTimeout_{1000};
+};
+
+/// Where the answer to a received message goes: back over its connection.
+struct ReplyRoute {
+  std::string RoutingId_; ///< Of the ROUTER socket; empty for dialled links.
+  std::string Link_;      ///< Name of the dialled peer.
+};
+
+struct PeerTransportCounters {
+  std::uint64_t MessagesSent_ = 0;
+  std::uint64_t BytesSent_ = 0;
+  std::uint64_t MessagesReceived_ = 0;
+  std::uint64_t BytesReceived_ = 0;
+  /// Without calls and their answers.
+  std::uint64_t ControlBytesSent_ = 0;
+  std::uint64_t ControlBytesReceived_ = 0;
+  std::uint64_t DroppedUnroutable_ = 0;
+  std::uint64_t DroppedMalformed_ = 0;
+  std::uint64_t DroppedImpostor_ = 0;
+  std::uint64_t LinksOpened_ = 0;
+  std::uint64_t LinksClosed_ = 0;
+  std::uint64_t LinksEvicted_ = 0;
+  std::uint64_t HandshakesRefused_ = 0;
+};
+
+enum class SendOutcome { Sent, NoAddress, LinkFull };
+
+/// How a link ended. NeverConnected means that nothing given to it has left.
+enum class LinkEnd { NeverConnected, Lost };
+
+struct PeerHandlers {
+  std::function<void(wire::PeerMessage &, std::string &Body,
+                     const ReplyRoute &)>
+      OnMessage_;
+  std::function<void(const std::string &Peer, LinkEnd)> OnLinkEnd_;
+  std::function<std::optional<PeerAddress>(const std::string &Peer)> Resolve_;
+};
+
+class PeerTransport {
+public:
+  PeerTransport(event_base *Base, PeerTransportConfig Config,
+                PeerHandlers Handlers);
+  ~PeerTransport();
+
+  /// Returns the address bound. Errors: Unavailable when it is in use.
+  Result<std::string> listen();
+
+  /// Sends over the link to Peer and dials it first if there is none.
+  SendOutcome send(const std::string &Peer, wire::PeerMessage &Message,
+                   std::string_view Body, TimePoint Now);
+
+  /// Answers over the connection that the question came from. False when
+  /// that connection is gone.
+  bool reply(const ReplyRoute &Route, wire::PeerMessage &Message,
+             std::string_view Body);
+
+  /// Closes the link, so that the next send dials anew.
+  void closeLink(const std::string &Peer);
+
+  /// Replaces the keys that may connect; open connections stay.
+  void setAllowedKeys(AllowedKeys Keys);
+
+  /// Ends dials that take too long.
+  void tick(TimePoint Now);
+
+  std::size_t linkCount() const;
+  const PeerTransportCounters &counters() const;
+
+private:
+  class Impl;
+  std::unique_ptr<Impl> Impl_;
+};
+
+} // namespace sycamore
