Add settings of the daemon and of operators

Cause: the daemon and the command line need a strict reader for their settings files before they can be built.

Unknown fields that lack a unit suffix now get a hint as well.

Ruled out: reading key files in parseSettings, which would keep the parser from running on arbitrary bytes in tests.

--- a/include/sycamore/Json.h
+++ b/include/sycamore/Json.h
@@ -73,7 +73,8 @@
                                      const std::vector<std::string> &Problems,
                                      std::string Remedy);
 
-/// The candidate with the least edit distance to Word, if it is at most 2.
+/// The candidate with the least edit distance to Word, if it is at most 2 or
+/// one of them starts with the other.
 std::optional<std::string>
 nearestName(std::string_view Word,
             const std::set<std::string, std::less<>> &Candidates);
--- a/src/Json.cpp
+++ b/src/Json.cpp
@@ -260,10 +260,16 @@
 nearestName(std::string_view Word,
             const std::set<std::string, std::less<>> &Candidates) {
   constexpr std::size_t MaxDistance = 2;
+  constexpr std::size_t MinPrefix = 4;
   std::optional<std::string> Best;
   std::size_t BestDistance = MaxDistance + 1;
   for (const std::string &Candidate : Candidates) {
     std::size_t Distance = editDistance(Word, Candidate);
+    // A forgotten unit such as "_ms" is a frequent mistake of three letters.
+    bool Prefix = std::min(Word.size(), Candidate.size()) >= MinPrefix &&
+                  (Candidate.starts_with(Word) || Word.starts_with(Candidate));
+    if (Prefix)
+      Distance = std::min(Distance, MaxDistance);
     if (Distance < BestDistance) {
       Best = Candidate;
       BestDistance = Distance;
--- /dev/null
+++ b/src/Settings.cpp
@@ -0,0 +1,217 @@
+// Reads and checks the daemon's settings.
+#include "SettingsReader.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+
+namespace sycamore {
+namespace {
+
+/// A CURVE key in Z85, the text form that ZeroMQ uses.
+bool isZ85Key(std::string_view Text) {
+  constexpr std::size_t KeyCharacters = 40;
+  constexpr std::string_view Symbols = ".-:+=^!/*?&<>()[]{}@%$#";
+  return Text.size() == KeyCharacters &&
+         std::all_of(Text.begin(), Text.end(), [&](unsigned char Character) {
+           return std::isalnum(Character) ||
+                  Symbols.find(static_cast<char>(Character)) !=
+                      std::string_view::npos;
+         });
+}
+
+BootstrapPeer readBootstrapPeer(SettingsReader &Reader) {
+  BootstrapPeer Out;
+  Reader.name("name", Out.Name_, true);
+  Reader.name("data_centre", Out.DataCentre_, true);
+  Reader.require("peer_address");
+  Reader.address("peer_address", Out.PeerAddress_, false);
+  Reader.string("public_key", Out.PublicKey_);
+  const Json *Key = Reader.find("public_key");
+  if (Key && Key->is_string() && !isZ85Key(Out.PublicKey_))
+    Reader.problem("public_key", "is not a CURVE key of 40 Z85 characters");
+  return Out;
+}
+
+void readServerTls(SettingsReader &Reader, ServerTlsSettings &Out,
+                   bool WithClientCa) {
+  Reader.require("certificate");
+  Reader.file("certificate", Out.Certificate_);
+  Reader.require("key");
+  Reader.file("key", Out.Key_);
+  if (WithClientCa)
+    Reader.file("client_ca", Out.ClientCa_);
+}
+
+void readCurve(SettingsReader &Reader, CurveSettings &Out) {
+  Reader.require("secret_key_file");
+  Reader.file("secret_key_file", Out.SecretKeyFile_);
+  Reader.require("allowed_keys_file");
+  Reader.file("allowed_keys_file", Out.AllowedKeysFile_);
+}
+
+void readLimits(SettingsReader &Reader, LimitSettings &Out) {
+  Reader.count("max_header_bytes", Out.MaxHeaderBytes_, 1024, 1U << 20U);
+  Reader.count("max_body_bytes", Out.MaxBodyBytes_, 1024, 64U << 20U);
+  Reader.count("max_calls", Out.MaxCalls_, 1, 1'000'000);
+  Reader.count("peer_links", Out.PeerLinks_, 4, 10'000);
+}
+
+void readTiming(SettingsReader &Reader, TimingSettings &Out) {
+  Reader.duration("probe_interval_ms", Out.ProbeInterval_, 50, 60'000);
+  Reader.duration("probe_timeout_ms", Out.ProbeTimeout_, 10, 30'000);
+  Reader.duration("suspect_ms", Out.Suspect_, 100, 600'000);
+  Reader.duration("gossip_interval_ms", Out.GossipInterval_, 20, 10'000);
+  Reader.duration("sync_interval_ms", Out.SyncInterval_, 100, 600'000);
+  Reader.duration("head_read_interval_ms", Out.HeadReadInterval_, 100, 600'000);
+  Reader.duration("link_deadline_ms", Out.LinkDeadline_, 100, 60'000);
+  Reader.duration("announce_interval_ms", Out.AnnounceInterval_, 50, 60'000);
+  if (Out.ProbeTimeout_ >= Out.ProbeInterval_)
+    Reader.problem("probe_timeout_ms",
+                   "is not below probe_interval_ms (" +
+                       std::to_string(Out.ProbeInterval_.count()) + ")");
+}
+
+void readKeys(SettingsReader &Reader, KeySettings &Out) {
+  Reader.count("buckets", Out.Buckets_, 1, 1024);
+  Reader.duration("lease_s", Out.Lease_, 3, 3600);
+  Reader.duration("clock_skew_ms", Out.ClockSkew_, 0, 60'000);
+  Reader.duration("resend_window_s", Out.ResendWindow_, 1, 86'400);
+  if (Out.Lease_ <= Out.ClockSkew_)
+    Reader.problem("lease_s", "is not above clock_skew_ms");
+}
+
+void readIdentity(SettingsReader &Reader, Settings &Out) {
+  Reader.name("server", Out.Server_, true);
+  Reader.name("data_centre", Out.DataCentre_, true);
+  Reader.name("region", Out.Region_, false);
+}
+
+void readListeners(SettingsReader &Reader, Settings &Out) {
+  struct Listener {
+    std::string_view Field_;
+    std::string Settings::*Address_;
+  };
+  constexpr std::array<Listener, 3> Listeners = {
+      {{"caller_listen", &Settings::CallerListen_},
+       {"admin_listen", &Settings::AdminListen_},
+       {"peer_listen", &Settings::PeerListen_}}};
+  std::set<std::string> Fixed;
+  for (const Listener &Entry : Listeners) {
+    Reader.require(Entry.Field_);
+    Reader.address(Entry.Field_, Out.*Entry.Address_, true);
+    auto Parsed = parseSocketAddress(Out.*Entry.Address_);
+    if (Parsed && Parsed->Port_ != 0 &&
+        !Fixed.insert(Out.*Entry.Address_).second)
+      Reader.problem(Entry.Field_, "is the address of another listener");
+  }
+  Reader.address("peer_address", Out.PeerAddress_, false);
+}
+
+void readTls(SettingsReader &Reader, Settings &Out) {
+  ServerTlsSettings Caller;
+  if (Reader.section("caller_tls", [&](SettingsReader &Section) {
+        readServerTls(Section, Caller, false);
+      }))
+    Out.CallerTls_ = Caller;
+  ServerTlsSettings Admin;
+  if (Reader.section("admin_tls", [&](SettingsReader &Section) {
+        readServerTls(Section, Admin, true);
+      }))
+    Out.AdminTls_ = Admin;
+  CurveSettings Curve;
+  if (Reader.section(
+          "curve", [&](SettingsReader &Section) { readCurve(Section, Curve); }))
+    Out.Curve_ = Curve;
+}
+
+void readBootstrapPeers(SettingsReader &Reader, Settings &Out) {
+  std::set<std::string> Names;
+  Reader.each("bootstrap_peers", [&](SettingsReader &Section) {
+    Out.BootstrapPeers_.push_back(readBootstrapPeer(Section));
+    const BootstrapPeer &Peer = Out.BootstrapPeers_.back();
+    if (!Names.insert(Peer.Name_).second)
+      Section.problem("name", "is listed twice");
+    if (Out.Curve_ && Peer.PublicKey_.empty())
+      Section.problem("public_key", "is required when curve is set");
+  });
+}
+
+void readOutputs(SettingsReader &Reader, Settings &Out) {
+  Reader.duration("stop_limit_ms", Out.StopLimit_, 100, 600'000);
+  Reader.section("log", [&](SettingsReader &Section) {
+    Section.oneOf("level", Out.Log_.Level_, {"debug", "info", "warn", "error"});
+    Section.file("file", Out.Log_.File_);
+  });
+  Reader.section("trace", [&](SettingsReader &Section) {
+    Section.number("sample_ratio", Out.Trace_.SampleRatio_, 0.0, 1.0);
+    Section.file("file", Out.Trace_.File_);
+  });
+}
+
+void readSettings(SettingsReader &Reader, Settings &Out) {
+  readIdentity(Reader, Out);
+  readListeners(Reader, Out);
+  Reader.require("store");
+  Reader.section("store", [&](SettingsReader &Section) {
+    readStoreSettings(Section, Out.Store_);
+  });
+  readTls(Reader, Out);
+  readBootstrapPeers(Reader, Out);
+  readOperators(Reader, Out.Operators_, Out.RequireSecondOperator_);
+  Reader.file("admin_tokens_file", Out.AdminTokensFile_);
+  Reader.section("limits", [&](SettingsReader &Section) {
+    readLimits(Section, Out.Limits_);
+  });
+  Reader.section("timing", [&](SettingsReader &Section) {
+    readTiming(Section, Out.Timing_);
+  });
+  Reader.section(
+      "keys", [&](SettingsReader &Section) { readKeys(Section, Out.Keys_); });
+  readOutputs(Reader, Out);
+  Reader.rejectUnknown();
+}
+
+std::vector<std::string> keyFilesOf(const Settings &Value) {
+  std::vector<std::string> Out;
+  auto Add = [&](const std::string &File) {
+    if (!File.empty())
+      Out.push_back(File);
+  };
+  if (Value.Store_.Tls_)
+    Add(Value.Store_.Tls_->Key_);
+  if (Value.CallerTls_)
+    Add(Value.CallerTls_->Key_);
+  if (Value.AdminTls_)
+    Add(Value.AdminTls_->Key_);
+  if (Value.Curve_)
+    Add(Value.Curve_->SecretKeyFile_);
+  Add(Value.AdminTokensFile_);
+  return Out;
+}
+
+} // namespace
+
+Result<Settings> parseSettings(const Json &Document, std::string_view Source) {
+  Settings Out;
+  SettingsReader::Context Shared;
+  SettingsReader Reader(Document, "", "", Shared);
+  readSettings(Reader, Out);
+  if (auto Failure = problemsToError(
+          ErrorKind::InvalidSettings, Source, Shared.Problems_,
+          "correct these fields; docs/settings.md describes each"))
+    return tl::unexpected<Error>(*Failure);
+  return Out;
+}
+
+Result<Settings> loadSettings(const std::string &Path) {
+  return loadChecked(Path, parseSettings, keyFilesOf);
+}
+
+std::vector<std::string> settingsFields() {
+  Settings Scratch;
+  return listFields(
+      [&](SettingsReader &Reader) { readSettings(Reader, Scratch); });
+}
+
+} // namespace sycamore
--- /dev/null
+++ b/src/SettingsReader.cpp
@@ -0,0 +1,193 @@
+// Reads settings fields and records their paths.
+#include "SettingsReader.h"
+
+#include "sycamore/Ticket.h"
+
+#include <algorithm>
+
+namespace sycamore {
+namespace {
+
+const Json EmptyObject = Json::object();
+
+std::string quotedList(const std::vector<std::string> &Allowed) {
+  std::string Out;
+  for (const std::string &Item : Allowed)
+    Out += (Out.empty() ? "\"" : ", \"") + Item + "\"";
+  return Out;
+}
+
+} // namespace
+
+SettingsReader::SettingsReader(const Json &Value, const std::string &Path,
+                               const std::string &FieldPath, Context &Shared)
+    : Inner_(Value, Path, Shared.Problems_), FieldPath_(FieldPath),
+      Shared_(Shared) {}
+
+std::string SettingsReader::join(const std::string &Path,
+                                 std::string_view Field) const {
+  return Path.empty() ? std::string(Field) : Path + "." + std::string(Field);
+}
+
+void SettingsReader::note(std::string_view Field) {
+  if (!Shared_.Fields_)
+    return;
+  std::string Path = join(FieldPath_, Field);
+  std::vector<std::string> &Fields = *Shared_.Fields_;
+  if (std::find(Fields.begin(), Fields.end(), Path) == Fields.end())
+    Fields.push_back(Path);
+}
+
+const Json *SettingsReader::find(std::string_view Field) {
+  note(Field);
+  return Inner_.find(Field);
+}
+
+void SettingsReader::problem(std::string_view Field, std::string_view What) {
+  Inner_.problem(Field, What);
+}
+
+void SettingsReader::require(std::string_view Field) {
+  note(Field);
+  Inner_.require(Field);
+}
+
+void SettingsReader::string(std::string_view Field, std::string &Out) {
+  note(Field);
+  Inner_.readString(Field, Out);
+}
+
+void SettingsReader::flag(std::string_view Field, bool &Out) {
+  note(Field);
+  Inner_.readBool(Field, Out);
+}
+
+void SettingsReader::count(std::string_view Field, std::uint64_t &Out,
+                           std::uint64_t Min, std::uint64_t Max) {
+  note(Field);
+  Inner_.readUnsigned(Field, Out, Min, Max);
+}
+
+void SettingsReader::number(std::string_view Field, double &Out, double Min,
+                            double Max) {
+  note(Field);
+  Inner_.readNumber(Field, Out, Min, Max);
+}
+
+void SettingsReader::name(std::string_view Field, std::string &Out,
+                          bool Required) {
+  if (Required)
+    require(Field);
+  string(Field, Out);
+  const Json *Value = find(Field);
+  if (Value && Value->is_string() && !isValidName(Out))
+    problem(Field, "is not a name (1 to 128 letters, digits, '-', '_', '.')");
+}
+
+void SettingsReader::address(std::string_view Field, std::string &Out,
+                             bool AllowPortZero) {
+  string(Field, Out);
+  const Json *Value = find(Field);
+  if (!Value || !Value->is_string())
+    return;
+  auto Parsed = parseSocketAddress(Out);
+  if (!Parsed)
+    problem(Field, "is not \"IPV4:PORT\" or \"[IPV6]:PORT\"");
+  else if (Parsed->Port_ == 0 && !AllowPortZero)
+    problem(Field, "has port 0, allowed are 1 to 65535");
+}
+
+void SettingsReader::addresses(std::string_view Field,
+                               std::vector<std::string> &Out) {
+  note(Field);
+  Inner_.readStrings(Field, Out);
+  const Json *Value = find(Field);
+  if (!Value || !Value->is_array())
+    return;
+  if (Value->empty())
+    problem(Field, "is empty, at least one \"IP:PORT\" is needed");
+  for (const std::string &Item : Out) {
+    auto Parsed = parseSocketAddress(Item);
+    if (!Parsed || Parsed->Port_ == 0)
+      problem(Field, "holds \"" + Item +
+                         "\", which is not \"IPV4:PORT\" or \"[IPV6]:PORT\" "
+                         "with a port from 1 to 65535");
+  }
+}
+
+void SettingsReader::file(std::string_view Field, std::string &Out) {
+  string(Field, Out);
+  const Json *Value = find(Field);
+  if (Value && Value->is_string() &&
+      (Out.empty() || Out.find('\0') != std::string::npos))
+    problem(Field, "is not the path of a file");
+}
+
+void SettingsReader::oneOf(std::string_view Field, std::string &Out,
+                           const std::vector<std::string> &Allowed) {
+  string(Field, Out);
+  const Json *Value = find(Field);
+  if (Value && Value->is_string() &&
+      std::find(Allowed.begin(), Allowed.end(), Out) == Allowed.end())
+    problem(Field, "is not one of " + quotedList(Allowed));
+}
+
+void SettingsReader::someOf(std::string_view Field,
+                            std::vector<std::string> &Out,
+                            const std::vector<std::string> &Allowed) {
+  note(Field);
+  Inner_.readStrings(Field, Out);
+  const Json *Value = find(Field);
+  if (!Value || !Value->is_array())
+    return;
+  std::set<std::string> Seen;
+  bool Valid = !Value->empty();
+  for (const std::string &Item : Out)
+    Valid = Valid && Seen.insert(Item).second &&
+            std::find(Allowed.begin(), Allowed.end(), Item) != Allowed.end();
+  if (!Valid)
+    problem(Field, "is not an array of one or more different items of " +
+                       quotedList(Allowed));
+}
+
+bool SettingsReader::section(std::string_view Field, const Section &Read) {
+  const Json *Value = find(Field);
+  if (!Value && !Shared_.Fields_)
+    return false;
+  SettingsReader Inner(Value ? *Value : EmptyObject, Inner_.pathOf(Field),
+                       join(FieldPath_, Field), Shared_);
+  Read(Inner);
+  Inner.rejectUnknown();
+  return Value != nullptr;
+}
+
+void SettingsReader::each(std::string_view Field, const Section &Read) {
+  const Json *Value = find(Field);
+  std::string Path = Inner_.pathOf(Field);
+  std::string FieldPath = join(FieldPath_, Field) + "[]";
+  if (!Value && Shared_.Fields_) {
+    SettingsReader Inner(EmptyObject, Path, FieldPath, Shared_);
+    Read(Inner);
+  }
+  if (!Value)
+    return;
+  if (!Value->is_array())
+    return problem(Field, "is not an array of objects");
+  for (std::size_t I = 0; I < Value->size(); ++I) {
+    SettingsReader Inner((*Value)[I], Path + "[" + std::to_string(I) + "]",
+                         FieldPath, Shared_);
+    Read(Inner);
+    Inner.rejectUnknown();
+  }
+}
+
+std::vector<std::string> listFields(const SettingsReader::Section &Read) {
+  std::vector<std::string> Fields;
+  SettingsReader::Context Shared;
+  Shared.Fields_ = &Fields;
+  SettingsReader Reader(EmptyObject, "", "", Shared);
+  Read(Reader);
+  return Fields;
+}
+
+} // namespace sycamore
--- /dev/null
+++ b/src/SettingsReader.h
@@ -0,0 +1,97 @@
+// Field readers that the settings parsers share.
+#pragma once
+
+#include "sycamore/Settings.h"
+
+#include <functional>
+
+namespace sycamore {
+
+/// One object of a settings document, its problems, and the paths of the fields
+/// that the parser asked for.
+class SettingsReader {
+public:
+  /// Fields_ set: the parser visits absent sections too, to list its fields.
+  struct Context {
+    std::vector<std::string> Problems_;
+    std::vector<std::string> *Fields_ = nullptr;
+  };
+
+  SettingsReader(const Json &Value, const std::string &Path,
+                 const std::string &FieldPath, Context &Shared);
+
+  using Section = std::function<void(SettingsReader &)>;
+
+  void require(std::string_view Field);
+  void string(std::string_view Field, std::string &Out);
+  void flag(std::string_view Field, bool &Out);
+  void count(std::string_view Field, std::uint64_t &Out, std::uint64_t Min,
+             std::uint64_t Max);
+  void number(std::string_view Field, double &Out, double Min, double Max);
+  /// A name as in tickets; Required reports its absence.
+  void name(std::string_view Field, std::string &Out, bool Required);
+  void address(std::string_view Field, std::string &Out, bool AllowPortZero);
+  void addresses(std::string_view Field, std::vector<std::string> &Out);
+  /// A file name that is not empty.
+  void file(std::string_view Field, std::string &Out);
+  void oneOf(std::string_view Field, std::string &Out,
+             const std::vector<std::string> &Allowed);
+  /// An array without repetition of strings out of Allowed.
+  void someOf(std::string_view Field, std::vector<std::string> &Out,
+              const std::vector<std::string> &Allowed);
+  template <typename Unit>
+  void duration(std::string_view Field, Unit &Out, std::uint64_t Min,
+                std::uint64_t Max) {
+    auto Value = static_cast<std::uint64_t>(Out.count());
+    count(Field, Value, Min, Max);
+    Out = Unit(static_cast<typename Unit::rep>(Value));
+  }
+
+  /// Runs Read on the object under Field; returns whether it is present.
+  bool section(std::string_view Field, const Section &Read);
+  /// Runs Read on each object of the array under Field.
+  void each(std::string_view Field, const Section &Read);
+
+  const Json *find(std::string_view Field);
+  void problem(std::string_view Field, std::string_view What);
+  /// Reports fields that were not asked for; call it last.
+  void rejectUnknown() { Inner_.rejectUnknown(); }
+
+private:
+  void note(std::string_view Field);
+  std::string join(const std::string &Path, std::string_view Field) const;
+
+  ObjectReader Inner_;
+  std::string FieldPath_;
+  Context &Shared_;
+};
+
+/// Sections that both kinds of settings have.
+void readStoreSettings(SettingsReader &Reader, StoreSettings &Out);
+void readOperators(SettingsReader &Reader, std::vector<OperatorEntry> &Out,
+                   bool &RequireSecond);
+
+/// Runs a parser on an empty document and lists the fields that it asks for.
+std::vector<std::string> listFields(const SettingsReader::Section &Read);
+
+/// One error for all key files that are missing or open to others.
+std::optional<Error> checkKeyFiles(const std::vector<std::string> &Paths);
+
+/// Reads a file, runs Parse on it, and checks the key files that KeyFiles
+/// names.
+template <typename T>
+Result<T> loadChecked(const std::string &Path,
+                      Result<T> (*Parse)(const Json &, std::string_view),
+                      std::vector<std::string> (*KeyFiles)(const T &)) {
+  auto Document = parseJsonFile(Path);
+  if (!Document)
+    return tl::unexpected<Error>(Document.error());
+  auto Out = Parse(*Document, Path);
+  if (!Out)
+    return Out;
+  if (auto Failure = checkKeyFiles(KeyFiles(*Out)))
+    return tl::unexpected<Error>(*Failure);
+  return Out;
+}
+
+} // namespace sycamore
--- /dev/null
+++ b/src/SettingsSections.cpp
@@ -0,0 +1,123 @@
+// Sections that the settings of the daemon and of operators share, and the
+// operators' own settings.
+#include "SettingsReader.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace sycamore {
+namespace {
+
+constexpr std::size_t PublicKeyDigits = 64;
+
+bool isHex(std::string_view Text, std::size_t Digits) {
+  return Text.size() == Digits &&
+         std::all_of(Text.begin(), Text.end(), [](unsigned char Character) {
+           return std::isxdigit(Character);
+         });
+}
+
+void readClientTls(SettingsReader &Reader, ClientTlsSettings &Out) {
+  Reader.require("ca");
+  Reader.file("ca", Out.Ca_);
+  Reader.file("certificate", Out.Certificate_);
+  Reader.file("key", Out.Key_);
+  if (Out.Certificate_.empty() != Out.Key_.empty())
+    Reader.problem(Out.Key_.empty() ? "key" : "certificate",
+                   "is missing: certificate and key go together");
+}
+
+OperatorEntry readOperator(SettingsReader &Reader) {
+  OperatorEntry Out;
+  Reader.name("name", Out.Name_, true);
+  Reader.require("public_key");
+  Reader.string("public_key", Out.PublicKey_);
+  const Json *Key = Reader.find("public_key");
+  if (Key && Key->is_string() && !isHex(Out.PublicKey_, PublicKeyDigits))
+    Reader.problem("public_key", "is not an Ed25519 key of 64 hex digits");
+  std::vector<std::string> May = {"file", "approve"};
+  Reader.someOf("may", May, {"file", "approve"});
+  Out.MayFile_ = std::find(May.begin(), May.end(), "file") != May.end();
+  Out.MayApprove_ = std::find(May.begin(), May.end(), "approve") != May.end();
+  return Out;
+}
+
+void readOperatorSettings(SettingsReader &Reader, OperatorSettings &Out) {
+  Reader.name("operator", Out.Operator_, true);
+  Reader.file("signing_key_file", Out.SigningKeyFile_);
+  Reader.require("store");
+  Reader.section("store", [&](SettingsReader &Section) {
+    readStoreSettings(Section, Out.Store_);
+  });
+  Reader.address("daemon", Out.Daemon_, false);
+  Reader.file("daemon_ca", Out.DaemonCa_);
+  Reader.file("admin_token_file", Out.AdminTokenFile_);
+  readOperators(Reader, Out.Operators_, Out.RequireSecondOperator_);
+  if (!Out.Operators_.empty() && Out.SigningKeyFile_.empty())
+    Reader.problem("signing_key_file",
+                   "is missing: the daemons check signatures when operators "
+                   "are listed");
+  Reader.rejectUnknown();
+}
+
+std::vector<std::string> keyFilesOf(const OperatorSettings &Value) {
+  std::vector<std::string> Out;
+  for (const std::string &File : {Value.SigningKeyFile_, Value.AdminTokenFile_})
+    if (!File.empty())
+      Out.push_back(File);
+  if (Value.Store_.Tls_ && !Value.Store_.Tls_->Key_.empty())
+    Out.push_back(Value.Store_.Tls_->Key_);
+  return Out;
+}
+
+} // namespace
+
+void readStoreSettings(SettingsReader &Reader, StoreSettings &Out) {
+  Reader.require("endpoints");
+  Reader.addresses("endpoints", Out.Endpoints_);
+  Reader.duration("timeout_ms", Out.Timeout_, 10, 60'000);
+  Reader.count("calls_per_second", Out.CallsPerSecond_, 1, 1000);
+  ClientTlsSettings Tls;
+  if (Reader.section(
+          "tls", [&](SettingsReader &Section) { readClientTls(Section, Tls); }))
+    Out.Tls_ = Tls;
+}
+
+void readOperators(SettingsReader &Reader, std::vector<OperatorEntry> &Out,
+                   bool &RequireSecond) {
+  std::set<std::string> Names;
+  Reader.each("operators", [&](SettingsReader &Section) {
+    Out.push_back(readOperator(Section));
+    if (!Names.insert(Out.back().Name_).second)
+      Section.problem("name", "is listed twice");
+  });
+  Reader.flag("require_second_operator", RequireSecond);
+  if (RequireSecond && Out.size() == 1)
+    Reader.problem("require_second_operator",
+                   "needs at least two entries under operators");
+}
+
+Result<OperatorSettings> parseOperatorSettings(const Json &Document,
+                                               std::string_view Source) {
+  OperatorSettings Out;
+  SettingsReader::Context Shared;
+  SettingsReader Reader(Document, "", "", Shared);
+  readOperatorSettings(Reader, Out);
+  if (auto Failure = problemsToError(
+          ErrorKind::InvalidSettings, Source, Shared.Problems_,
+          "correct these fields; docs/settings.md describes each"))
+    return tl::unexpected<Error>(*Failure);
+  return Out;
+}
+
+Result<OperatorSettings> loadOperatorSettings(const std::string &Path) {
+  return loadChecked(Path, parseOperatorSettings, keyFilesOf);
+}
+
+std::vector<std::string> operatorSettingsFields() {
+  OperatorSettings Scratch;
+  return listFields(
+      [&](SettingsReader &Reader) { readOperatorSettings(Reader, Scratch); });
+}
+
+} // namespace sycamore
