--- /dev/null
+++ b/include/sycamore/RetryPolicy.h
@@ -0,0 +1,109 @@
+// Retry budget, hedging and backoff.
+#pragma once
+
+#include "sycamore/Random.h"
+#include "sycamore/Time.h"
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace sycamore {
+
+struct RetryBudgetOptions {
+  double Share_ = 0.1;          ///< Retries per success in the window.
+  std::uint64_t Constant_ = 10; ///< Retries in the window without successes.
+};
+
+struct RetryBudgetCounters {
+  std::uint64_t Successes_ = 0;
+  std::uint64_t Granted_ = 0;
+  std::uint64_t Denied_ = 0;
+};
+
+/// Counts of one second.
+struct RetryWindowSlot {
+  std::int64_t Second_ = -1;
+  std::uint64_t Successes_ = 0;
+  std::uint64_t Retries_ = 0;
+};
+
+/// Retries of the last 10 s stay within Share_ of the successes of that time
+/// plus Constant_.
+struct RetryBudget {
+  RetryBudgetOptions Options_;
+  RetryBudgetCounters Counters_;
+  std::array<RetryWindowSlot, 10> Window_{};
+};
+
+/// Takes one retry from the budget, or returns false.
+bool takeRetry(RetryBudget &Budget, TimePoint Now);
+
+/// A call ended with an answer of its target.
+void noteSuccess(RetryBudget &Budget, TimePoint Now);
+
+struct BackoffOptions {
+  Duration Base_ = milliseconds(10);
+  Duration Limit_ = seconds(1);
+};
+
+/// Delay before retry number Attempt (from 0): uniform in the upper half of
+/// [0, min(Limit_, Base_ * 2^Attempt)], and at least RetryAfter.
+Duration backoffDelay(const BackoffOptions &Options, std::uint32_t Attempt,
+                      Duration RetryAfter, Random &Rng);
+
+struct HedgeOptions {
+  double Share_ = 0.05; ///< Hedges per call.
+  double Burst_ = 20;   ///< Hedges saved up at most.
+  double Percentile_ = 0.95;
+  std::uint64_t MinSamples_ = 50;       ///< No hedge before so many latencies.
+  Duration MinDelay_ = milliseconds(1); ///< Shorter delays are raised.
+  std::uint64_t HalfLife_ = 2000; ///< Latencies after which old ones halve.
+  std::size_t MaxRoutes_ = 1024;
+};
+
+/// Eight buckets for each doubling from 16 us to about 17 min.
+inline constexpr std::size_t LatencyBuckets = 208;
+
+struct RouteLatency {
+  std::array<float, LatencyBuckets> Buckets_{};
+  double Total_ = 0;          ///< Sum of Buckets_.
+  std::uint64_t Since_ = 0;   ///< Latencies since the last halving.
+  std::uint64_t LastUse_ = 0; ///< Value of HedgePolicy::Clock_.
+};
+
+struct HedgeCounters {
+  std::uint64_t Calls_ = 0;
+  std::uint64_t Granted_ = 0;
+  std::uint64_t Denied_ = 0;
+  std::uint64_t RoutesForgotten_ = 0; ///< Evicted by MaxRoutes_.
+};
+
+struct HedgePolicy {
+  HedgeOptions Options_;
+  HedgeCounters Counters_;
+  double Credit_ = 0; ///< Hedges that may be sent now.
+  std::uint64_t Clock_ = 0;
+  std::unordered_map<std::string, RouteLatency> Routes_;
+};
+
+/// Time after dispatch at which a call on this route may be hedged: its 95th
+/// percentile. Nothing while too little is known. The caller checks that the
+/// route is idempotent and its service allows hedging.
+std::optional<Duration> hedgeDelay(const HedgePolicy &Policy,
+                                   const std::string &Route);
+
+/// Takes one hedge from the budget, or returns false.
+bool takeHedge(HedgePolicy &Policy);
+
+/// Notes the latency of one answered call, hedged or not, from its first
+/// dispatch to its answer; this also earns Share_ of a hedge.
+void noteLatency(HedgePolicy &Policy, const std::string &Route,
+                 Duration Latency);
+
+} // namespace sycamore
--- /dev/null
+++ b/include/sycamore/RouteCost.h
@@ -0,0 +1,57 @@
+// Expected run time of requests, learnt from observed ones.
+#pragma once
+
+#include "sycamore/RunningQuantile.h"
+#include "sycamore/Time.h"
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+namespace sycamore {
+
+struct RouteCostOptions {
+  Duration DefaultCost_ = milliseconds(5); ///< Before any observation.
+  double Gain_ = 0.1;      ///< Weight of a new observation in the mean.
+  double LongRatio_ = 8.0; ///< A route this much above the median is long.
+  std::size_t MaxRoutes_ = 4096;
+};
+
+struct RouteCostEntry {
+  double MeanUs_ = 0;
+  std::uint64_t Count_ = 0;
+  std::uint64_t LastUse_ = 0; ///< Value of RouteCost::Clock_.
+};
+
+struct RouteCostCounters {
+  std::uint64_t Observations_ = 0;
+  std::uint64_t Forgotten_ = 0; ///< Entries evicted by MaxRoutes_.
+};
+
+/// Keys are chosen by the daemon: a route, or route and path for routes whose
+/// requests differ.
+struct RouteCost {
+  RouteCostOptions Options_;
+  RouteCostCounters Counters_;
+  std::unordered_map<std::string, RouteCostEntry, std::hash<std::string>,
+                     std::equal_to<>>
+      Routes_;
+  RunningQuantile Typical_{0.5, 0.05}; ///< Median of all calls, in us.
+  double AllMeanUs_ = 0;
+  std::uint64_t Clock_ = 0;
+};
+
+/// Mean time in the slot. A route without observations has the mean of all
+/// calls, or DefaultCost_ before the first.
+Duration expectedCost(const RouteCost &Table, const std::string &Key);
+
+/// Notes the time that one request held its slot.
+void noteCost(RouteCost &Table, const std::string &Key, Duration ServiceTime);
+
+/// Whether requests of this key are expected to run LongRatio_ times longer
+/// than the median call. False without observations.
+bool isLong(const RouteCost &Table, const std::string &Key);
+
+} // namespace sycamore
