--- /dev/null
+++ b/include/sycamore/ConfigReplica.h
@@ -0,0 +1,94 @@
+// The daemon's replica of the configuration: moves to newer tickets only, and
+// only as a whole.
+#pragma once
+
+#include "sycamore/Head.h"
+#include "sycamore/Snapshot.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace sycamore {
+
+struct ConfigReplicaConfig {
+  /// Public keys of the operators by name, 64 hex digits each. When not empty,
+  /// every ticket needs the signature of its approver.
+  std::map<std::string, std::string> Operators_;
+  /// Accepted tickets kept for peers that lag, in bytes of JSON.
+  std::size_t RecentBytes_ = 256U << 10U;
+
+  /// Only for tests: each switches one check off, see test/mutations.txt.
+  bool MonotoneForTest_ = true;
+  bool SignaturesForTest_ = true;
+};
+
+struct ConfigReplicaCounters {
+  std::uint64_t Applied_ = 0;
+  std::uint64_t AlreadyHad_ = 0; ///< Offers of the same or an older ticket.
+  std::uint64_t Gaps_ = 0;
+  std::uint64_t Rejected_ = 0;
+};
+
+enum class OfferOutcome {
+  Applied,
+  AlreadyHave, ///< The offer is not above the ticket in force.
+  Gap,         ///< Tickets in between, or a base snapshot, are missing.
+  Rejected,    ///< The offer failed a check; nothing of it was applied.
+};
+
+std::string_view offerOutcomeName(OfferOutcome Outcome);
+
+struct OfferResult {
+  OfferOutcome Outcome_ = OfferOutcome::AlreadyHave;
+  std::uint64_t Number_ = 0; ///< Ticket in force after the call.
+  /// For a Gap of a head: number of the base snapshot to read; else 0.
+  std::uint64_t BaseNeeded_ = 0;
+  std::optional<Error> Error_; ///< Set when Rejected.
+};
+
+struct KeptTicket {
+  AcceptedTicket Accepted_;
+  std::string Json_; ///< As sent to peers.
+};
+
+struct Rejection {
+  std::uint64_t Number_ = 0;
+  Error Error_;
+};
+
+struct ConfigReplica {
+  ConfigReplicaConfig Config_;
+  SnapshotPointer Current_ = std::make_shared<const Snapshot>();
+  std::deque<KeptTicket> Recent_; ///< Ascending, gapless up to Current_.
+  std::size_t RecentSize_ = 0;    ///< Bytes of JSON in Recent_.
+  /// The last offer that failed a check; cleared when a ticket with its number
+  /// or above is applied.
+  std::optional<Rejection> Rejection_;
+  ConfigReplicaCounters Counters_;
+};
+
+ConfigReplica makeConfigReplica(ConfigReplicaConfig Config);
+
+/// One accepted ticket from a peer.
+OfferResult offerTicket(ConfigReplica &Replica, const AcceptedTicket &Accepted);
+
+/// The store's head. Base is the snapshot that it names, if that was read; it
+/// is needed only when the head's inline tickets do not reach back to the
+/// ticket in force.
+OfferResult offerHead(ConfigReplica &Replica, const Head &Value,
+                      const Snapshot *Base = nullptr);
+
+/// A whole snapshot in JSON, from a peer or the store.
+OfferResult offerSnapshot(ConfigReplica &Replica, std::string_view Text,
+                          std::string_view Source);
+
+/// JSON of the accepted tickets that follow the one with this number and
+/// digest; unset when they are not kept, so that a snapshot is needed.
+std::optional<std::vector<std::string>>
+ticketsAfter(const ConfigReplica &Replica, std::uint64_t Number,
+             std::string_view Digest);
+
+} // namespace sycamore
--- /dev/null
+++ b/include/sycamore/Dissemination.h
@@ -0,0 +1,113 @@
+// Spreads accepted tickets over the overlay: announcements, pulls of the body
+// and anti-entropy.
+#pragma once
+
+#include "sycamore/ConfigReplica.h"
+#include "sycamore/Outbox.h"
+#include "sycamore/Random.h"
+#include "sycamore/Time.h"
+
+#include <deque>
+#include <map>
+#include <set>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace sycamore {
+
+struct DisseminationConfig {
+  /// A pull without an answer is sent to another source after this time.
+  Duration PullTimeout_ = milliseconds(400);
+  /// After `busy` from every known source, the next pull waits this long.
+  Duration BusyDelay_ = milliseconds(250);
+  /// Pulls served in the first second after a ticket was applied; one more
+  /// each second afterwards.
+  std::uint32_t FirstServes_ = 2;
+  Duration SyncInterval_ = seconds(2); ///< Of offers without a cause.
+  /// Largest total of accepted tickets in one answer, in bytes; more are sent
+  /// as a snapshot if that is smaller.
+  std::size_t MaxBodyBytes_ = 1U << 20U;
+
+  /// Only for tests: each switches one rule off, see test/mutations.txt.
+  bool AntiEntropyForTest_ = true;
+  bool ServeCapForTest_ = true;
+  bool OtherSourcesForTest_ = true;
+};
+
+struct DisseminationCounters {
+  std::uint64_t OffersSent_ = 0;
+  std::uint64_t OffersReceived_ = 0;
+  std::uint64_t PullsSent_ = 0;
+  std::uint64_t PullTimeouts_ = 0;
+  std::uint64_t PullsServed_ = 0;
+  std::uint64_t BusySent_ = 0;
+  std::uint64_t BusyReceived_ = 0;
+  std::uint64_t SnapshotsSent_ = 0;
+  std::uint64_t BodiesRejected_ = 0;
+  std::uint64_t BodiesUnreadable_ = 0;
+};
+
+/// A peer that holds a newer ticket than this daemon.
+struct TicketSource {
+  std::string Server_;
+  std::uint64_t Number_ = 0;
+  std::string Digest_;
+  TimePoint RetryAt_; ///< Not asked again before this time.
+};
+
+struct PullInFlight {
+  std::string Source_;
+  TimePoint SentAt_;
+  std::uint64_t HaveNumber_ = 0;
+};
+
+struct Dissemination {
+  DisseminationConfig Config_;
+  std::vector<TicketSource> Sources_; ///< In the order of their offers.
+  std::optional<PullInFlight> Pull_;
+  std::uint64_t Announced_ = 0; ///< Number announced last.
+  TimePoint AppliedAt_;         ///< When the ticket in force was applied.
+  std::uint32_t Served_ = 0;    ///< Pulls served since AppliedAt_.
+  /// Servers known to hold the ticket in force.
+  std::set<std::string> Holders_;
+  TimePoint NextSync_;
+  DisseminationCounters Counters_;
+};
+
+enum class DisseminationEventKind { Applied, Rejected };
+
+struct DisseminationEvent {
+  DisseminationEventKind Kind_ = DisseminationEventKind::Applied;
+  std::uint64_t Number_ = 0;
+  std::string Source_;         ///< Server that sent the body.
+  std::optional<Error> Error_; ///< Set when Rejected.
+};
+
+using DisseminationEvents = std::vector<DisseminationEvent>;
+
+Dissemination makeDissemination(DisseminationConfig Config, Now Time);
+
+/// Offers the ticket in force to the neighbours that are not known to hold it.
+/// Call it after the replica moved by another way than this module (the
+/// store); a ticket that came from a peer is announced without it.
+void announceTicket(Dissemination &Spread, const ConfigReplica &Replica,
+                    std::span<const std::string> Neighbours, Now Time,
+                    Outbox &Out);
+
+/// Takes TicketOffer, TicketPull and TicketBodies, and the ticket that a
+/// FloorAnswer names; ignores other messages.
+DisseminationEvents
+receiveDissemination(Dissemination &Spread, ConfigReplica &Replica,
+                     std::span<const std::string> Neighbours,
+                     const wire::PeerMessage &Message, Now Time, Random &Rng,
+                     Outbox &Out);
+
+/// Timeouts of pulls and anti-entropy; call it every 20 ms. RemoteReaders are
+/// the readers of other data centres, empty unless this daemon is a reader.
+void tickDissemination(Dissemination &Spread, const ConfigReplica &Replica,
+                       std::span<const std::string> Neighbours,
+                       std::span<const std::string> RemoteReaders, Now Time,
+                       Random &Rng, Outbox &Out);
+
+} // namespace sycamore
