Carry the sender's process start time in every peer message

Cause: an incarnation changes with refutations, so it cannot tell whether a peer is still the process that received a call. Change: PeerMessage.process; the wall clock is read before the monotonic one. Ruled out: deriving the process from the incarnation. Conclusion: PeerTransportTest passes.

--- a/include/sycamore/Clock.h
+++ b/include/sycamore/Clock.h
@@ -12,6 +12,8 @@
 /// Reads CLOCK_REALTIME.
 WallTime wallNow();
 
-inline Now readClocks() { return {monotonicNow(), wallNow()}; }
+/// Reads the wall clock first: a pause between the two readings must not make a
+/// lapsed lease look valid.
+Now readClocks();
 
 } // namespace sycamore
--- a/include/sycamore/PeerTransport.h
+++ b/include/sycamore/PeerTransport.h
@@ -40,7 +40,7 @@
 
 struct PeerTransportConfig {
   std::string Self_;
-  std::uint64_t Incarnation_ = 0;
+  std::uint64_t Process_ = 0; ///< Start time, microseconds since the epoch.
   std::string ListenAddress_; ///< "IP:PORT"; port 0 for any free one.
   CurveKeys Curve_;
   AllowedKeys AllowedKeys_;
--- a/src/Clock.cpp
+++ b/src/Clock.cpp
@@ -19,4 +19,9 @@
 
 WallTime wallNow() { return WallTime(readClock(CLOCK_REALTIME)); }
 
+Now readClocks() {
+  WallTime Wall = wallNow();
+  return {monotonicNow(), Wall};
+}
+
 } // namespace sycamore
--- a/src/PeerTransport.cpp
+++ b/src/PeerTransport.cpp
@@ -238,7 +238,7 @@
 std::string PeerTransport::Impl::encode(wire::PeerMessage &Message,
                                         std::string_view Body) {
   Message.set_sender(Config_.Self_);
-  Message.set_incarnation(Config_.Incarnation_);
+  Message.set_process(Config_.Process_);
   std::string Bytes = Message.SerializeAsString();
   ++Counters_.MessagesSent_;
   Counters_.BytesSent_ += Bytes.size() + Body.size();
