Connect the control-plane modules to store and peers

Cause: the decision modules do no input or output. Change: ControlPlane reads and watches the head for them, keeps seeds, and sends their messages. Ruled out: reading only the seeds of the own data centre, because readers need those of the others; one transaction reads them all.

--- /dev/null
+++ b/src/ControlPlane.cpp
@@ -0,0 +1,331 @@
+// Connects the control-plane modules to the store and to peers.
+#include "ControlPlane.h"
+
+#include "Seeds.h"
+#include "sycamore/Clock.h"
+#include "sycamore/Log.h"
+
+namespace sycamore {
+namespace {
+
+MembershipConfig membershipConfig(const Settings &Config,
+                                  const std::string &PeerAddress,
+                                  const std::string &PublicKey) {
+  MembershipConfig Out;
+  Out.Name_ = Config.Server_;
+  Out.DataCentre_ = Config.DataCentre_;
+  Out.PeerAddress_ = PeerAddress;
+  Out.PublicKey_ = PublicKey;
+  Out.GossipInterval_ = Config.Timing_.GossipInterval_;
+  Out.ProbeInterval_ = Config.Timing_.ProbeInterval_;
+  Out.ProbeTimeout_ = Config.Timing_.ProbeTimeout_;
+  Out.SuspicionTime_ = Config.Timing_.Suspect_;
+  Out.SyncInterval_ = Config.Timing_.SyncInterval_;
+  return Out;
+}
+
+ConfigReplicaConfig replicaConfig(const Settings &Config) {
+  ConfigReplicaConfig Out;
+  for (const OperatorEntry &Entry : Config.Operators_)
+    if (Entry.MayApprove_)
+      Out.Operators_[Entry.Name_] = Entry.PublicKey_;
+  return Out;
+}
+
+BootstrapConfig bootstrapConfig(const Settings &Config) {
+  BootstrapConfig Out;
+  for (const BootstrapPeer &Peer : Config.BootstrapPeers_)
+    Out.Peers_.push_back(Peer.Name_);
+  Out.HeadInterval_ = Config.Timing_.HeadReadInterval_;
+  return Out;
+}
+
+void logMembership(const MembershipEvents &Events) {
+  for (const MembershipEvent &Event : Events) {
+    bool Loss = Event.Kind_ == MembershipEventKind::ServerSuspect ||
+                Event.Kind_ == MembershipEventKind::ServerDead;
+    logEvent(Loss ? LogLevel::Warning : LogLevel::Info,
+             membershipEventName(Event.Kind_), {{"name", Event.Name_}});
+  }
+}
+
+void logBootstrap(const std::vector<BootstrapEvent> &Events) {
+  for (const BootstrapEvent &Event : Events)
+    logEvent(
+        LogLevel::Info,
+        Event.Kind_ == BootstrapEventKind::FloorReached ? "floor-reached"
+                                                        : "floor-known",
+        {{"basis", floorBasisName(Event.Basis_)}, {"ticket", Event.Number_}});
+}
+
+void logRejection(std::uint64_t Number, std::string_view Source,
+                  const std::optional<Error> &Failure) {
+  logEvent(LogLevel::Warning, "ticket-rejected",
+           {{"ticket", Number},
+            {"from", Source},
+            {"error", Failure ? describe(*Failure) : ""}});
+}
+
+void logApplied(std::uint64_t Number, std::string_view Source) {
+  logEvent(LogLevel::Info, "ticket-applied",
+           {{"ticket", Number}, {"from", Source}});
+}
+
+Result<Snapshot> parseStoredSnapshot(const std::string &Text) {
+  JsonLimits Limits;
+  Limits.MaxBytes_ = MaxStoreValueBytes;
+  return parseJson(Text, "snapshot", Limits).and_then([](const Json &Document) {
+    return parseSnapshot(Document, "snapshot");
+  });
+}
+
+} // namespace
+
+ControlPlane::ControlPlane(const Settings &Config,
+                           const std::string &PeerAddress,
+                           const std::string &PublicKey, Store &Platform,
+                           Random &Rng, OutboxSender Send, Now Time)
+    : Settings_(Config), Store_(Platform), Rng_(Rng), Send_(std::move(Send)),
+      Members_(makeMembership(membershipConfig(Config, PeerAddress, PublicKey),
+                              Time)),
+      Replica_(makeConfigReplica(replicaConfig(Config))),
+      Spread_(makeDissemination({}, Time)),
+      Boot_(makeBootstrap(bootstrapConfig(Config), Time, Rng)) {
+  learnSeeds(Members_, bootstrapRecords(Config), Time);
+}
+
+void ControlPlane::send(Outbox &Out) {
+  stampSender(Members_, Out);
+  Send_(Out);
+}
+
+void ControlPlane::tick(Now Time) {
+  Outbox Out;
+  logMembership(tickMembership(Members_, Time, Rng_, Out));
+  tickDissemination(Spread_, Replica_, neighbours(Members_),
+                    Members_.Overlay_.RemoteReaders_, Time, Rng_, Out);
+  BootstrapStep Step =
+      tickBootstrap(Boot_, Members_, Replica_, Time, Rng_, Out);
+  logBootstrap(Step.Events_);
+  if (Step.ReadStore_)
+    readStore(/*ForFloor=*/true, Time);
+  ReaderStep Reading = tickReader(Boot_, Members_, Time, Rng_);
+  if (Reading.ReadHead_)
+    readStore(/*ForFloor=*/false, Time);
+  if (Reading.WriteSeeds_)
+    writeSeeds(*Reading.WriteSeeds_);
+  updateWatch(Reading.WatchHead_, Time);
+  send(Out);
+}
+
+void ControlPlane::receive(const wire::PeerMessage &Message, Now Time) {
+  Outbox Out;
+  logMembership(receiveMembership(Members_, Message, Time, Rng_, Out));
+  auto Events = receiveDissemination(Spread_, Replica_, neighbours(Members_),
+                                     Message, Time, Rng_, Out);
+  for (const DisseminationEvent &Event : Events) {
+    if (Event.Kind_ == DisseminationEventKind::Applied) {
+      logApplied(Event.Number_, Event.Source_);
+      setOwnTicket(Members_, Replica_.Current_->Number_);
+    } else {
+      logRejection(Event.Number_, Event.Source_, Event.Error_);
+      setOwnRejectedTicket(Members_, Event.Number_);
+    }
+  }
+  if (Message.has_floor_query())
+    answerFloorQuery(Boot_, Members_, Replica_, Message, Time, Out);
+  if (Message.has_floor_answer())
+    logBootstrap(receiveFloorAnswer(Boot_, Members_, Replica_, Message, Time));
+  send(Out);
+}
+
+void ControlPlane::startLeaving(Now Time) {
+  Outbox Out;
+  sycamore::startLeaving(Members_, Time, Out);
+  send(Out);
+}
+
+void ControlPlane::finishLeaving(Now Time) {
+  Outbox Out;
+  sycamore::finishLeaving(Members_, Time, Out);
+  send(Out);
+}
+
+void ControlPlane::spreadQuarantine(
+    std::span<const wire::QuarantineRecord> Marks) {
+  if (Marks.empty())
+    return;
+  sycamore::spreadQuarantine(Members_, Marks);
+  Outbox Out;
+  for (const std::string &Neighbour : neighbours(Members_)) {
+    Outgoing &Message = Out.emplace_back();
+    Message.To_ = Neighbour;
+    auto *Gossip = Message.Message_.mutable_gossip();
+    for (const wire::QuarantineRecord &Mark : Marks)
+      *Gossip->add_quarantine() = Mark;
+  }
+  send(Out);
+}
+
+std::vector<wire::ServerRecord> ControlPlane::serverRecords() const {
+  std::vector<wire::ServerRecord> Out;
+  for (const auto &[Name, Row] : Members_.Servers_)
+    Out.push_back(Row.Record_);
+  return Out;
+}
+
+void ControlPlane::readStore(bool ForFloor, Now Time) {
+  if (!ForFloor && HeadReadUnderway_)
+    return;
+  HeadReadUnderway_ = true;
+  ++Counters_.HeadReads_;
+  Txn Request;
+  RangeRequest ReadHead;
+  ReadHead.Key_ = headKey();
+  Request.Reads_ = {ReadHead, seedsRange()};
+  TimePoint StartedAt = Time.Monotonic_;
+  Store_.txn(Request, Settings_.Store_.Timeout_,
+             [this, ForFloor, StartedAt](Result<TxnResult> Answer) {
+               onStoreAnswer(ForFloor, StartedAt, Answer);
+             });
+}
+
+void ControlPlane::noteStore(const Result<TxnResult> &Answer, bool Usable) {
+  if (!Usable)
+    ++Counters_.StoreFailures_;
+  if (Usable == StoreUp_)
+    return;
+  StoreUp_ = Usable;
+  if (Usable)
+    logEvent(LogLevel::Info, "store-reachable");
+  else
+    logEvent(LogLevel::Warning, "store-unreachable",
+             {{"error", Answer ? std::string("incomplete answer")
+                               : describe(Answer.error())}});
+}
+
+void ControlPlane::onStoreAnswer(bool ForFloor, TimePoint StartedAt,
+                                 const Result<TxnResult> &Answer) {
+  Now Time = readClocks();
+  HeadReadUnderway_ = false;
+  StoreReadResult Read;
+  Read.StartedAt_ = StartedAt;
+  bool Usable = Answer && Answer->Reads_.size() == 2;
+  noteStore(Answer, Usable);
+  if (Usable) {
+    takeSeeds(Answer->Reads_[1], Time);
+    std::string Value = Answer->Reads_[0].Values_.empty()
+                            ? std::string()
+                            : Answer->Reads_[0].Values_[0].Value_;
+    if (auto Parsed = parseHead(Value)) {
+      Read.Number_ = Parsed->Number_;
+      Read.Digest_ = Parsed->Digest_;
+    }
+    takeHead(Value, nullptr);
+  }
+  if (!ForFloor)
+    return;
+  Outbox Out;
+  logBootstrap(onStoreRead(Boot_, Members_, Replica_, Read, Time, Rng_, Out));
+  send(Out);
+}
+
+void ControlPlane::takeHead(const std::string &Value, const Snapshot *Base) {
+  auto Parsed = parseHead(Value);
+  if (!Parsed) {
+    logEvent(LogLevel::Error, "head-unreadable",
+             {{"error", describe(Parsed.error())}});
+    return;
+  }
+  OfferResult Offer = offerHead(Replica_, *Parsed, Base);
+  if (Offer.Outcome_ == OfferOutcome::Gap && Offer.BaseNeeded_ != 0 && !Base)
+    readBase(Offer.BaseNeeded_, Value);
+  else
+    afterOffer(Offer, readClocks());
+}
+
+void ControlPlane::readBase(std::uint64_t Number,
+                            const std::string &HeadValue) {
+  ++Counters_.SnapshotReads_;
+  RangeRequest Request;
+  Request.Key_ = snapshotKey(Number);
+  Store_.range(Request, Settings_.Store_.Timeout_,
+               [this, HeadValue](Result<RangeResult> Answer) {
+                 if (!Answer || Answer->Values_.empty())
+                   return;
+                 auto Base = parseStoredSnapshot(Answer->Values_[0].Value_);
+                 if (Base)
+                   takeHead(HeadValue, &*Base);
+                 else
+                   logEvent(LogLevel::Error, "snapshot-unreadable",
+                            {{"error", describe(Base.error())}});
+               });
+}
+
+void ControlPlane::afterOffer(const OfferResult &Offer, Now Time) {
+  if (Offer.Outcome_ == OfferOutcome::Rejected) {
+    std::uint64_t Number =
+        Replica_.Rejection_ ? Replica_.Rejection_->Number_ : 0;
+    logRejection(Number, "store", Offer.Error_);
+    setOwnRejectedTicket(Members_, Number);
+    return;
+  }
+  if (Offer.Outcome_ != OfferOutcome::Applied)
+    return;
+  logApplied(Offer.Number_, "store");
+  setOwnTicket(Members_, Offer.Number_);
+  Outbox Out;
+  announceTicket(Spread_, Replica_, neighbours(Members_), Time, Out);
+  send(Out);
+}
+
+void ControlPlane::takeSeeds(const RangeResult &Seeds, Now Time) {
+  std::string OwnKey = seedsKey(Settings_.DataCentre_);
+  SeedsRevision_ = 0;
+  for (const KeyValue &Entry : Seeds.Values_) {
+    if (Entry.Key_ == OwnKey)
+      SeedsRevision_ = Entry.ModRevision_;
+    learnSeeds(Members_, parseSeeds(Entry), Time);
+  }
+}
+
+void ControlPlane::writeSeeds(std::span<const wire::ServerRecord> Seeds) {
+  ++Counters_.SeedWrites_;
+  Txn Request;
+  std::string Key = seedsKey(Settings_.DataCentre_);
+  Request.Compares_ = {Compare{Key, SeedsRevision_}};
+  Request.Puts_ = {Put{Key, encodeSeeds(Seeds), 0}};
+  Store_.txn(Request, Settings_.Store_.Timeout_,
+             [this](Result<TxnResult> Answer) {
+               // After a lost race the next read of the head brings the
+               // revision that won.
+               if (Answer && Answer->Succeeded_)
+                 SeedsRevision_ = Answer->Revision_;
+             });
+}
+
+void ControlPlane::updateWatch(bool Wanted, Now Time) {
+  if (WatchFailed_) {
+    Watch_.reset();
+    WatchFailed_ = false;
+    // Readers whose watches ended together must not return together.
+    NextWatch_ =
+        Time.Monotonic_ + seconds(1) + Duration(randomIndex(Rng_, 2'000'000));
+  }
+  if (!Wanted) {
+    Watch_.reset();
+    return;
+  }
+  if (Watch_ || Time.Monotonic_ < NextWatch_)
+    return;
+  ++Counters_.WatchesStarted_;
+  Watch_ = Store_.watch(
+      headKey(), 0,
+      [this](const KeyValue &Entry) {
+        ++Counters_.WatchEvents_;
+        takeHead(Entry.Value_, nullptr);
+      },
+      [this](const Error & /*Failure*/) { WatchFailed_ = true; });
+}
+
+} // namespace sycamore
--- /dev/null
+++ b/src/ControlPlane.h
@@ -0,0 +1,88 @@
+// Connects the control-plane modules of one daemon to the store and to peers:
+// membership, configuration replica, dissemination and bootstrap.
+#pragma once
+
+#include "sycamore/Bootstrap.h"
+#include "sycamore/Dissemination.h"
+#include "sycamore/Membership.h"
+#include "sycamore/Settings.h"
+#include "sycamore/Store.h"
+
+namespace sycamore {
+
+struct ControlPlaneCounters {
+  std::uint64_t HeadReads_ = 0;
+  std::uint64_t SnapshotReads_ = 0;
+  std::uint64_t SeedWrites_ = 0;
+  std::uint64_t WatchesStarted_ = 0;
+  std::uint64_t WatchEvents_ = 0;
+  std::uint64_t StoreFailures_ = 0;
+};
+
+/// Sends the messages of an outbox.
+using OutboxSender = std::function<void(Outbox &)>;
+
+class ControlPlane {
+public:
+  /// PeerAddress is the address that other daemons dial, PublicKey the CURVE
+  /// key of this daemon or empty.
+  ControlPlane(const Settings &Config, const std::string &PeerAddress,
+               const std::string &PublicKey, Store &Platform, Random &Rng,
+               OutboxSender Send, Now Time);
+
+  /// Called every 20 ms.
+  void tick(Now Time);
+
+  /// Takes every message from a peer; calls count as signs of life.
+  void receive(const wire::PeerMessage &Message, Now Time);
+
+  /// Announces that this server leaves, and that it has left.
+  void startLeaving(Now Time);
+  void finishLeaving(Now Time);
+
+  /// Spreads marks to all neighbours at once and then by gossip.
+  void spreadQuarantine(std::span<const wire::QuarantineRecord> Marks);
+
+  bool mayServe() const { return hasFloor(Boot_); }
+  const SnapshotPointer &snapshot() const { return Replica_.Current_; }
+  Membership &members() { return Members_; }
+  const Membership &members() const { return Members_; }
+  const ConfigReplica &replica() const { return Replica_; }
+  const Dissemination &dissemination() const { return Spread_; }
+  const Bootstrap &bootstrap() const { return Boot_; }
+  const ControlPlaneCounters &counters() const { return Counters_; }
+
+  /// Records of all servers, for decisions on buckets.
+  std::vector<wire::ServerRecord> serverRecords() const;
+
+private:
+  void readStore(bool ForFloor, Now Time);
+  void onStoreAnswer(bool ForFloor, TimePoint StartedAt,
+                     const Result<TxnResult> &Answer);
+  void noteStore(const Result<TxnResult> &Answer, bool Usable);
+  void takeHead(const std::string &Value, const Snapshot *Base);
+  void readBase(std::uint64_t Number, const std::string &HeadValue);
+  void takeSeeds(const RangeResult &Seeds, Now Time);
+  void updateWatch(bool Wanted, Now Time);
+  void writeSeeds(std::span<const wire::ServerRecord> Seeds);
+  void afterOffer(const OfferResult &Offer, Now Time);
+  void send(Outbox &Out);
+
+  Settings Settings_;
+  Store &Store_;
+  Random &Rng_;
+  OutboxSender Send_;
+  Membership Members_;
+  ConfigReplica Replica_;
+  Dissemination Spread_;
+  Bootstrap Boot_;
+  ControlPlaneCounters Counters_;
+  std::unique_ptr<WatchHandle> Watch_;
+  bool WatchFailed_ = false;
+  TimePoint NextWatch_;
+  std::int64_t SeedsRevision_ = 0;
+  bool StoreUp_ = true;
+  bool HeadReadUnderway_ = false;
+};
+
+} // namespace sycamore
