--- /dev/null
+++ b/src/CallMessages.h
@@ -0,0 +1,58 @@
+// Small conversions between HTTP messages and peer messages of calls.
+#pragma once
+
+#include "sycamore/Error.h"
+#include "sycamore/HttpMessage.h"
+#include "sycamore/PeerMessages.pb.h"
+#include "sycamore/PeerTransport.h"
+#include "sycamore/Time.h"
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace sycamore {
+
+/// Headers of the calls themselves.
+inline constexpr std::string_view RunHeader = "sycamore-run";
+inline constexpr std::string_view DepthHeader = "sycamore-depth";
+inline constexpr std::string_view DeadlineHeader = "sycamore-deadline-ms";
+inline constexpr std::string_view TicketHeader = "sycamore-ticket";
+inline constexpr std::string_view TraceparentHeader = "traceparent";
+inline constexpr std::string_view IdempotencyKeyHeader = "idempotency-key";
+
+/// Sends a call message to a server by name; this server included.
+using CallSender = std::function<SendOutcome(
+    const std::string &Server, wire::PeerMessage &, std::string_view Body)>;
+
+/// Answers a received call message.
+using CallReplier = std::function<void(const ReplyRoute &, wire::PeerMessage &,
+                                       std::string_view Body)>;
+
+/// "not-run", "done" or "unknown".
+std::string_view runName(wire::RunOutcome Run);
+
+/// Passes on end-to-end headers only. The daemon's own headers are left out.
+void addEndToEndHeaders(google::protobuf::RepeatedPtrField<wire::Header> &Out,
+                        const HttpHeaders &Headers);
+HttpHeaders
+toHttpHeaders(const google::protobuf::RepeatedPtrField<wire::Header> &Headers);
+
+/// An answer that carries an error in place of a target's answer.
+wire::CallAnswer errorAnswer(const wire::CallId &Id, wire::RunOutcome Run,
+                             std::uint32_t Status, const Error &Failure,
+                             Duration RetryAfter = Duration(0));
+
+/// The JSON body of an error towards callers.
+std::string errorBody(std::string_view Kind, std::string_view Message,
+                      std::string_view Remedy, wire::RunOutcome Run,
+                      std::string_view TraceId);
+
+/// Whole seconds, rounded up, at least 1, as Retry-After wants them.
+std::string retryAfterSeconds(Duration RetryAfter);
+
+/// A header that holds a whole number; nothing when absent or malformed.
+std::optional<std::uint64_t> numberHeader(const HttpHeaders &Headers,
+                                          std::string_view Name);
+
+} // namespace sycamore
--- /dev/null
+++ b/src/EntryProxy.cpp
@@ -0,0 +1,568 @@
+// Carries callers' requests to targets and their answers back.
+#include "EntryProxy.h"
+
+#include "sycamore/CallBody.h"
+#include "sycamore/Clock.h"
+#include "sycamore/Log.h"
+
+namespace sycamore {
+namespace {
+
+/// Servers with calls under way are asked for a sign of life this often.
+constexpr Duration HeartbeatInterval = milliseconds(100);
+
+/// The service that a request needs is not there: what to tell the caller.
+Finish refusal(std::uint32_t Status, Error Failure, Duration RetryAfter) {
+  Finish Out;
+  Out.Run_ = wire::RUN_NOT_RUN;
+  Out.Status_ = Status;
+  Out.Error_ = std::move(Failure);
+  Out.RetryAfter_ = RetryAfter;
+  return Out;
+}
+
+TargetLoad loadOf(const wire::CallAnswer &Answer) {
+  TargetLoad Out;
+  Out.Running_ = Answer.running();
+  Out.Queued_ = Answer.queued();
+  Out.Slots_ = Answer.slots();
+  Out.ServiceTime_ = Duration(Answer.service_time_us());
+  return Out;
+}
+
+AttemptOutcome outcomeOf(const wire::CallAnswer &Answer) {
+  if (Answer.target_lost())
+    return AttemptOutcome::Lost;
+  switch (Answer.run()) {
+  case wire::RUN_DONE:
+    return AttemptOutcome::Done;
+  case wire::RUN_NOT_RUN:
+    return AttemptOutcome::NotRun;
+  default:
+    return AttemptOutcome::TimedOut;
+  }
+}
+
+std::string_view pathOnly(std::string_view Path) {
+  return Path.substr(0, Path.find('?'));
+}
+
+} // namespace
+
+EntryProxy::EntryProxy(const Settings &Config, ControlPlane &Control,
+                       TargetProxy &LocalTargets, Quarantine &Marks,
+                       SpanBuffer &Spans, Random &Rng, std::uint64_t Process,
+                       CallSender Send,
+                       std::function<void(const std::string &)> CloseLink)
+    : Settings_(Config), Control_(Control), LocalTargets_(LocalTargets),
+      Marks_(Marks), Spans_(Spans), Rng_(Rng), Send_(std::move(Send)),
+      CloseLink_(std::move(CloseLink)), Policy_(makePolicy()) {
+  Calls_.Self_ = Config.Server_;
+  Calls_.Incarnation_ = Process;
+  Calls_.Limits_.LinkDeadline_ = Config.Timing_.LinkDeadline_;
+}
+
+CallPolicy EntryProxy::makePolicy() {
+  CallPolicy Out;
+  Out.ChooseTarget_ = [this](const EntryCall &Call,
+                             std::span<const std::string> Excluded) {
+    return choose(Call, Excluded);
+  };
+  Out.TakeRetry_ = [this](const EntryCall &Call) {
+    return !Call.Request_.suspect() && takeRetry(Retries_, Time_);
+  };
+  Out.HedgeDelay_ = [this](const EntryCall &Call) -> std::optional<Duration> {
+    const auto &Services = Call.Snapshot_->State_.Services_;
+    auto Found = Services.find(Call.Service_);
+    if (Found == Services.end() || !Found->second.Hedging_ ||
+        Call.Request_.suspect())
+      return std::nullopt;
+    return hedgeDelay(Hedges_, Call.Route_);
+  };
+  Out.TakeHedge_ = [this](const EntryCall & /*Call*/) {
+    return takeHedge(Hedges_);
+  };
+  return Out;
+}
+
+std::optional<ChosenTarget>
+EntryProxy::choose(const EntryCall &Call,
+                   std::span<const std::string> Excluded) {
+  auto ProcessOf = [this](const std::string &Server) {
+    auto Found = ProcessOf_.find(Server);
+    return Found == ProcessOf_.end() ? 0 : Found->second;
+  };
+  if (!Call.Request_.idempotency_key().empty() && Excluded.empty()) {
+    // The holder of the key's bucket chooses the target.
+    return ChosenTarget{
+        Call.Request_.target(), {}, ProcessOf(Call.Request_.target())};
+  }
+  if (!Call.Request_.idempotency_key().empty())
+    return std::nullopt;
+  std::vector<EligibleTarget> Eligible =
+      eligibleTargets(Control_.members(), *Call.Snapshot_, Call.Service_);
+  const auto &Routes = Call.Snapshot_->State_.Routes_;
+  auto Matched = Routes.find(Call.Route_);
+  if (Matched != Routes.end() && !Matched->second.Targets_.empty())
+    std::erase_if(Eligible, [&](const EligibleTarget &Target) {
+      const auto &Pinned = Matched->second.Targets_;
+      return std::find(Pinned.begin(), Pinned.end(), Target.Name_) ==
+             Pinned.end();
+    });
+  std::vector<Candidate> Candidates;
+  for (const EligibleTarget &Target : Eligible)
+    Candidates.push_back(
+        {Target.Name_, Target.Server_, Target.DataCentre_, Target.Slots_});
+  std::optional<std::size_t> Index;
+  if (Call.Request_.suspect())
+    Index = Excluded.empty()
+                ? chooseSuspectTarget(Call.Request_.fingerprint(), Candidates)
+                : std::nullopt;
+  else
+    Index = chooseTarget(Placement_, Candidates, Settings_.DataCentre_,
+                         Excluded, Time_, Rng_);
+  if (!Index)
+    return std::nullopt;
+  const EligibleTarget &Chosen = Eligible[*Index];
+  return ChosenTarget{Chosen.Server_, Chosen.Name_, ProcessOf(Chosen.Server_)};
+}
+
+std::optional<Finish> EntryProxy::checkAcceptable() const {
+  if (!Control_.mayServe())
+    return refusal(503,
+                   {ErrorKind::Unavailable,
+                    "this daemon does not know yet which ticket is in force",
+                    "send the request again, or send it to another daemon"},
+                   seconds(1));
+  if (Leaving_)
+    return refusal(503,
+                   {ErrorKind::Unavailable, "this daemon is leaving",
+                    "send the request to another daemon"},
+                   seconds(1));
+  if (Calls_.Calls_.size() >= Settings_.Limits_.MaxCalls_)
+    return refusal(503,
+                   {ErrorKind::Unavailable,
+                    "this daemon carries as many calls as limits.max_calls "
+                    "allows",
+                    "send the request again later or to another daemon"},
+                   seconds(1));
+  return std::nullopt;
+}
+
+void EntryProxy::receive(HttpExchangePointer Exchange, Now Time) {
+  Time_ = Time.Monotonic_;
+  ++Counters_.Requests_;
+  AcceptedRequest Request;
+  Request.StartedWall_ = Time.Wall_;
+  if (!accept(Exchange, Request, Time))
+    return;
+  if (!Request.Key_.empty() && !Request.Call_.Idempotent_)
+    Keyed_(std::move(Request), std::move(Exchange), Time);
+  else
+    serve(std::move(Request), std::move(Exchange), Time);
+}
+
+bool EntryProxy::accept(const HttpExchangePointer &Exchange,
+                        AcceptedRequest &Request, Now Time) {
+  const HttpRequest &Http = Exchange->request();
+  inheritContext(Http, Request, Time);
+  if (auto Refusal = checkAcceptable()) {
+    ++(Leaving_              ? Counters_.RefusedLeaving_
+       : Control_.mayServe() ? Counters_.RefusedLimit_
+                             : Counters_.RefusedNoFloor_);
+    reply(Exchange, Request, *Refusal);
+    return false;
+  }
+  EntryCall &Call = Request.Call_;
+  Call.Snapshot_ = Control_.snapshot();
+  const Route *Matched = matchRoute(*Call.Snapshot_, Http.Host_, Http.Method_,
+                                    pathOnly(Http.Path_), &Call.Route_);
+  if (!Matched) {
+    ++Counters_.NoRoute_;
+    reply(
+        Exchange, Request,
+        refusal(404,
+                {ErrorKind::NotFound,
+                 "no route matches " + Http.Method_ + " " + Http.Path_ +
+                     " under ticket " + std::to_string(Call.Snapshot_->Number_),
+                 "correct the request, or file a ticket that adds a route"},
+                Duration(0)));
+    return false;
+  }
+  Call.Service_ = Matched->Service_;
+  Call.Idempotent_ = isIdempotent(*Matched, Http.Method_);
+  TimePoint OwnDeadline =
+      Time.Monotonic_ + timeoutOf(*Call.Snapshot_, *Matched);
+  Call.Deadline_ = Call.Deadline_ == TimePoint{}
+                       ? OwnDeadline
+                       : std::min(Call.Deadline_, OwnDeadline);
+  auto Body = std::make_shared<const std::string>(Http.Body_);
+  Call.Body_ = Body;
+  wire::CallRequest &Wire = Call.Request_;
+  Wire.set_ticket(Call.Snapshot_->Number_);
+  Wire.set_service(Call.Service_);
+  Wire.set_route(Call.Route_);
+  Wire.set_method(Http.Method_);
+  Wire.set_path(Http.Path_);
+  addEndToEndHeaders(*Wire.mutable_headers(), Http.Headers_);
+  Wire.set_depth(Call.Depth_);
+  Wire.set_idempotent(Call.Idempotent_);
+  Wire.set_body_size(Body->size());
+  Wire.set_body_hash(bodyHash(*Body));
+  Wire.set_fingerprint(
+      fingerprintOf(Call.Service_, Http.Method_, Http.Path_, *Body));
+  if (const std::string *Key = findHeader(Http.Headers_, IdempotencyKeyHeader))
+    Request.Key_ = *Key;
+  Finish Refusal;
+  if (passQuarantine(Request, Refusal, Time))
+    return true;
+  reply(Exchange, Request, Refusal);
+  return false;
+}
+
+void EntryProxy::inheritContext(const HttpRequest &Http,
+                                AcceptedRequest &Request, Now Time) {
+  EntryCall &Call = Request.Call_;
+  const std::string *Header = findHeader(Http.Headers_, TraceparentHeader);
+  auto Parent = Header ? parseTraceparent(*Header) : std::nullopt;
+  if (Parent) {
+    Request.ParentSpan_ = Parent->SpanId_;
+    Request.Span_ = childOf(*Parent, Rng_);
+  } else {
+    Request.Span_ = startTrace(Rng_, Settings_.Trace_.SampleRatio_);
+  }
+  if (auto DeadlineMs = numberHeader(Http.Headers_, DeadlineHeader)) {
+    constexpr std::uint64_t LongestMs = 600'000;
+    Call.Deadline_ =
+        Time.Monotonic_ + milliseconds(std::min(*DeadlineMs, LongestMs));
+  }
+  // A nested call carries the context that this daemon gave to its target;
+  // targets pass on traceparent even when they drop the other headers.
+  std::optional<NestedContext> Outer;
+  if (Parent)
+    Outer = LocalTargets_.nestedContext(Parent->SpanId_);
+  if (Outer) {
+    Call.Depth_ = Outer->Depth_ + 1;
+    Call.Deadline_ = Call.Deadline_ == TimePoint{}
+                         ? Outer->Deadline_
+                         : std::min(Call.Deadline_, Outer->Deadline_);
+  } else if (auto Depth = numberHeader(Http.Headers_, DepthHeader)) {
+    constexpr std::uint64_t DeepestDepth = 1000;
+    Call.Depth_ =
+        static_cast<std::uint32_t>(std::min(*Depth, DeepestDepth)) + 1;
+  }
+}
+
+bool EntryProxy::passQuarantine(AcceptedRequest &Request, Finish &Refusal,
+                                Now Time) {
+  wire::CallRequest &Wire = Request.Call_.Request_;
+  QuarantineVerdict Verdict = check(Marks_, Wire.fingerprint(), Time.Wall_);
+  if (Verdict.Decision_ == QuarantineDecision::Refuse) {
+    ++Counters_.Quarantined_;
+    Refusal = refusal(
+        429,
+        {ErrorKind::PermissionDenied,
+         Verdict.Busy_ ? "a request like this one has crashed a target and "
+                         "another one is being tried"
+                       : "requests like this one have crashed targets",
+         "wait for the time in Retry-After, or ask an operator to run "
+         "`sycamorectl quarantine clear`"},
+        Verdict.RetryAfter_);
+    return false;
+  }
+  Wire.set_suspect(Verdict.Decision_ == QuarantineDecision::AllowAlone);
+  return true;
+}
+
+void EntryProxy::serve(AcceptedRequest Request, HttpExchangePointer Exchange,
+                       Now Time) {
+  EntryCall Call = std::move(Request.Call_);
+  Request.Call_ = {};
+  TraceContext Span = Request.Span_;
+  auto Shared = std::make_shared<AcceptedRequest>(std::move(Request));
+  std::uint64_t Sequence = begin(
+      std::move(Call), Span,
+      [this, Shared, Exchange](const Finish &Outcome) {
+        reply(Exchange, *Shared, Outcome);
+      },
+      Time);
+  if (!Calls_.Calls_.contains(Sequence))
+    return;
+  Exchange->onClosed([this, Sequence] {
+    Now Later = readClocks();
+    Time_ = Later.Monotonic_;
+    ++Counters_.CallersGone_;
+    carryOut(onCallerGone(Calls_, Sequence), Later);
+    Waiting_.erase(Sequence);
+    SpanOfCall_.erase(Sequence);
+  });
+}
+
+std::uint64_t EntryProxy::begin(EntryCall Call, const TraceContext &Span,
+                                CallFinished Done, Now Time) {
+  Time_ = Time.Monotonic_;
+  std::uint64_t Sequence = Calls_.NextSequence_;
+  Waiting_[Sequence] = std::move(Done);
+  SpanOfCall_[Sequence] = Span;
+  carryOut(beginCall(Calls_, std::move(Call), Policy_, Time.Monotonic_), Time);
+  return Sequence;
+}
+
+void EntryProxy::carryOut(CallActions Actions, Now Time) {
+  for (CallAction &Action : Actions) {
+    if (auto *Attempt = std::get_if<SendAttempt>(&Action))
+      sendAttempt(*Attempt, Time);
+    else if (auto *Query = std::get_if<SendQuery>(&Action))
+      sendQuery(*Query);
+    else if (auto *Cancel = std::get_if<SendCancel>(&Action))
+      sendCancel(*Cancel);
+    else
+      finishCall(std::move(std::get<Finish>(Action)), Time);
+  }
+}
+
+void EntryProxy::sendAttempt(SendAttempt &Action, Now Time) {
+  const wire::CallId Id = Action.Request_.id();
+  AttemptInfo Info;
+  Info.Target_ = Action.Request_.target();
+  Info.Server_ = Action.Server_;
+  Info.Sequence_ = Id.sequence();
+  Info.SentAt_ = Time.Monotonic_;
+  Info.SentWall_ = Time.Wall_;
+  if (auto Parent = SpanOfCall_.find(Id.sequence());
+      Parent != SpanOfCall_.end()) {
+    Info.ParentSpan_ = Parent->second.SpanId_;
+    Info.Span_ = childOf(Parent->second, Rng_);
+    Action.Request_.set_traceparent(formatTraceparent(Info.Span_));
+  }
+  wire::PeerMessage Message;
+  *Message.mutable_call_request() = std::move(Action.Request_);
+  SendOutcome Outcome =
+      Send_(Action.Server_, Message,
+            Action.Body_ ? std::string_view(*Action.Body_) : "");
+  if (Outcome != SendOutcome::Sent) {
+    carryOut(onSendFailed(Calls_, Id, Policy_, Time.Monotonic_), Time);
+    return;
+  }
+  HeardAt_.try_emplace(Action.Server_, Time.Monotonic_);
+  if (!Info.Target_.empty())
+    noteDispatched(Placement_, Info.Target_, Time.Monotonic_);
+  Attempts_[Id.ordinal()] = std::move(Info);
+  noteSent(Calls_, Id, Time.Monotonic_);
+}
+
+void EntryProxy::sendQuery(const SendQuery &Action) {
+  if (Action.NewLink_)
+    CloseLink_(Action.Server_);
+  wire::PeerMessage Message;
+  *Message.mutable_call_query() = Action.Query_;
+  Send_(Action.Server_, Message, {});
+}
+
+void EntryProxy::sendCancel(const SendCancel &Action) {
+  endAttempt(Action.Cancel_.id().ordinal(), AttemptOutcome::Cancelled, nullptr,
+             readClocks());
+  wire::PeerMessage Message;
+  *Message.mutable_call_cancel() = Action.Cancel_;
+  Send_(Action.Server_, Message, {});
+}
+
+void EntryProxy::endAttempt(std::uint64_t Ordinal, AttemptOutcome Outcome,
+                            const wire::CallAnswer *Answer, Now Time) {
+  auto Found = Attempts_.find(Ordinal);
+  if (Found == Attempts_.end())
+    return;
+  AttemptInfo Info = std::move(Found->second);
+  Attempts_.erase(Found);
+  Duration Latency = Time.Monotonic_ - Info.SentAt_;
+  if (!Info.Target_.empty())
+    noteAnswered(Placement_, Info.Target_,
+                 Answer ? loadOf(*Answer) : TargetLoad{}, Latency, Outcome,
+                 Time.Monotonic_);
+  Span Finished;
+  Finished.Context_ = Info.Span_;
+  Finished.ParentSpanId_ = Info.ParentSpan_;
+  Finished.Name_ = "attempt " + Info.Target_;
+  Finished.Kind_ = SpanKind::Client;
+  Finished.Start_ = Info.SentWall_;
+  Finished.End_ = Time.Wall_;
+  Finished.Failed_ = Outcome != AttemptOutcome::Done;
+  Finished.Attributes_ = {{"sycamore.server", Info.Server_}};
+  recordSpan(Spans_, std::move(Finished));
+}
+
+void EntryProxy::finishCall(Finish Outcome, Now Time) {
+  std::uint64_t Sequence = Outcome.Sequence_;
+  std::vector<std::uint64_t> Open;
+  for (const auto &[Ordinal, Info] : Attempts_)
+    if (Info.Sequence_ == Sequence)
+      Open.push_back(Ordinal);
+  for (std::uint64_t Ordinal : Open)
+    endAttempt(Ordinal, AttemptOutcome::TimedOut, nullptr, Time);
+  SpanOfCall_.erase(Sequence);
+  auto Found = Waiting_.find(Sequence);
+  if (Found == Waiting_.end())
+    return;
+  CallFinished Done = std::move(Found->second);
+  Waiting_.erase(Found);
+  Done(std::move(Outcome));
+}
+
+void EntryProxy::reply(const HttpExchangePointer &Exchange,
+                       const AcceptedRequest &Request, const Finish &Outcome) {
+  CallTimes_[Outcome.Run_].record(
+      std::max<Duration>(wallNow() - Request.StartedWall_, Duration(0)));
+  recordServerSpan(Request, Outcome);
+  HttpHeaders Headers = toHttpHeaders(Outcome.Answer_.headers());
+  Headers.push_back(
+      {std::string(RunHeader), std::string(runName(Outcome.Run_))});
+  if (Outcome.RetryAfter_.count() > 0)
+    Headers.push_back({"retry-after", retryAfterSeconds(Outcome.RetryAfter_)});
+  Headers.push_back(
+      {std::string(TraceparentHeader), formatTraceparent(Request.Span_)});
+  if (!Outcome.Error_) {
+    Exchange->reply(static_cast<int>(Outcome.Status_), Headers, Outcome.Body_);
+    return;
+  }
+  Headers.push_back({"content-type", "application/json"});
+  Exchange->reply(static_cast<int>(Outcome.Status_), Headers,
+                  errorBody(errorKindName(Outcome.Error_->Kind_),
+                            Outcome.Error_->Message_, Outcome.Error_->Remedy_,
+                            Outcome.Run_, Request.Span_.TraceId_));
+}
+
+void EntryProxy::recordServerSpan(const AcceptedRequest &Request,
+                                  const Finish &Outcome) {
+  Span Finished;
+  Finished.Context_ = Request.Span_;
+  Finished.ParentSpanId_ = Request.ParentSpan_;
+  Finished.Name_ = "call";
+  Finished.Kind_ = SpanKind::Server;
+  Finished.Start_ = Request.StartedWall_;
+  Finished.End_ = wallNow();
+  Finished.Failed_ = Outcome.Error_.has_value();
+  Finished.Attributes_ = {
+      {"sycamore.run", std::string(runName(Outcome.Run_))},
+      {"http.response.status_code", std::to_string(Outcome.Status_)}};
+  recordSpan(Spans_, std::move(Finished));
+}
+
+void EntryProxy::receiveAnswer(const std::string &Server,
+                               const wire::CallAnswer &Answer, std::string Body,
+                               Now Time) {
+  Time_ = Time.Monotonic_;
+  auto Found = Attempts_.find(Answer.id().ordinal());
+  bool Ours = Answer.id().entry() == Settings_.Server_ &&
+              Answer.id().incarnation() == Calls_.Incarnation_;
+  if (Ours && Found != Attempts_.end()) {
+    Duration Whole = Time.Monotonic_ - Found->second.SentAt_;
+    auto Call = Calls_.Calls_.find(Found->second.Sequence_);
+    if (Answer.run() == wire::RUN_DONE && Call != Calls_.Calls_.end()) {
+      AddedTimes_.record(std::max<Duration>(
+          Whole - Duration(Answer.service_time_us()), Duration(0)));
+      noteSuccess(Retries_, Time.Monotonic_);
+      noteLatency(Hedges_, Call->second.Route_,
+                  Time.Monotonic_ - Call->second.StartedAt_);
+    }
+    if (Answer.target_lost() && Call != Calls_.Calls_.end())
+      noteLoss(Marks_, Call->second.Request_.fingerprint(), Server,
+               Call->second.Request_.method() + " " +
+                   Call->second.Request_.path(),
+               Time.Wall_);
+    if (Call != Calls_.Calls_.end() && Call->second.Request_.suspect())
+      noteFinished(Marks_, Call->second.Request_.fingerprint());
+    endAttempt(Answer.id().ordinal(), outcomeOf(Answer), &Answer, Time);
+  }
+  carryOut(onAnswer(Calls_, Server, Answer, std::move(Body), Policy_,
+                    Time.Monotonic_),
+           Time);
+}
+
+void EntryProxy::receiveQueryAnswer(const std::string &Server,
+                                    const wire::CallQueryAnswer &Answer,
+                                    Now Time) {
+  Time_ = Time.Monotonic_;
+  carryOut(onQueryAnswer(Calls_, Server, Answer, Policy_, Time.Monotonic_),
+           Time);
+}
+
+void EntryProxy::noteMessage(const std::string &Server, std::uint64_t Process,
+                             Now Time) {
+  Time_ = Time.Monotonic_;
+  HeardAt_[Server] = Time.Monotonic_;
+  noteHeard(Calls_, Server, Time.Monotonic_);
+  std::uint64_t &Known = ProcessOf_[Server];
+  if (Process <= Known)
+    return;
+  bool Restarted = Known != 0;
+  Known = Process;
+  if (Restarted)
+    carryOut(onServerLost(Calls_, Server, Policy_, Time.Monotonic_), Time);
+}
+
+void EntryProxy::onLinkEnd(const std::string &Server, LinkEnd End, Now Time) {
+  Time_ = Time.Monotonic_;
+  if (End == LinkEnd::Lost) {
+    carryOut(onLinkLost(Calls_, Server, Policy_, Time.Monotonic_), Time);
+    return;
+  }
+  // Nothing that was given to this link has left.
+  std::vector<wire::CallId> Unsent;
+  for (const auto &[Sequence, Call] : Calls_.Calls_)
+    for (const CallAttempt &Attempt : Call.Attempts_)
+      if (Attempt.Server_ == Server && Attempt.State_ == AttemptState::Sent) {
+        wire::CallId &Id = Unsent.emplace_back();
+        Id.set_entry(Calls_.Self_);
+        Id.set_incarnation(Calls_.Incarnation_);
+        Id.set_sequence(Sequence);
+        Id.set_attempt(Attempt.Number_);
+        Id.set_ordinal(Attempt.Ordinal_);
+      }
+  for (const wire::CallId &Id : Unsent) {
+    endAttempt(Id.ordinal(), AttemptOutcome::ConnectionRefused, nullptr, Time);
+    carryOut(onSendFailed(Calls_, Id, Policy_, Time.Monotonic_), Time);
+  }
+}
+
+void EntryProxy::sendHeartbeats(Now Time) {
+  if (Time.Monotonic_ < NextHeartbeat_)
+    return;
+  NextHeartbeat_ = Time.Monotonic_ + HeartbeatInterval;
+  std::set<std::string> Servers;
+  for (const auto &[Ordinal, Info] : Attempts_)
+    if (Info.Server_ != Settings_.Server_ &&
+        Time.Monotonic_ - HeardAt_[Info.Server_] >= HeartbeatInterval)
+      Servers.insert(Info.Server_);
+  for (const std::string &Server : Servers) {
+    ++Counters_.HeartbeatsSent_;
+    wire::PeerMessage Message;
+    Message.mutable_link_heartbeat();
+    Send_(Server, Message, {});
+  }
+}
+
+void EntryProxy::tick(Now Time) {
+  Time_ = Time.Monotonic_;
+  carryOut(tickEntryCalls(Calls_, Policy_, Time.Monotonic_), Time);
+  sendHeartbeats(Time);
+  expireTargets(Placement_, Time.Monotonic_);
+  for (const EntryCallEvent &Event : takeEvents(Calls_))
+    if (const auto *Silent = std::get_if<LinkWentSilent>(&Event))
+      logEvent(LogLevel::Warning, "link-silent",
+               {{"peer", Silent->Server_},
+                {"silence_ms", toMilliseconds(Silent->Silence_)}});
+  for (const PlacementEvent &Event : takeEvents(Placement_))
+    logEvent(LogLevel::Info,
+             Event.Kind_ == PlacementEventKind::OutlierFound ? "target-slow"
+             : Event.Kind_ == PlacementEventKind::OutlierRecovered
+                 ? "target-recovered"
+             : Event.Kind_ == PlacementEventKind::Ejected ? "target-ejected"
+                                                          : "target-readmitted",
+             {{"target", Event.Target_}});
+}
+
+const DurationHistogram &EntryProxy::callTimes(wire::RunOutcome Run) const {
+  return CallTimes_[Run];
+}
+
+} // namespace sycamore
--- /dev/null
+++ b/src/EntryProxy.h
@@ -0,0 +1,150 @@
+// The daemon's side towards callers: matches the route, chooses targets, sends
+// attempts and passes the answer back.
+#pragma once
+
+#include "CallMessages.h"
+#include "ControlPlane.h"
+#include "TargetProxy.h"
+#include "sycamore/EntryCalls.h"
+#include "sycamore/HttpServer.h"
+#include "sycamore/Metrics.h"
+#include "sycamore/Placement.h"
+#include "sycamore/RetryPolicy.h"
+
+#include <array>
+#include <set>
+
+namespace sycamore {
+
+/// Outcome of a call, for whoever began it.
+using CallFinished = std::function<void(Finish)>;
+
+/// A caller's request with what was decided when it arrived.
+struct AcceptedRequest {
+  EntryCall Call_;
+  TraceContext Span_; ///< Of this daemon's handling of the request.
+  std::string ParentSpan_;
+  WallTime StartedWall_;
+  std::string Key_; ///< Idempotency key; empty for none.
+};
+
+struct EntryProxyCounters {
+  std::uint64_t Requests_ = 0;
+  std::uint64_t RefusedNoFloor_ = 0;
+  std::uint64_t RefusedLeaving_ = 0;
+  std::uint64_t RefusedLimit_ = 0;
+  std::uint64_t NoRoute_ = 0;
+  std::uint64_t Quarantined_ = 0;
+  std::uint64_t KeyedForwards_ = 0;
+  std::uint64_t CallersGone_ = 0;
+  std::uint64_t HeartbeatsSent_ = 0;
+};
+
+/// Handles a request with an idempotency key.
+using KeyedHandler =
+    std::function<void(AcceptedRequest, HttpExchangePointer, Now)>;
+
+class EntryProxy {
+public:
+  EntryProxy(const Settings &Config, ControlPlane &Control,
+             TargetProxy &LocalTargets, Quarantine &Marks, SpanBuffer &Spans,
+             Random &Rng, std::uint64_t Process, CallSender Send,
+             std::function<void(const std::string &Server)> CloseLink);
+
+  void setKeyedHandler(KeyedHandler Handler) { Keyed_ = std::move(Handler); }
+
+  /// A request of a caller.
+  void receive(HttpExchangePointer Exchange, Now Time);
+
+  /// Begins a call; Done runs once, possibly before this returns. The sequence
+  /// number identifies the call to abandon().
+  std::uint64_t begin(EntryCall Call, const TraceContext &Span,
+                      CallFinished Done, Now Time);
+
+  /// Begins a call for a caller's connection and answers it there.
+  void serve(AcceptedRequest Request, HttpExchangePointer Exchange, Now Time);
+
+  /// Answers a caller.
+  void reply(const HttpExchangePointer &Exchange,
+             const AcceptedRequest &Request, const Finish &Outcome);
+
+  void receiveAnswer(const std::string &Server, const wire::CallAnswer &Answer,
+                     std::string Body, Now Time);
+  void receiveQueryAnswer(const std::string &Server,
+                          const wire::CallQueryAnswer &Answer, Now Time);
+  /// Any message from a peer; Process is its start time.
+  void noteMessage(const std::string &Server, std::uint64_t Process, Now Time);
+  void onLinkEnd(const std::string &Server, LinkEnd End, Now Time);
+
+  void tick(Now Time);
+  void startLeaving() { Leaving_ = true; }
+
+  std::size_t inFlight() const { return Calls_.Calls_.size(); }
+  const EntryCalls &calls() const { return Calls_; }
+  const Placement &placement() const { return Placement_; }
+  const RetryBudget &retries() const { return Retries_; }
+  const HedgePolicy &hedges() const { return Hedges_; }
+  const EntryProxyCounters &counters() const { return Counters_; }
+  const DurationHistogram &callTimes(wire::RunOutcome Run) const;
+  const DurationHistogram &addedTimes() const { return AddedTimes_; }
+
+private:
+  /// What placement and traces need of an attempt until it has ended.
+  struct AttemptInfo {
+    std::string Target_;
+    std::string Server_;
+    std::uint64_t Sequence_ = 0;
+    TimePoint SentAt_;
+    WallTime SentWall_;
+    TraceContext Span_;
+    std::string ParentSpan_;
+  };
+
+  std::optional<Finish> checkAcceptable() const;
+  bool accept(const HttpExchangePointer &Exchange, AcceptedRequest &Request,
+              Now Time);
+  void inheritContext(const HttpRequest &Http, AcceptedRequest &Request,
+                      Now Time);
+  bool passQuarantine(AcceptedRequest &Request, Finish &Refusal, Now Time);
+  CallPolicy makePolicy();
+  std::optional<ChosenTarget> choose(const EntryCall &Call,
+                                     std::span<const std::string> Excluded);
+  void carryOut(CallActions Actions, Now Time);
+  void sendAttempt(SendAttempt &Action, Now Time);
+  void sendQuery(const SendQuery &Action);
+  void sendCancel(const SendCancel &Action);
+  void finishCall(Finish Outcome, Now Time);
+  void endAttempt(std::uint64_t Ordinal, AttemptOutcome Outcome,
+                  const wire::CallAnswer *Answer, Now Time);
+  void recordServerSpan(const AcceptedRequest &Request, const Finish &Outcome);
+  void sendHeartbeats(Now Time);
+
+  const Settings &Settings_;
+  ControlPlane &Control_;
+  TargetProxy &LocalTargets_;
+  Quarantine &Marks_;
+  SpanBuffer &Spans_;
+  Random &Rng_;
+  CallSender Send_;
+  std::function<void(const std::string &)> CloseLink_;
+  KeyedHandler Keyed_;
+  CallPolicy Policy_;
+  EntryCalls Calls_;
+  Placement Placement_;
+  RetryBudget Retries_;
+  HedgePolicy Hedges_;
+  /// Who waits for a call, by sequence.
+  std::unordered_map<std::uint64_t, CallFinished> Waiting_;
+  std::unordered_map<std::uint64_t, TraceContext> SpanOfCall_;
+  std::unordered_map<std::uint64_t, AttemptInfo> Attempts_; ///< By ordinal.
+  std::unordered_map<std::string, std::uint64_t> ProcessOf_;
+  std::unordered_map<std::string, TimePoint> HeardAt_;
+  TimePoint NextHeartbeat_;
+  TimePoint Time_; ///< Of the event that is being handled.
+  bool Leaving_ = false;
+  EntryProxyCounters Counters_;
+  std::array<DurationHistogram, 3> CallTimes_; ///< By wire::RunOutcome.
+  DurationHistogram AddedTimes_;
+};
+
+} // namespace sycamore
--- a/src/Seeds.h
+++ b/src/Seeds.h
@@ -6,6 +6,8 @@
 #include "sycamore/Settings.h"
 #include "sycamore/Store.h"
 
+#include "sycamore/Ticket.h"
+
 #include <span>
 
 namespace sycamore {
--- /dev/null
+++ b/src/TargetProxy.cpp
@@ -0,0 +1,561 @@
+// Runs accepted attempts on the targets beside this daemon.
+#include "TargetProxy.h"
+
+#include "sycamore/CallBody.h"
+#include "sycamore/Clock.h"
+#include "sycamore/Log.h"
+
+namespace sycamore {
+namespace {
+
+/// Bound on the question whether a target still accepts connections.
+constexpr Duration LossCheckDeadline = milliseconds(500);
+
+constexpr std::uint32_t StatusTooManyRequests = 429;
+constexpr std::uint32_t StatusBadGateway = 502;
+constexpr std::uint32_t StatusUnavailable = 503;
+constexpr std::uint32_t StatusGatewayTimeout = 504;
+
+auto keyOf(const wire::CallId &Id) {
+  return std::tuple(Id.entry(), Id.incarnation(), Id.ordinal());
+}
+
+std::string costKey(const wire::CallRequest &Request) {
+  return Request.route() + " " + Request.method();
+}
+
+AdmissionRequest admissionRequest(std::uint64_t Id, const PendingCall &Call,
+                                  const RouteCost &Costs) {
+  AdmissionRequest Out;
+  Out.Id_ = Id;
+  Out.Depth_ = Call.Request_.depth();
+  Out.Deadline_ = Call.Deadline_;
+  Out.Expected_ = expectedCost(Costs, costKey(Call.Request_));
+  Out.Long_ =
+      Call.Request_.expected_long() || isLong(Costs, costKey(Call.Request_));
+  Out.Suspect_ = Call.Request_.suspect();
+  return Out;
+}
+
+Error admissionError(const AdmissionVerdict &Verdict,
+                     const std::string &Target) {
+  switch (Verdict.Reason_) {
+  case RefusalReason::Leaving:
+    return {ErrorKind::Unavailable, "target " + Target + " is leaving",
+            "send the request again; another target will take it"};
+  case RefusalReason::TooLate:
+    return {ErrorKind::Unavailable,
+            "target " + Target + " cannot answer before the deadline",
+            "send the request again later or allow it more time"};
+  case RefusalReason::NoSlots:
+    return {ErrorKind::Unavailable, "target " + Target + " has no slots",
+            "check the slots that it announces"};
+  default:
+    return {ErrorKind::Unavailable, "target " + Target + " is overloaded",
+            "send the request again after the time in Retry-After"};
+  }
+}
+
+} // namespace
+
+TargetProxy::TargetProxy(const Settings &Config, HttpClient &Client,
+                         ControlPlane &Control, Quarantine &Marks,
+                         SpanBuffer &Spans, Random &Rng, std::uint64_t Process,
+                         CallReplier Reply, Now Time)
+    : Settings_(Config), Client_(Client), Control_(Control), Marks_(Marks),
+      Spans_(Spans), Rng_(Rng), Reply_(std::move(Reply)) {
+  Calls_.Process_ = Process;
+  Calls_.LastTick_ = Time.Monotonic_;
+}
+
+Result<void> TargetProxy::announce(const Json &Document, Now Time) {
+  std::vector<std::string> Problems;
+  ObjectReader Reader(Document, "", Problems);
+  std::string Name;
+  std::string Service;
+  std::string Address;
+  std::uint64_t Slots = 0;
+  for (std::string_view Field : {"name", "service", "address", "slots"})
+    Reader.require(Field);
+  Reader.readString("name", Name);
+  Reader.readString("service", Service);
+  Reader.readString("address", Address);
+  Reader.readUnsigned("slots", Slots, 1, 10000);
+  Reader.rejectUnknown();
+  if (Problems.empty() && !isValidName(Name))
+    Reader.problem("name", "is not a name");
+  if (Problems.empty() && !parseSocketAddress(Address))
+    Reader.problem("address", "is not IP:PORT");
+  if (auto Failure = problemsToError(
+          ErrorKind::InvalidArgument, "announcement", Problems,
+          "announce {\"name\", \"service\", \"slots\", \"address\"}"))
+    return tl::unexpected<Error>(*Failure);
+
+  ++Counters_.Announcements_;
+  bool New = !Targets_.contains(Name);
+  LocalTarget &Target = Targets_[Name];
+  if (New || Target.Leaving_)
+    logEvent(LogLevel::Info, "target-announced",
+             {{"target", Name}, {"service", Service}, {"address", Address}});
+  Target.Name_ = Name;
+  Target.Service_ = Service;
+  Target.Address_ = Address;
+  Target.AnnouncedAt_ = Time.Monotonic_;
+  Target.Leaving_ = Leaving_;
+  setSlots(Target.Admission_, static_cast<std::uint32_t>(Slots));
+  const auto &Services = Control_.snapshot()->State_.Services_;
+  if (auto Found = Services.find(Service); Found != Services.end())
+    setQueueLimit(Target.Admission_, Found->second.QueueLimit_);
+  if (!Leaving_) {
+    Target.Admission_.Admitting_ = true;
+    announceTarget(Control_.members(), Name, Service,
+                   static_cast<std::uint32_t>(Slots), Time);
+  }
+  return {};
+}
+
+void TargetProxy::setLeaving(LocalTarget &Target, Now Time) {
+  if (Target.Leaving_)
+    return;
+  Target.Leaving_ = true;
+  logEvent(LogLevel::Info, "target-leaving", {{"target", Target.Name_}});
+  stopAdmitting(Target.Admission_);
+  markTargetLeaving(Control_.members(), Target.Name_, Time);
+  runQueue(Target, Time);
+}
+
+bool TargetProxy::withdraw(std::string_view Name, Now Time) {
+  auto Found = Targets_.find(Name);
+  if (Found == Targets_.end())
+    return false;
+  setLeaving(Found->second, Time);
+  return true;
+}
+
+void TargetProxy::startLeaving() {
+  Leaving_ = true;
+  Now Time = readClocks();
+  for (auto &[Name, Target] : Targets_)
+    setLeaving(Target, Time);
+}
+
+void TargetProxy::addLoad(wire::CallAnswer &Answer,
+                          std::string_view Target) const {
+  auto Found = Targets_.find(Target);
+  if (Found == Targets_.end())
+    return;
+  AdmissionLoad Load = load(Found->second.Admission_);
+  Answer.set_running(Load.Running_);
+  Answer.set_queued(Load.Queued_);
+  Answer.set_slots(Load.Slots_);
+  Answer.set_leaving(Found->second.Leaving_);
+}
+
+bool TargetProxy::accept(const wire::CallRequest &Request,
+                         std::string_view Body, const ReplyRoute &Route,
+                         Now Time) {
+  ++Counters_.Requests_;
+  AcceptResult Accepted = acceptRequest(Calls_, Request, Time.Monotonic_);
+  if (Accepted.Acceptance_ == Acceptance::New) {
+    if (checkBody(Body, Request.body_size(), Request.body_hash()))
+      return true;
+    ++Counters_.DamagedBodies_;
+    refuse(Request, Route, StatusUnavailable,
+           {ErrorKind::InvalidData, "the request's body arrived damaged",
+            "send the request again"},
+           Duration(0), Time);
+    return false;
+  }
+  if (Accepted.Acceptance_ == Acceptance::DuplicateRunning)
+    return false;
+  addLoad(Accepted.Answer_, Request.target());
+  wire::PeerMessage Message;
+  *Message.mutable_call_answer() = Accepted.Answer_;
+  Reply_(Route, Message,
+         Accepted.Body_ ? std::string_view(*Accepted.Body_)
+                        : std::string_view());
+  return false;
+}
+
+void TargetProxy::answer(const wire::CallAnswer &Answer, std::string Body,
+                         const ReplyRoute &Route, Now Time) {
+  auto Kept = std::make_shared<const std::string>(std::move(Body));
+  wire::PeerMessage Message;
+  *Message.mutable_call_answer() =
+      noteDone(Calls_, Answer, Kept, Time.Monotonic_);
+  Reply_(Route, Message, *Kept);
+}
+
+void TargetProxy::refuse(const wire::CallRequest &Request,
+                         const ReplyRoute &Route, std::uint32_t Status,
+                         const Error &Failure, Duration RetryAfter, Now Time) {
+  ++Counters_.NotRun_;
+  wire::CallAnswer Answer =
+      errorAnswer(Request.id(), wire::RUN_NOT_RUN, Status, Failure, RetryAfter);
+  addLoad(Answer, Request.target());
+  answer(Answer, {}, Route, Time);
+}
+
+std::optional<Error>
+TargetProxy::checkRunnable(const wire::CallRequest &Request, Now Time) {
+  auto Found = Targets_.find(Request.target());
+  if (Found == Targets_.end() || Found->second.Service_ != Request.service()) {
+    ++Counters_.UnknownTargets_;
+    return Error{ErrorKind::NotFound,
+                 "target " + Request.target() + " is not beside this daemon",
+                 "send the request again; another target will take it"};
+  }
+  if (checkAtTarget(Marks_, Request.fingerprint(), Time.Wall_) ==
+      QuarantineDecision::Refuse) {
+    ++Counters_.QuarantineRefusals_;
+    return Error{ErrorKind::PermissionDenied,
+                 "requests like this one have crashed targets",
+                 "wait for the time in Retry-After, or ask an operator to run "
+                 "`sycamorectl quarantine clear`"};
+  }
+  return std::nullopt;
+}
+
+void TargetProxy::run(const wire::CallRequest &Request, std::string Body,
+                      const ReplyRoute &Route, Now Time) {
+  if (auto Failure = checkRunnable(Request, Time)) {
+    bool Refused = Failure->Kind_ == ErrorKind::PermissionDenied;
+    refuse(Request, Route, Refused ? StatusTooManyRequests : StatusUnavailable,
+           *Failure, Refused ? Marks_.Options_.RefuseFor_ : Duration(0), Time);
+    return;
+  }
+  std::uint64_t Id = NextId_++;
+  PendingCall Call;
+  Call.Request_ = Request;
+  Call.Body_ = std::move(Body);
+  Call.Route_ = Route;
+  Call.Target_ = Request.target();
+  Call.ArrivedAt_ = Time.Monotonic_;
+  Call.Deadline_ = Time.Monotonic_ + Duration(Request.remaining_us());
+  LocalTarget &Target = Targets_.find(Call.Target_)->second;
+  AdmissionVerdict Verdict = admit(
+      Target.Admission_, admissionRequest(Id, Call, Costs_), Time.Monotonic_);
+  if (Verdict.Decision_ == AdmissionDecision::Refused) {
+    refuse(Request, Route, StatusUnavailable,
+           admissionError(Verdict, Call.Target_), Verdict.RetryAfter_, Time);
+    return;
+  }
+  IdOfCall_[keyOf(Request.id())] = Id;
+  Pending_.emplace(Id, std::move(Call));
+  if (Verdict.Decision_ == AdmissionDecision::Run)
+    start(Id, Time);
+}
+
+HttpClientRequest TargetProxy::makeRequest(const PendingCall &Call,
+                                           Now Time) const {
+  HttpClientRequest Out;
+  Out.Method_ = Call.Request_.method();
+  Out.Path_ = Call.Request_.path();
+  Out.Headers_ = toHttpHeaders(Call.Request_.headers());
+  Out.Body_ = Call.Body_;
+  Out.Deadline_ =
+      std::max<Duration>(Call.Deadline_ - Time.Monotonic_, milliseconds(1));
+  auto Add = [&](std::string_view Name, std::string Value) {
+    Out.Headers_.push_back({std::string(Name), std::move(Value)});
+  };
+  Add(DepthHeader, std::to_string(Call.Request_.depth()));
+  Add(DeadlineHeader, std::to_string(toMilliseconds(Out.Deadline_)));
+  Add(TicketHeader, std::to_string(Call.Request_.ticket()));
+  Add(TraceparentHeader, formatTraceparent(Call.Span_));
+  return Out;
+}
+
+void TargetProxy::start(std::uint64_t Id, Now Time) {
+  PendingCall &Call = Pending_.at(Id);
+  if (!noteRunning(Calls_, Call.Request_.id(), Time.Monotonic_)) {
+    refusePending(Id, Time);
+    return;
+  }
+  Call.StartedAt_ = Time.Monotonic_;
+  Call.StartedWall_ = Time.Wall_;
+  QueueTimes_.record(Call.StartedAt_ - Call.ArrivedAt_);
+  if (auto Parent = parseTraceparent(Call.Request_.traceparent())) {
+    Call.ParentSpan_ = Parent->SpanId_;
+    Call.Span_ = childOf(*Parent, Rng_);
+  } else {
+    Call.Span_ = startTrace(Rng_, 0);
+  }
+  IdOfSpan_[Call.Span_.SpanId_] = Id;
+  Call.Sent_ = Client_.send(
+      Targets_.find(Call.Target_)->second.Address_, makeRequest(Call, Time),
+      [this, Id](HttpAnswer Answer) { onHttpAnswer(Id, std::move(Answer)); });
+}
+
+void TargetProxy::onHttpAnswer(std::uint64_t Id, HttpAnswer Answer) {
+  auto Found = Pending_.find(Id);
+  if (Found == Pending_.end())
+    return;
+  Now Time = readClocks();
+  PendingCall &Call = Found->second;
+  wire::CallId CallId = Call.Request_.id();
+  if (Answer.Outcome_ == HttpOutcome::Answered) {
+    const std::string *Run = findHeader(Answer.Headers_, RunHeader);
+    wire::CallAnswer Out;
+    *Out.mutable_id() = CallId;
+    // Only the target itself can say that it has shed a request unrun.
+    Out.set_run(Answer.Status_ == StatusUnavailable && Run && *Run == "not-run"
+                    ? wire::RUN_NOT_RUN
+                    : wire::RUN_DONE);
+    Out.set_status(static_cast<std::uint32_t>(Answer.Status_));
+    addEndToEndHeaders(*Out.mutable_headers(), Answer.Headers_);
+    complete(Id, std::move(Out), std::move(Answer.Body_), Time);
+    return;
+  }
+  if (!Answer.Sent_) {
+    complete(Id,
+             errorAnswer(CallId, wire::RUN_NOT_RUN, StatusUnavailable,
+                         {ErrorKind::Unavailable,
+                          "target " + Call.Target_ +
+                              " accepts no connection: " + Answer.Reason_,
+                          "send the request again; another target will take "
+                          "it"}),
+             {}, Time);
+    return;
+  }
+  if (Answer.Outcome_ == HttpOutcome::Broken) {
+    askWhetherLost(Id);
+    return;
+  }
+  complete(Id,
+           errorAnswer(CallId, wire::RUN_UNKNOWN, StatusGatewayTimeout,
+                       {ErrorKind::DeadlineExceeded,
+                        "target " + Call.Target_ +
+                            " did not answer before the deadline",
+                        "find out whether the request ran before it is sent "
+                        "again"}),
+           {}, Time);
+}
+
+void TargetProxy::askWhetherLost(std::uint64_t Id) {
+  HttpClientRequest Request;
+  Request.Path_ = "/health";
+  Request.Deadline_ = LossCheckDeadline;
+  auto Beside = Targets_.find(Pending_.at(Id).Target_);
+  if (Beside == Targets_.end()) {
+    settleBroken(Id, /*Lost=*/true);
+    return;
+  }
+  Client_.send(Beside->second.Address_, Request,
+               [this, Id](const HttpAnswer &Answer) {
+                 settleBroken(Id, Answer.Outcome_ == HttpOutcome::NotSent);
+               });
+}
+
+void TargetProxy::settleBroken(std::uint64_t Id, bool Lost) {
+  auto Found = Pending_.find(Id);
+  if (Found == Pending_.end())
+    return;
+  Now Time = readClocks();
+  PendingCall &Call = Found->second;
+  wire::CallAnswer Answer = errorAnswer(
+      Call.Request_.id(), wire::RUN_UNKNOWN, StatusBadGateway,
+      {ErrorKind::OutcomeUnknown,
+       "target " + Call.Target_ + " broke the connection before its answer",
+       "find out whether the request ran before it is sent again"});
+  Answer.set_target_lost(Lost);
+  if (!Lost) {
+    complete(Id, std::move(Answer), {}, Time);
+    return;
+  }
+  ++Counters_.TargetsLost_;
+  withdrawTarget(Control_.members(), Call.Target_, Time);
+  Duration Hold =
+      noteLoss(Marks_, Call.Request_.fingerprint(), Settings_.Server_,
+               Call.Request_.method() + " " + Call.Request_.path(), Time.Wall_);
+  Control_.spreadQuarantine(
+      changedRecords(Marks_, Control_.members().Servers_.size()));
+  Held_.push_back({Time.Monotonic_ + Hold, Id, std::move(Answer)});
+}
+
+void TargetProxy::complete(std::uint64_t Id, wire::CallAnswer Answer,
+                           std::string Body, Now Time) {
+  auto Found = Pending_.find(Id);
+  PendingCall Call = std::move(Found->second);
+  Pending_.erase(Found);
+  IdOfCall_.erase(keyOf(Call.Request_.id()));
+  IdOfSpan_.erase(Call.Span_.SpanId_);
+  Duration ServiceTime = Time.Monotonic_ - Call.StartedAt_;
+  if (Answer.run() == wire::RUN_DONE) {
+    ++Counters_.Done_;
+    ServiceTimes_.record(ServiceTime);
+    noteCost(Costs_, costKey(Call.Request_), ServiceTime);
+    noteSuccess(Marks_, Call.Request_.fingerprint(), Time.Wall_);
+  } else {
+    ++(Answer.run() == wire::RUN_NOT_RUN ? Counters_.NotRun_
+                                         : Counters_.Unknown_);
+  }
+  Answer.set_service_time_us(static_cast<std::uint64_t>(ServiceTime.count()));
+  Answer.set_body_size(Body.size());
+  Answer.set_body_hash(bodyHash(Body));
+  recordCallSpan(Call, Answer.run() != wire::RUN_DONE);
+  LocalTarget *Target = nullptr;
+  if (auto Beside = Targets_.find(Call.Target_); Beside != Targets_.end())
+    Target = &Beside->second;
+  if (Target)
+    finish(Target->Admission_, Id, ServiceTime, Time.Monotonic_);
+  addLoad(Answer, Call.Target_);
+  answer(Answer, std::move(Body), Call.Route_, Time);
+  if (Target)
+    runQueue(*Target, Time);
+}
+
+void TargetProxy::recordCallSpan(const PendingCall &Call, bool Failed) {
+  Span Finished;
+  Finished.Context_ = Call.Span_;
+  Finished.ParentSpanId_ = Call.ParentSpan_;
+  Finished.Name_ = "target " + Call.Target_;
+  Finished.Kind_ = SpanKind::Client;
+  Finished.Start_ = Call.StartedWall_;
+  Finished.End_ = wallNow();
+  Finished.Failed_ = Failed;
+  Finished.Attributes_ = {
+      {"sycamore.service", Call.Request_.service()},
+      {"sycamore.queue_us",
+       std::to_string((Call.StartedAt_ - Call.ArrivedAt_).count())}};
+  recordSpan(Spans_, std::move(Finished));
+}
+
+void TargetProxy::refusePending(std::uint64_t Id, Now Time) {
+  auto Found = Pending_.find(Id);
+  if (Found == Pending_.end())
+    return;
+  PendingCall Call = std::move(Found->second);
+  Pending_.erase(Found);
+  IdOfCall_.erase(keyOf(Call.Request_.id()));
+  auto Beside = Targets_.find(Call.Target_);
+  Duration Retry(0);
+  if (Beside != Targets_.end()) {
+    if (!cancel(Beside->second.Admission_, Id))
+      finish(Beside->second.Admission_, Id, Duration(0), Time.Monotonic_);
+    Retry = retryAfter(Beside->second.Admission_);
+  }
+  refuse(Call.Request_, Call.Route_, StatusUnavailable,
+         {ErrorKind::Unavailable,
+          "target " + Call.Target_ + " had no slot for the request in time",
+          "send the request again after the time in Retry-After"},
+         Retry, Time);
+}
+
+void TargetProxy::runQueue(LocalTarget &Target, Now Time) {
+  std::vector<std::uint64_t> Run;
+  std::vector<std::uint64_t> Refused;
+  takeRunnable(Target.Admission_, Time.Monotonic_, Run, Refused);
+  for (std::uint64_t Id : Refused)
+    refusePending(Id, Time);
+  for (std::uint64_t Id : Run)
+    if (Pending_.contains(Id))
+      start(Id, Time);
+}
+
+void TargetProxy::receiveQuery(const wire::CallQuery &Query,
+                               const ReplyRoute &Route, Now Time) {
+  QueryResult Found = onQuery(Calls_, Query, Time.Monotonic_);
+  wire::PeerMessage Message;
+  *Message.mutable_call_query_answer() = Found.QueryAnswer_;
+  Reply_(Route, Message, {});
+  if (!Found.Answer_)
+    return;
+  wire::PeerMessage Kept;
+  *Kept.mutable_call_answer() = *Found.Answer_;
+  Reply_(Route, Kept,
+         Found.Body_ ? std::string_view(*Found.Body_) : std::string_view());
+}
+
+void TargetProxy::receiveCancel(const wire::CallCancel &Cancel, Now Time) {
+  CancelResult Outcome = onCancel(Calls_, Cancel.id(), Time.Monotonic_);
+  auto Known = IdOfCall_.find(keyOf(Cancel.id()));
+  if (Outcome == CancelResult::Nothing || Known == IdOfCall_.end())
+    return;
+  std::uint64_t Id = Known->second;
+  PendingCall &Call = Pending_.at(Id);
+  if (Outcome == CancelResult::Abort) {
+    if (Call.Sent_)
+      Call.Sent_->cancel();
+    complete(Id,
+             errorAnswer(Cancel.id(), wire::RUN_UNKNOWN, StatusBadGateway,
+                         {ErrorKind::OutcomeUnknown, "the call was cancelled",
+                          "find out whether it ran"}),
+             {}, Time);
+    return;
+  }
+  if (auto Beside = Targets_.find(Call.Target_); Beside != Targets_.end())
+    cancel(Beside->second.Admission_, Id);
+  IdOfCall_.erase(Known);
+  Pending_.erase(Id);
+}
+
+std::optional<NestedContext>
+TargetProxy::nestedContext(const std::string &SpanId) const {
+  auto Found = IdOfSpan_.find(SpanId);
+  if (Found == IdOfSpan_.end())
+    return std::nullopt;
+  const PendingCall &Call = Pending_.at(Found->second);
+  return NestedContext{Call.Request_.depth(), Call.Deadline_};
+}
+
+void TargetProxy::expireAnnouncements(Now Time) {
+  constexpr int MissedLimit = 3;
+  Duration Limit = Settings_.Timing_.AnnounceInterval_ * MissedLimit;
+  for (auto Entry = Targets_.begin(); Entry != Targets_.end();) {
+    LocalTarget &Target = Entry->second;
+    bool Expired = Time.Monotonic_ - Target.AnnouncedAt_ > Limit;
+    bool Idle = load(Target.Admission_).Running_ == 0 &&
+                load(Target.Admission_).Queued_ == 0;
+    if (Expired && !Target.Leaving_) {
+      ++Counters_.MissedAnnouncements_;
+      logEvent(LogLevel::Warning, "target-silent", {{"target", Entry->first}});
+      setLeaving(Target, Time);
+    }
+    if (Expired && Idle) {
+      withdrawTarget(Control_.members(), Entry->first, Time);
+      Entry = Targets_.erase(Entry);
+    } else {
+      ++Entry;
+    }
+  }
+}
+
+void TargetProxy::askHealth(LocalTarget &Target, Now Time) {
+  if (Target.Leaving_ || Time.Monotonic_ - Target.HealthAskedAt_ <
+                             Settings_.Timing_.AnnounceInterval_)
+    return;
+  Target.HealthAskedAt_ = Time.Monotonic_;
+  HttpClientRequest Request;
+  Request.Path_ = "/health";
+  Request.Deadline_ = Settings_.Timing_.AnnounceInterval_;
+  Client_.send(Target.Address_, Request,
+               [this, Name = Target.Name_](const HttpAnswer &Answer) {
+                 onHealth(Name, Answer);
+               });
+}
+
+void TargetProxy::onHealth(const std::string &Name, const HttpAnswer &Answer) {
+  // Health answers lag and mislead, so only the plain word of a target that it
+  // drains counts; it would refuse the work anyway.
+  auto Found = Targets_.find(Name);
+  if (Found != Targets_.end() && Answer.Outcome_ == HttpOutcome::Answered &&
+      Answer.Body_.find("draining") != std::string::npos)
+    setLeaving(Found->second, readClocks());
+}
+
+void TargetProxy::tick(Now Time) {
+  tickTargetCalls(Calls_, Time.Monotonic_);
+  expireAnnouncements(Time);
+  for (auto &[Name, Target] : Targets_) {
+    askHealth(Target, Time);
+    runQueue(Target, Time);
+  }
+  while (!Held_.empty() && Held_.front().Until_ <= Time.Monotonic_) {
+    HeldAnswer Released = std::move(Held_.front());
+    Held_.pop_front();
+    if (Pending_.contains(Released.Id_))
+      complete(Released.Id_, std::move(Released.Answer_), {}, Time);
+  }
+}
+
+} // namespace sycamore
--- /dev/null
+++ b/src/TargetProxy.h
@@ -0,0 +1,163 @@
+// The daemon's side towards the targets beside it: announcements, admission,
+// and the HTTP request to the target.
+#pragma once
+
+#include "CallMessages.h"
+#include "ControlPlane.h"
+#include "sycamore/Admission.h"
+#include "sycamore/HttpClient.h"
+#include "sycamore/Metrics.h"
+#include "sycamore/Quarantine.h"
+#include "sycamore/RouteCost.h"
+#include "sycamore/TargetCalls.h"
+#include "sycamore/Trace.h"
+
+namespace sycamore {
+
+/// A target beside this daemon.
+struct LocalTarget {
+  std::string Name_;
+  std::string Service_;
+  std::string Address_; ///< "IP:PORT" for requests.
+  TimePoint AnnouncedAt_;
+  TimePoint HealthAskedAt_;
+  bool Leaving_ = false;
+  Admission Admission_;
+};
+
+/// An attempt that was accepted and is queued or running.
+struct PendingCall {
+  wire::CallRequest Request_;
+  std::string Body_;
+  ReplyRoute Route_;
+  std::string Target_;
+  TimePoint ArrivedAt_;
+  TimePoint StartedAt_;
+  TimePoint Deadline_;
+  WallTime StartedWall_;
+  TraceContext Span_;              ///< Of the request to the target.
+  std::string ParentSpan_;         ///< Of the entry daemon's attempt.
+  std::shared_ptr<HttpCall> Sent_; ///< Set while the target runs it.
+};
+
+/// What a nested call inherits from the call that its target runs.
+struct NestedContext {
+  std::uint32_t Depth_ = 0; ///< Of the running call.
+  TimePoint Deadline_;
+};
+
+/// The answer about a lost target, held back until the fleet knows the mark.
+struct HeldAnswer {
+  TimePoint Until_;
+  std::uint64_t Id_ = 0;
+  wire::CallAnswer Answer_;
+};
+
+struct TargetProxyCounters {
+  std::uint64_t Announcements_ = 0;
+  std::uint64_t MissedAnnouncements_ = 0;
+  std::uint64_t Requests_ = 0;
+  std::uint64_t UnknownTargets_ = 0;
+  std::uint64_t DamagedBodies_ = 0;
+  std::uint64_t Done_ = 0;
+  std::uint64_t NotRun_ = 0;
+  std::uint64_t Unknown_ = 0;
+  std::uint64_t TargetsLost_ = 0;
+  std::uint64_t QuarantineRefusals_ = 0;
+};
+
+class TargetProxy {
+public:
+  TargetProxy(const Settings &Config, HttpClient &Client, ControlPlane &Control,
+              Quarantine &Marks, SpanBuffer &Spans, Random &Rng,
+              std::uint64_t Process, CallReplier Reply, Now Time);
+
+  /// Reads {"name", "service", "slots", "address"}. Errors: InvalidArgument
+  /// with the field.
+  Result<void> announce(const Json &Document, Now Time);
+
+  /// The target leaves; false when it is not known.
+  bool withdraw(std::string_view Name, Now Time);
+
+  /// Accepts an attempt and records it. False when it was answered already:
+  /// a duplicate, or a call whose time has passed.
+  bool accept(const wire::CallRequest &Request, std::string_view Body,
+              const ReplyRoute &Route, Now Time);
+
+  /// Queues or runs an accepted attempt.
+  void run(const wire::CallRequest &Request, std::string Body,
+           const ReplyRoute &Route, Now Time);
+
+  /// Records the end of an accepted attempt and sends its answer.
+  void answer(const wire::CallAnswer &Answer, std::string Body,
+              const ReplyRoute &Route, Now Time);
+
+  void receiveQuery(const wire::CallQuery &Query, const ReplyRoute &Route,
+                    Now Time);
+  void receiveCancel(const wire::CallCancel &Cancel, Now Time);
+
+  void tick(Now Time);
+
+  /// Refuses new work; what runs goes on.
+  void startLeaving();
+
+  /// The call that a span of this daemon belongs to, while its target runs it.
+  std::optional<NestedContext> nestedContext(const std::string &SpanId) const;
+
+  std::size_t inFlight() const { return Pending_.size(); }
+  const std::map<std::string, LocalTarget, std::less<>> &targets() const {
+    return Targets_;
+  }
+  const TargetCalls &calls() const { return Calls_; }
+  const TargetProxyCounters &counters() const { return Counters_; }
+  const DurationHistogram &serviceTimes() const { return ServiceTimes_; }
+  const DurationHistogram &queueTimes() const { return QueueTimes_; }
+
+private:
+  using PendingTable = std::map<std::uint64_t, PendingCall>;
+
+  std::optional<Error> checkRunnable(const wire::CallRequest &Request,
+                                     Now Time);
+  void refuse(const wire::CallRequest &Request, const ReplyRoute &Route,
+              std::uint32_t Status, const Error &Failure, Duration RetryAfter,
+              Now Time);
+  void refusePending(std::uint64_t Id, Now Time);
+  void start(std::uint64_t Id, Now Time);
+  HttpClientRequest makeRequest(const PendingCall &Call, Now Time) const;
+  void onHttpAnswer(std::uint64_t Id, HttpAnswer Answer);
+  void askWhetherLost(std::uint64_t Id);
+  void settleBroken(std::uint64_t Id, bool Lost);
+  void complete(std::uint64_t Id, wire::CallAnswer Answer, std::string Body,
+                Now Time);
+  void runQueue(LocalTarget &Target, Now Time);
+  void addLoad(wire::CallAnswer &Answer, std::string_view Target) const;
+  void recordCallSpan(const PendingCall &Call, bool Failed);
+  void expireAnnouncements(Now Time);
+  void askHealth(LocalTarget &Target, Now Time);
+  void onHealth(const std::string &Name, const HttpAnswer &Answer);
+  void setLeaving(LocalTarget &Target, Now Time);
+
+  const Settings &Settings_;
+  HttpClient &Client_;
+  ControlPlane &Control_;
+  Quarantine &Marks_;
+  SpanBuffer &Spans_;
+  Random &Rng_;
+  CallReplier Reply_;
+  std::map<std::string, LocalTarget, std::less<>> Targets_;
+  TargetCalls Calls_;
+  PendingTable Pending_;
+  /// Admission ids of pending attempts by entry, process and ordinal.
+  std::map<std::tuple<std::string, std::uint64_t, std::uint64_t>, std::uint64_t>
+      IdOfCall_;
+  std::map<std::string, std::uint64_t> IdOfSpan_;
+  std::uint64_t NextId_ = 1;
+  RouteCost Costs_;
+  std::deque<HeldAnswer> Held_;
+  bool Leaving_ = false;
+  TargetProxyCounters Counters_;
+  DurationHistogram ServiceTimes_;
+  DurationHistogram QueueTimes_;
+};
+
+} // namespace sycamore
