--- /dev/null
+++ b/include/sycamore/Daemon.h
@@ -0,0 +1,43 @@
+// The daemon: connects the modules to one libevent loop on one thread.
+#pragma once
+
+#include "sycamore/Error.h"
+#include "sycamore/Settings.h"
+
+#include <memory>
+#include <string>
+
+struct event_base;
+
+namespace sycamore {
+
+/// Addresses as bound, with the ports that the system chose.
+struct DaemonAddresses {
+  std::string Caller_;
+  std::string Admin_;
+  std::string Peer_;
+};
+
+class Daemon {
+public:
+  /// Errors: InvalidSettings and PermissionDenied for key files, Unavailable
+  /// for addresses in use.
+  static Result<std::unique_ptr<Daemon>> create(event_base *Base,
+                                                const Settings &Config);
+
+  virtual ~Daemon() = default;
+
+  virtual DaemonAddresses addresses() const = 0;
+
+  /// Begins a planned stop: leaves, finishes what is in flight, then ends the
+  /// loop. Further calls change nothing.
+  virtual void stop() = 0;
+
+  /// Reads certificates, keys and tokens again. On an error the old ones stay.
+  virtual Result<void> reload() = 0;
+
+  /// Whether a planned stop cut something because stop_limit_ms had passed.
+  virtual bool wasCutShort() const = 0;
+};
+
+} // namespace sycamore
--- a/include/sycamore/Log.h
+++ b/include/sycamore/Log.h
@@ -10,7 +10,7 @@
 enum class LogLevel { Debug, Info, Warning, Error };
 
 /// File is empty for standard error. Errors: InvalidSettings when the level's
-/// name is none of debug, info, warning, error.
+/// name is none of debug, info, warn, error.
 Result<LogLevel> parseLogLevel(std::string_view Name);
 void configureLog(LogLevel Level, const std::string &File,
                   std::string_view Server);
--- a/include/sycamore/PeerTransport.h
+++ b/include/sycamore/PeerTransport.h
@@ -77,6 +77,11 @@
 
 enum class SendOutcome { Sent, NoAddress, LinkFull };
 
+struct SendResult {
+  SendOutcome Outcome_ = SendOutcome::NoAddress;
+  std::uint64_t Link_ = 0; ///< Number of the link used; see OnLinkEnd_.
+};
+
 /// How a link ended. NeverConnected means that nothing given to it has left.
 enum class LinkEnd { NeverConnected, Lost };
 
@@ -84,7 +89,9 @@
   std::function<void(wire::PeerMessage &, std::string &Body,
                      const ReplyRoute &)>
       OnMessage_;
-  std::function<void(const std::string &Peer, LinkEnd)> OnLinkEnd_;
+  /// Links are numbered from 1 in the order in which they were opened.
+  std::function<void(const std::string &Peer, std::uint64_t Link, LinkEnd)>
+      OnLinkEnd_;
   std::function<std::optional<PeerAddress>(const std::string &Peer)> Resolve_;
 };
 
@@ -98,8 +105,8 @@
   Result<std::string> listen();
 
   /// Sends over the link to Peer and dials it first if there is none.
-  SendOutcome send(const std::string &Peer, wire::PeerMessage &Message,
-                   std::string_view Body, TimePoint Now);
+  SendResult send(const std::string &Peer, wire::PeerMessage &Message,
+                  std::string_view Body, TimePoint Now);
 
   /// Answers over the connection that the question came from. False when
   /// that connection is gone.
--- /dev/null
+++ b/src/AdminApi.cpp
@@ -0,0 +1,220 @@
+// Answers requests on the admin listener.
+#include "AdminApi.h"
+
+#include "sycamore/Log.h"
+
+#include <array>
+#include <charconv>
+
+namespace sycamore {
+namespace {
+
+constexpr std::array<std::string_view, 5> StateNames = {
+    "alive", "suspect", "leaving", "left", "dead"};
+
+std::string_view stateName(wire::ServerState State) {
+  auto Index = static_cast<std::size_t>(State);
+  return Index < StateNames.size() ? StateNames[Index] : "unknown";
+}
+
+void replyJson(HttpExchange &Exchange, int Status, const Json &Body) {
+  Exchange.reply(Status, {{"content-type", "application/json"}},
+                 Body.dump(-1, ' ', false, Json::error_handler_t::replace) +
+                     "\n");
+}
+
+void replyError(HttpExchange &Exchange, int Status, const Error &Failure) {
+  replyJson(Exchange, Status,
+            {{"error",
+              {{"kind", errorKindName(Failure.Kind_)},
+               {"message", Failure.Message_},
+               {"remedy", Failure.Remedy_}}}});
+}
+
+std::string formatFingerprint(std::uint64_t Value) {
+  std::array<char, 17> Buffer{};
+  std::snprintf(Buffer.data(), Buffer.size(), "%016llx",
+                static_cast<unsigned long long>(Value));
+  return Buffer.data();
+}
+
+} // namespace
+
+AdminApi::AdminApi(AdminSubjects Subjects,
+                   std::map<std::string, std::string> Tokens)
+    : Subjects_(Subjects), Tokens_(std::move(Tokens)) {}
+
+const std::vector<AdminApi::Endpoint> &AdminApi::endpoints() {
+  static const std::vector<Endpoint> All = {
+      {"GET", "/fleet", true, &AdminApi::showFleet},
+      {"GET", "/status", true, &AdminApi::showStatus},
+      {"GET", "/quarantine", true, &AdminApi::showQuarantine},
+      {"DELETE", "/quarantine/", true, &AdminApi::clearQuarantine},
+      {"GET", "/traces", true, &AdminApi::showTraces},
+      {"POST", "/announce", false, &AdminApi::announce},
+      {"DELETE", "/announce/", false, &AdminApi::withdraw},
+      {"GET", "/metrics", false, &AdminApi::showMetrics},
+      {"GET", "/healthz", false, &AdminApi::showHealth},
+  };
+  return All;
+}
+
+bool AdminApi::isAuthorized(const HttpRequest &Request) const {
+  if (Tokens_.empty())
+    return true;
+  constexpr std::string_view Scheme = "Bearer ";
+  const std::string *Header = findHeader(Request.Headers_, "authorization");
+  if (!Header || !Header->starts_with(Scheme))
+    return false;
+  std::string Hash = sha256Hex(std::string_view(*Header).substr(Scheme.size()));
+  return std::any_of(Tokens_.begin(), Tokens_.end(),
+                     [&](const auto &Entry) { return Entry.second == Hash; });
+}
+
+void AdminApi::receive(const HttpExchangePointer &Exchange, Now Time) {
+  const HttpRequest &Request = Exchange->request();
+  std::string_view Path = Request.Path_;
+  Path = Path.substr(0, Path.find('?'));
+  for (const Endpoint &Known : endpoints()) {
+    bool Named = Known.Path_.ends_with('/');
+    bool Matches = Named ? Path.starts_with(Known.Path_) : Path == Known.Path_;
+    if (!Matches || Known.Method_ != Request.Method_)
+      continue;
+    if (Known.ForOperators_ && !isAuthorized(Request)) {
+      replyError(*Exchange, 401,
+                 {ErrorKind::PermissionDenied, "the request has no valid token",
+                  "set admin_token_file in the settings of sycamorectl"});
+      return;
+    }
+    (this->*Known.Handle_)(*Exchange, Path.substr(Known.Path_.size()), Time);
+    return;
+  }
+  replyError(*Exchange, 404,
+             {ErrorKind::NotFound, "nothing is at " + Request.Path_,
+              "see docs/operations.md for the admin interface"});
+}
+
+void AdminApi::showFleet(HttpExchange &Exchange, std::string_view /*Name*/,
+                         Now Time) {
+  Json Servers = Json::array();
+  const Membership &Members = Subjects_.Control_.members();
+  for (const FleetRow &Row : fleetView(Members, Time)) {
+    const wire::ServerRecord *Record = findServer(Members, Row.Name_);
+    Json Server = {
+        {"server", Row.Name_},
+        {"data_centre", Row.DataCentre_},
+        {"state", stateName(Row.State_)},
+        {"ticket", Row.Age_ ? Json(Row.Ticket_) : Json()},
+        {"rejected_ticket", Row.RejectedTicket_},
+        {"age_ms", Row.Age_ ? Json(toMilliseconds(*Row.Age_)) : Json()},
+        {"incarnation", Record ? Record->incarnation() : 0}};
+    Servers.push_back(std::move(Server));
+  }
+  replyJson(Exchange, 200,
+            {{"servers", Servers},
+             {"answered_by", Subjects_.Settings_.Server_},
+             {"head_number", Subjects_.Control_.snapshot()->Number_}});
+}
+
+void AdminApi::showStatus(HttpExchange &Exchange, std::string_view /*Name*/,
+                          Now /*Time*/) {
+  const Snapshot &Current = *Subjects_.Control_.snapshot();
+  Json Targets = Json::array();
+  for (const auto &[Name, Target] : Subjects_.Targets_.targets()) {
+    AdmissionLoad Load = load(Target.Admission_);
+    Targets.push_back({{"target", Name},
+                       {"service", Target.Service_},
+                       {"leaving", Target.Leaving_},
+                       {"running", Load.Running_},
+                       {"queued", Load.Queued_},
+                       {"slots", Load.Slots_}});
+  }
+  replyJson(
+      Exchange, 200,
+      {{"server", Subjects_.Settings_.Server_},
+       {"ticket", Current.Number_},
+       {"digest", Current.Digest_},
+       {"serving", Subjects_.Control_.mayServe()},
+       {"floor_basis", floorBasisName(Subjects_.Control_.bootstrap().Basis_)},
+       {"reader", isReader(Subjects_.Control_.members())},
+       {"calls", Subjects_.Entry_.inFlight()},
+       {"links", Subjects_.Peers_.linkCount()},
+       {"buckets", heldBuckets(Subjects_.Keys_.buckets()).size()},
+       {"targets", Targets}});
+}
+
+void AdminApi::showQuarantine(HttpExchange &Exchange, std::string_view /*Name*/,
+                              Now /*Time*/) {
+  Json Entries = Json::array();
+  for (const wire::QuarantineRecord &Record : list(Subjects_.Marks_))
+    if (!Record.cleared())
+      Entries.push_back(
+          {{"fingerprint", formatFingerprint(Record.fingerprint())},
+           {"losses", Record.losses()},
+           {"expires_unix_ms", Record.expires_unix_us() / 1000},
+           {"sample", Record.sample()}});
+  replyJson(Exchange, 200, {{"entries", Entries}});
+}
+
+void AdminApi::clearQuarantine(HttpExchange &Exchange, std::string_view Name,
+                               Now Time) {
+  constexpr int HexBase = 16;
+  std::uint64_t Fingerprint = 0;
+  auto Parsed = std::from_chars(Name.data(), Name.data() + Name.size(),
+                                Fingerprint, HexBase);
+  if (Name.empty() || Parsed.ptr != Name.data() + Name.size()) {
+    replyError(Exchange, 400,
+               {ErrorKind::InvalidArgument,
+                "\"" + std::string(Name) + "\" is not a fingerprint",
+                "copy one from `sycamorectl quarantine list`"});
+    return;
+  }
+  clear(Subjects_.Marks_, Fingerprint, Time.Wall_);
+  Subjects_.Control_.spreadQuarantine(changedRecords(
+      Subjects_.Marks_, Subjects_.Control_.members().Servers_.size()));
+  replyJson(Exchange, 200, {{"cleared", formatFingerprint(Fingerprint)}});
+}
+
+void AdminApi::announce(HttpExchange &Exchange, std::string_view /*Name*/,
+                        Now Time) {
+  auto Document = parseJson(Exchange.request().Body_, "announcement");
+  if (!Document) {
+    replyError(Exchange, 400, Document.error());
+    return;
+  }
+  if (auto Done = Subjects_.Targets_.announce(*Document, Time); !Done)
+    replyError(Exchange, 400, Done.error());
+  else
+    replyJson(Exchange, 200, {{"ok", true}});
+}
+
+void AdminApi::withdraw(HttpExchange &Exchange, std::string_view Name,
+                        Now Time) {
+  if (Subjects_.Targets_.withdraw(Name, Time))
+    replyJson(Exchange, 200, {{"ok", true}});
+  else
+    replyError(Exchange, 404,
+               {ErrorKind::NotFound,
+                "target " + std::string(Name) + " has not announced itself",
+                "use the name of the announcement"});
+}
+
+void AdminApi::showMetrics(HttpExchange &Exchange, std::string_view /*Name*/,
+                           Now /*Time*/) {
+  Exchange.reply(200, {{"content-type", "text/plain; version=0.0.4"}},
+                 metricsText(Subjects_));
+}
+
+void AdminApi::showTraces(HttpExchange &Exchange, std::string_view /*Name*/,
+                          Now /*Time*/) {
+  replyJson(Exchange, 200,
+            toOtlpJson(Subjects_.Spans_, Subjects_.Settings_.Server_));
+}
+
+void AdminApi::showHealth(HttpExchange &Exchange, std::string_view /*Name*/,
+                          Now /*Time*/) {
+  bool Serving = Subjects_.Control_.mayServe();
+  replyJson(Exchange, Serving ? 200 : 503, {{"serving", Serving}});
+}
+
+} // namespace sycamore
--- /dev/null
+++ b/src/AdminApi.h
@@ -0,0 +1,65 @@
+// The admin listener: fleet status, quarantine, announcements of targets,
+// metrics and traces.
+#pragma once
+
+#include "ControlPlane.h"
+#include "EntryProxy.h"
+#include "KeyHolder.h"
+#include "TargetProxy.h"
+#include "sycamore/EtcdStore.h"
+#include "sycamore/HttpServer.h"
+
+namespace sycamore {
+
+/// What the admin listener shows and changes.
+struct AdminSubjects {
+  const Settings &Settings_;
+  ControlPlane &Control_;
+  TargetProxy &Targets_;
+  EntryProxy &Entry_;
+  KeyHolder &Keys_;
+  Quarantine &Marks_;
+  SpanBuffer &Spans_;
+  const PeerTransport &Peers_;
+  const Store &Store_;
+};
+
+class AdminApi {
+public:
+  /// Tokens maps operators to the SHA-256 of their token; empty for none.
+  AdminApi(AdminSubjects Subjects, std::map<std::string, std::string> Tokens);
+
+  void receive(const HttpExchangePointer &Exchange, Now Time);
+
+  void setTokens(std::map<std::string, std::string> Tokens) {
+    Tokens_ = std::move(Tokens);
+  }
+
+private:
+  struct Endpoint {
+    std::string_view Method_;
+    std::string_view Path_; ///< A trailing slash means a name follows.
+    bool ForOperators_;
+    void (AdminApi::*Handle_)(HttpExchange &, std::string_view Name, Now);
+  };
+  static const std::vector<Endpoint> &endpoints();
+
+  bool isAuthorized(const HttpRequest &Request) const;
+  void showFleet(HttpExchange &Exchange, std::string_view Name, Now Time);
+  void showStatus(HttpExchange &Exchange, std::string_view Name, Now Time);
+  void showQuarantine(HttpExchange &Exchange, std::string_view Name, Now Time);
+  void clearQuarantine(HttpExchange &Exchange, std::string_view Name, Now Time);
+  void announce(HttpExchange &Exchange, std::string_view Name, Now Time);
+  void withdraw(HttpExchange &Exchange, std::string_view Name, Now Time);
+  void showMetrics(HttpExchange &Exchange, std::string_view Name, Now Time);
+  void showTraces(HttpExchange &Exchange, std::string_view Name, Now Time);
+  void showHealth(HttpExchange &Exchange, std::string_view Name, Now Time);
+
+  AdminSubjects Subjects_;
+  std::map<std::string, std::string> Tokens_;
+};
+
+/// Every counter and histogram of the daemon in the Prometheus text format.
+std::string metricsText(const AdminSubjects &Subjects);
+
+} // namespace sycamore
--- a/src/CallMessages.h
+++ b/src/CallMessages.h
@@ -22,7 +22,7 @@
 inline constexpr std::string_view IdempotencyKeyHeader = "idempotency-key";
 
 /// Sends a call message to a server by name; this server included.
-using CallSender = std::function<SendOutcome(
+using CallSender = std::function<SendResult(
     const std::string &Server, wire::PeerMessage &, std::string_view Body)>;
 
 /// Answers a received call message.
--- /dev/null
+++ b/src/Daemon.cpp
@@ -0,0 +1,414 @@
+// Connects the modules to the loop.
+#include "DaemonImpl.h"
+
+#include "sycamore/Clock.h"
+#include "sycamore/Log.h"
+
+#include <fstream>
+
+namespace sycamore {
+namespace {
+
+constexpr timeval TickInterval{0, 20'000};
+
+/// A leaving daemon stays reachable this long after its last call, so that the
+/// news of its leaving has spread before its listeners close.
+constexpr Duration LeaveNotice = seconds(2);
+
+constexpr Duration TraceWriteInterval = seconds(1);
+
+EtcdStoreConfig storeConfig(const StoreSettings &Config) {
+  EtcdStoreConfig Out;
+  Out.Endpoints_ = Config.Endpoints_;
+  Out.CallsPerSecond_ = static_cast<double>(Config.CallsPerSecond_);
+  if (Config.Tls_) {
+    Out.Tls_.Ca_ = Config.Tls_->Ca_;
+    Out.Tls_.Certificate_ = Config.Tls_->Certificate_;
+    Out.Tls_.Key_ = Config.Tls_->Key_;
+  }
+  return Out;
+}
+
+HttpServerConfig serverConfig(const Settings &Config,
+                              const std::optional<ServerTlsSettings> &Tls) {
+  HttpServerConfig Out;
+  Out.MaxHeaderBytes_ = Config.Limits_.MaxHeaderBytes_;
+  Out.MaxBodyBytes_ = Config.Limits_.MaxBodyBytes_;
+  if (Tls) {
+    Out.Tls_ = {Tls->Certificate_, Tls->Key_, Tls->ClientCa_};
+    Out.RequireClientCertificate_ = !Tls->ClientCa_.empty();
+  }
+  return Out;
+}
+
+/// One client serves all targets: admission bounds the requests, not the pool.
+HttpClientConfig clientConfig(const Settings &Config) {
+  HttpClientConfig Out;
+  Out.ConnectionsPerAddress_ = 256;
+  Out.MaxHeaderBytes_ = Config.Limits_.MaxHeaderBytes_;
+  Out.MaxBodyBytes_ = Config.Limits_.MaxBodyBytes_;
+  return Out;
+}
+
+std::uint64_t unixMicroseconds(WallTime Time) {
+  return static_cast<std::uint64_t>(Time.time_since_epoch().count());
+}
+
+} // namespace
+
+Result<std::unique_ptr<Daemon>> Daemon::create(event_base *Base,
+                                               const Settings &Config) {
+  auto Out = std::make_unique<DaemonImpl>(Base, Config);
+  auto Started = Out->start();
+  if (!Started)
+    return tl::unexpected<Error>(Started.error());
+  return Out;
+}
+
+DaemonImpl::DaemonImpl(event_base *Base, const Settings &Config)
+    : Base_(Base), Settings_(Config), Rng_(std::random_device{}()),
+      Process_(unixMicroseconds(wallNow())) {}
+
+DaemonImpl::~DaemonImpl() {
+  if (TickEvent_)
+    event_free(TickEvent_);
+  if (LocalEvent_)
+    event_free(LocalEvent_);
+}
+
+Result<void> DaemonImpl::start() {
+  auto Keys = loadPeerKeys(Settings_);
+  if (!Keys)
+    return tl::unexpected<Error>(Keys.error());
+  Keys_ = std::move(*Keys);
+  auto Client = HttpClient::create(Base_, clientConfig(Settings_));
+  if (!Client)
+    return tl::unexpected<Error>(Client.error());
+  Client_ = std::move(*Client);
+  auto Platform = makeEtcdStore(Base_, storeConfig(Settings_.Store_));
+  if (!Platform)
+    return tl::unexpected<Error>(Platform.error());
+  Store_ = std::move(*Platform);
+  LocalEvent_ = event_new(Base_, -1, 0, onLocal, this);
+  return startPeers().and_then([this] { return startHttp(); }).map([this] {
+    startTicking();
+  });
+}
+
+Result<void> DaemonImpl::startPeers() {
+  PeerTransportConfig Config;
+  Config.Self_ = Settings_.Server_;
+  Config.Process_ = Process_;
+  Config.ListenAddress_ = Settings_.PeerListen_;
+  Config.Curve_ = Keys_.Own_;
+  Config.AllowedKeys_ = Keys_.Allowed_;
+  Config.MaxLinks_ = Settings_.Limits_.PeerLinks_;
+  constexpr std::size_t MessageOverhead = 1U << 20U;
+  Config.MaxMessageBytes_ = Settings_.Limits_.MaxBodyBytes_ + MessageOverhead;
+  PeerHandlers Handlers;
+  Handlers.OnMessage_ = [this](wire::PeerMessage &Message, std::string &Body,
+                               const ReplyRoute &Route) {
+    onMessage(Message, Body, Route);
+  };
+  Handlers.OnLinkEnd_ = [this](const std::string &Peer, std::uint64_t Link,
+                               LinkEnd End) {
+    Entry_->onLinkEnd(Peer, Link, End, readClocks());
+  };
+  Handlers.Resolve_ = [this](const std::string &Peer) { return resolve(Peer); };
+  Peers_ = std::make_unique<PeerTransport>(Base_, Config, Handlers);
+  auto Bound = Peers_->listen();
+  if (!Bound)
+    return tl::unexpected<Error>(Bound.error());
+  Addresses_.Peer_ = *Bound;
+  makeProxies(Settings_.PeerAddress_.empty() ? *Bound : Settings_.PeerAddress_);
+  return {};
+}
+
+void DaemonImpl::makeProxies(const std::string &PeerAddress) {
+  Now Time = readClocks();
+  auto Send = [this](Outbox &Out) { sendOutbox(Out); };
+  auto SendCall = [this](const std::string &Server, wire::PeerMessage &Message,
+                         std::string_view Body) {
+    return sendCall(Server, Message, Body);
+  };
+  auto Reply = [this](const ReplyRoute &Route, wire::PeerMessage &Message,
+                      std::string_view Body) {
+    replyCall(Route, Message, Body);
+  };
+  Control_ = std::make_unique<ControlPlane>(
+      Settings_, PeerAddress, Keys_.Own_.PublicKey_, *Store_, Rng_, Send, Time);
+  Targets_ =
+      std::make_unique<TargetProxy>(Settings_, *Client_, *Control_, Marks_,
+                                    Spans_, Rng_, Process_, Reply, Time);
+  Entry_ = std::make_unique<EntryProxy>(
+      Settings_, *Control_, *Targets_, Marks_, Spans_, Rng_, Process_, SendCall,
+      [this](const std::string &Server) { Peers_->closeLink(Server); });
+  KeyHolder_ = std::make_unique<KeyHolder>(
+      Settings_, *Control_, *Entry_, *Targets_, *Store_, Rng_, Process_, Send);
+  Entry_->setKeyedHandler(
+      [this](AcceptedRequest Request, HttpExchangePointer Exchange, Now At) {
+        KeyHolder_->receive(std::move(Request), std::move(Exchange), At);
+      });
+}
+
+Result<void> DaemonImpl::startHttp() {
+  std::map<std::string, std::string> Tokens;
+  if (!Settings_.AdminTokensFile_.empty()) {
+    auto Loaded = loadAdminTokens(Settings_.AdminTokensFile_);
+    if (!Loaded)
+      return tl::unexpected<Error>(Loaded.error());
+    Tokens = std::move(*Loaded);
+  }
+  Admin_ = std::make_unique<AdminApi>(
+      AdminSubjects{Settings_, *Control_, *Targets_, *Entry_, *KeyHolder_,
+                    Marks_, Spans_, *Peers_, *Store_},
+      std::move(Tokens));
+
+  auto Caller =
+      HttpServer::create(Base_, serverConfig(Settings_, Settings_.CallerTls_));
+  if (!Caller)
+    return tl::unexpected<Error>(Caller.error());
+  CallerServer_ = std::move(*Caller);
+  CallerServer_->setHandler([this](HttpExchangePointer Exchange) {
+    Entry_->receive(std::move(Exchange), readClocks());
+  });
+  auto CallerBound = CallerServer_->listen(Settings_.CallerListen_);
+  if (!CallerBound)
+    return tl::unexpected<Error>(CallerBound.error());
+  Addresses_.Caller_ = *CallerBound;
+
+  auto Operators =
+      HttpServer::create(Base_, serverConfig(Settings_, Settings_.AdminTls_));
+  if (!Operators)
+    return tl::unexpected<Error>(Operators.error());
+  AdminServer_ = std::move(*Operators);
+  AdminServer_->setHandler([this](const HttpExchangePointer &Exchange) {
+    Admin_->receive(Exchange, readClocks());
+  });
+  auto AdminBound = AdminServer_->listen(Settings_.AdminListen_);
+  if (!AdminBound)
+    return tl::unexpected<Error>(AdminBound.error());
+  Addresses_.Admin_ = *AdminBound;
+  return {};
+}
+
+void DaemonImpl::startTicking() {
+  TickEvent_ = event_new(Base_, -1, EV_PERSIST, onTick, this);
+  event_add(TickEvent_, &TickInterval);
+  logEvent(LogLevel::Info, "started",
+           {{"version", SYCAMORE_VERSION},
+            {"caller_listen", Addresses_.Caller_},
+            {"admin_listen", Addresses_.Admin_},
+            {"peer_listen", Addresses_.Peer_}});
+}
+
+void DaemonImpl::onTick(evutil_socket_t /*Descriptor*/, short /*Events*/,
+                        void *Self) {
+  static_cast<DaemonImpl *>(Self)->tick();
+}
+
+void DaemonImpl::onLocal(evutil_socket_t /*Descriptor*/, short /*Events*/,
+                         void *Self) {
+  auto *This = static_cast<DaemonImpl *>(Self);
+  std::deque<LocalMessage> Messages;
+  std::swap(Messages, This->Local_);
+  ReplyRoute Route{{}, This->Settings_.Server_};
+  for (LocalMessage &Local : Messages)
+    This->onCallMessage(Local.Message_, Local.Body_, Route, readClocks());
+}
+
+void DaemonImpl::tick() {
+  Now Time = readClocks();
+  Peers_->tick(Time.Monotonic_);
+  Control_->tick(Time);
+  Targets_->tick(Time);
+  Entry_->tick(Time);
+  KeyHolder_->tick(Time);
+  expire(Marks_, Time.Wall_);
+  for (const QuarantineEvent &Event : takeEvents(Marks_))
+    logEvent(LogLevel::Warning,
+             Event.Kind_ == QuarantineEventKind::Suspected ? "request-suspected"
+             : Event.Kind_ == QuarantineEventKind::Quarantined
+                 ? "request-quarantined"
+                 : "quarantine-ended",
+             {{"fingerprint", Event.Fingerprint_}, {"sample", Event.Sample_}});
+  writeTraces(Time);
+  if (Stopping_)
+    continueStop(Time);
+}
+
+void DaemonImpl::onMessage(wire::PeerMessage &Message, std::string &Body,
+                           const ReplyRoute &Route) {
+  Now Time = readClocks();
+  Entry_->noteMessage(Message.sender(), Message.process(), Time);
+  Control_->receive(Message, Time);
+  switch (Message.body_case()) {
+  case wire::PeerMessage::kGossip:
+    takeQuarantine(Message.gossip(), Time);
+    break;
+  case wire::PeerMessage::kBucketHandover:
+    KeyHolder_->receiveHandover(Message.bucket_handover(), Time);
+    break;
+  case wire::PeerMessage::kLinkHeartbeat:
+    if (!Message.link_heartbeat().answer()) {
+      wire::PeerMessage Answer;
+      Answer.mutable_link_heartbeat()->set_answer(true);
+      Peers_->reply(Route, Answer, {});
+    }
+    break;
+  default:
+    onCallMessage(Message, Body, Route, Time);
+    break;
+  }
+}
+
+void DaemonImpl::onCallMessage(wire::PeerMessage &Message, std::string &Body,
+                               const ReplyRoute &Route, Now Time) {
+  switch (Message.body_case()) {
+  case wire::PeerMessage::kCallRequest: {
+    const wire::CallRequest &Request = Message.call_request();
+    if (!Targets_->accept(Request, Body, Route, Time))
+      break;
+    if (Request.idempotency_key().empty())
+      Targets_->run(Request, std::move(Body), Route, Time);
+    else
+      KeyHolder_->receiveForwarded(Request, std::move(Body), Route, Time);
+    break;
+  }
+  case wire::PeerMessage::kCallAnswer:
+    Entry_->receiveAnswer(Message.sender(), Message.call_answer(),
+                          std::move(Body), Time);
+    break;
+  case wire::PeerMessage::kCallCancel:
+    Targets_->receiveCancel(Message.call_cancel(), Time);
+    break;
+  case wire::PeerMessage::kCallQuery:
+    Targets_->receiveQuery(Message.call_query(), Route, Time);
+    break;
+  case wire::PeerMessage::kCallQueryAnswer:
+    Entry_->receiveQueryAnswer(Message.sender(), Message.call_query_answer(),
+                               Time);
+    break;
+  default:
+    break;
+  }
+}
+
+void DaemonImpl::takeQuarantine(const wire::Gossip &News, Now Time) {
+  bool Changed = false;
+  for (const wire::QuarantineRecord &Record : News.quarantine())
+    Changed = merge(Marks_, Record, Time.Wall_) || Changed;
+  if (Changed)
+    Control_->spreadQuarantine(
+        changedRecords(Marks_, Control_->members().Servers_.size()));
+}
+
+void DaemonImpl::sendOutbox(Outbox &Out) {
+  TimePoint Time = monotonicNow();
+  for (Outgoing &Message : Out)
+    Peers_->send(Message.To_, Message.Message_, Message.Body_, Time);
+}
+
+void DaemonImpl::queueLocal(wire::PeerMessage &Message, std::string_view Body) {
+  Message.set_sender(Settings_.Server_);
+  Message.set_process(Process_);
+  Local_.push_back({std::move(Message), std::string(Body)});
+  event_active(LocalEvent_, EV_TIMEOUT, 0);
+}
+
+SendResult DaemonImpl::sendCall(const std::string &Server,
+                                wire::PeerMessage &Message,
+                                std::string_view Body) {
+  if (Server != Settings_.Server_)
+    return Peers_->send(Server, Message, Body, monotonicNow());
+  queueLocal(Message, Body);
+  return {SendOutcome::Sent, 0};
+}
+
+void DaemonImpl::replyCall(const ReplyRoute &Route, wire::PeerMessage &Message,
+                           std::string_view Body) {
+  if (Route.Link_ == Settings_.Server_)
+    queueLocal(Message, Body);
+  else
+    Peers_->reply(Route, Message, Body);
+}
+
+std::optional<PeerAddress> DaemonImpl::resolve(const std::string &Peer) const {
+  const wire::ServerRecord *Record = findServer(Control_->members(), Peer);
+  if (!Record || Peer == Settings_.Server_)
+    return std::nullopt;
+  return PeerAddress{Record->peer_address(), Record->public_key()};
+}
+
+void DaemonImpl::writeTraces(Now Time) {
+  if (Settings_.Trace_.File_.empty() || Spans_.Spans_.empty() ||
+      Time.Monotonic_ < NextTraceWrite_)
+    return;
+  NextTraceWrite_ = Time.Monotonic_ + TraceWriteInterval;
+  std::ofstream File(Settings_.Trace_.File_, std::ios::app);
+  File << toOtlpJson(Spans_, Settings_.Server_).dump() << "\n";
+  Spans_.Spans_.clear();
+}
+
+void DaemonImpl::stop() {
+  if (Stopping_)
+    return;
+  Now Time = readClocks();
+  Stopping_ = true;
+  StopStarted_ = Time.Monotonic_;
+  IdleSince_ = Time.Monotonic_;
+  logEvent(LogLevel::Info, "leaving",
+           {{"calls", Entry_->inFlight()}, {"requests", Targets_->inFlight()}});
+  Control_->startLeaving(Time);
+  Targets_->startLeaving();
+  KeyHolder_->startLeaving(Time);
+}
+
+bool DaemonImpl::isIdle() const {
+  return Entry_->inFlight() == 0 && Targets_->inFlight() == 0 &&
+         KeyHolder_->waiting() == 0 && CallerServer_->openExchanges() == 0;
+}
+
+void DaemonImpl::continueStop(Now Time) {
+  if (!isIdle())
+    IdleSince_ = Time.Monotonic_;
+  bool Done = Time.Monotonic_ - IdleSince_ >= LeaveNotice;
+  CutShort_ = !Done && Time.Monotonic_ - StopStarted_ >= Settings_.StopLimit_;
+  // Callers that dial this daemon are still served until the news has spread;
+  // only then do its listeners close.
+  if (Time.Monotonic_ - StopStarted_ >= LeaveNotice && !KeysHandedOver_) {
+    KeysHandedOver_ = true;
+    Entry_->startLeaving();
+    CallerServer_->stopAccepting();
+    CallerServer_->closeIdle();
+    IdleSince_ = Time.Monotonic_;
+  }
+  if (!CutShort_ && !(Done && KeysHandedOver_))
+    return;
+  KeyHolder_->finishLeaving(Time);
+  Control_->finishLeaving(Time);
+  logEvent(CutShort_ ? LogLevel::Warning : LogLevel::Info, "left",
+           {{"cut_short", CutShort_}});
+  // The last messages need a moment to leave.
+  timeval Moment{0, 200'000};
+  event_base_loopexit(Base_, &Moment);
+  Stopping_ = false;
+  event_del(TickEvent_);
+}
+
+Result<void> DaemonImpl::reload() {
+  auto Keys = loadPeerKeys(Settings_);
+  if (!Keys)
+    return tl::unexpected<Error>(Keys.error());
+  Peers_->setAllowedKeys(Keys->Allowed_);
+  if (!Settings_.AdminTokensFile_.empty()) {
+    auto Tokens = loadAdminTokens(Settings_.AdminTokensFile_);
+    if (!Tokens)
+      return tl::unexpected<Error>(Tokens.error());
+    Admin_->setTokens(std::move(*Tokens));
+  }
+  return CallerServer_->reloadTls().and_then(
+      [this] { return AdminServer_->reloadTls(); });
+}
+
+} // namespace sycamore
--- /dev/null
+++ b/src/DaemonImpl.h
@@ -0,0 +1,89 @@
+// Parts of the daemon, in the order in which they depend on each other.
+#pragma once
+
+#include "AdminApi.h"
+#include "ControlPlane.h"
+#include "EntryProxy.h"
+#include "KeyHolder.h"
+#include "PeerKeys.h"
+#include "TargetProxy.h"
+#include "sycamore/Daemon.h"
+#include "sycamore/EtcdStore.h"
+#include "sycamore/PeerTransport.h"
+
+#include <event2/event.h>
+
+namespace sycamore {
+
+class DaemonImpl : public Daemon {
+public:
+  DaemonImpl(event_base *Base, const Settings &Config);
+  ~DaemonImpl() override;
+
+  Result<void> start();
+
+  DaemonAddresses addresses() const override { return Addresses_; }
+  void stop() override;
+  Result<void> reload() override;
+  bool wasCutShort() const override { return CutShort_; }
+
+private:
+  /// A call message from this daemon to itself.
+  struct LocalMessage {
+    wire::PeerMessage Message_;
+    std::string Body_;
+  };
+
+  Result<void> startPeers();
+  Result<void> startHttp();
+  void makeProxies(const std::string &PeerAddress);
+  void startTicking();
+  static void onTick(evutil_socket_t, short, void *Self);
+  static void onLocal(evutil_socket_t, short, void *Self);
+  void tick();
+  void onMessage(wire::PeerMessage &Message, std::string &Body,
+                 const ReplyRoute &Route);
+  void onCallMessage(wire::PeerMessage &Message, std::string &Body,
+                     const ReplyRoute &Route, Now Time);
+  void takeQuarantine(const wire::Gossip &News, Now Time);
+  void sendOutbox(Outbox &Out);
+  SendResult sendCall(const std::string &Server, wire::PeerMessage &Message,
+                      std::string_view Body);
+  void replyCall(const ReplyRoute &Route, wire::PeerMessage &Message,
+                 std::string_view Body);
+  void queueLocal(wire::PeerMessage &Message, std::string_view Body);
+  std::optional<PeerAddress> resolve(const std::string &Peer) const;
+  void writeTraces(Now Time);
+  void continueStop(Now Time);
+  bool isIdle() const;
+
+  event_base *Base_;
+  Settings Settings_;
+  Random Rng_;
+  std::uint64_t Process_;
+  PeerKeys Keys_;
+  DaemonAddresses Addresses_;
+  SpanBuffer Spans_;
+  Quarantine Marks_;
+  std::unique_ptr<Store> Store_;
+  std::unique_ptr<HttpClient> Client_;
+  std::unique_ptr<PeerTransport> Peers_;
+  std::unique_ptr<ControlPlane> Control_;
+  std::unique_ptr<TargetProxy> Targets_;
+  std::unique_ptr<EntryProxy> Entry_;
+  std::unique_ptr<KeyHolder> KeyHolder_;
+  std::unique_ptr<AdminApi> Admin_;
+  std::unique_ptr<HttpServer> CallerServer_;
+  std::unique_ptr<HttpServer> AdminServer_;
+  event *TickEvent_ = nullptr;
+  event *LocalEvent_ = nullptr;
+  std::deque<LocalMessage> Local_;
+  bool Stopping_ = false;
+  bool KeysHandedOver_ = false;
+  bool CutShort_ = false;
+  TimePoint StopStarted_;
+  TimePoint IdleSince_;
+  TimePoint NextTraceWrite_;
+};
+
+} // namespace sycamore
--- a/src/EntryProxy.cpp
+++ b/src/EntryProxy.cpp
@@ -270,7 +270,10 @@
         Verdict.RetryAfter_);
     return false;
   }
-  Wire.set_suspect(Verdict.Decision_ == QuarantineDecision::AllowAlone);
+  if (Verdict.Decision_ == QuarantineDecision::AllowAlone) {
+    Wire.set_suspect(true);
+    Request.AloneFingerprint_ = Wire.fingerprint();
+  }
   return true;
 }
 
@@ -288,13 +291,14 @@
       Time);
   if (!Calls_.Calls_.contains(Sequence))
     return;
-  Exchange->onClosed([this, Sequence] {
+  Exchange->onClosed([this, Sequence, Shared] {
     Now Later = readClocks();
     Time_ = Later.Monotonic_;
     ++Counters_.CallersGone_;
     carryOut(onCallerGone(Calls_, Sequence), Later);
-    Waiting_.erase(Sequence);
-    SpanOfCall_.erase(Sequence);
+    forgetCall(Sequence, AttemptOutcome::Cancelled, Later);
+    if (Shared->AloneFingerprint_)
+      noteFinished(Marks_, *Shared->AloneFingerprint_);
   });
 }
 
@@ -302,8 +306,7 @@
                                 CallFinished Done, Now Time) {
   Time_ = Time.Monotonic_;
   std::uint64_t Sequence = Calls_.NextSequence_;
-  Waiting_[Sequence] = std::move(Done);
-  SpanOfCall_[Sequence] = Span;
+  Infos_[Sequence] = CallInfo{std::move(Done), Span, {}};
   carryOut(beginCall(Calls_, std::move(Call), Policy_, Time.Monotonic_), Time);
   return Sequence;
 }
@@ -326,21 +329,21 @@
   AttemptInfo Info;
   Info.Target_ = Action.Request_.target();
   Info.Server_ = Action.Server_;
-  Info.Sequence_ = Id.sequence();
+  Info.Id_ = Id;
   Info.SentAt_ = Time.Monotonic_;
   Info.SentWall_ = Time.Wall_;
-  if (auto Parent = SpanOfCall_.find(Id.sequence());
-      Parent != SpanOfCall_.end()) {
-    Info.ParentSpan_ = Parent->second.SpanId_;
-    Info.Span_ = childOf(Parent->second, Rng_);
+  if (auto Call = Infos_.find(Id.sequence()); Call != Infos_.end()) {
+    Call->second.Ordinals_.push_back(Id.ordinal());
+    Info.ParentSpan_ = Call->second.Span_.SpanId_;
+    Info.Span_ = childOf(Call->second.Span_, Rng_);
     Action.Request_.set_traceparent(formatTraceparent(Info.Span_));
   }
   wire::PeerMessage Message;
   *Message.mutable_call_request() = std::move(Action.Request_);
-  SendOutcome Outcome =
-      Send_(Action.Server_, Message,
-            Action.Body_ ? std::string_view(*Action.Body_) : "");
-  if (Outcome != SendOutcome::Sent) {
+  SendResult Sent = Send_(Action.Server_, Message,
+                          Action.Body_ ? std::string_view(*Action.Body_) : "");
+  Info.Link_ = Sent.Link_;
+  if (Sent.Outcome_ != SendOutcome::Sent) {
     carryOut(onSendFailed(Calls_, Id, Policy_, Time.Monotonic_), Time);
     return;
   }
@@ -391,20 +394,23 @@
   recordSpan(Spans_, std::move(Finished));
 }
 
+void EntryProxy::forgetCall(std::uint64_t Sequence, AttemptOutcome Outcome,
+                            Now Time) {
+  auto Found = Infos_.find(Sequence);
+  if (Found == Infos_.end())
+    return;
+  std::vector<std::uint64_t> Ordinals = std::move(Found->second.Ordinals_);
+  Infos_.erase(Found);
+  for (std::uint64_t Ordinal : Ordinals)
+    endAttempt(Ordinal, Outcome, nullptr, Time);
+}
+
 void EntryProxy::finishCall(Finish Outcome, Now Time) {
-  std::uint64_t Sequence = Outcome.Sequence_;
-  std::vector<std::uint64_t> Open;
-  for (const auto &[Ordinal, Info] : Attempts_)
-    if (Info.Sequence_ == Sequence)
-      Open.push_back(Ordinal);
-  for (std::uint64_t Ordinal : Open)
-    endAttempt(Ordinal, AttemptOutcome::TimedOut, nullptr, Time);
-  SpanOfCall_.erase(Sequence);
-  auto Found = Waiting_.find(Sequence);
-  if (Found == Waiting_.end())
+  auto Found = Infos_.find(Outcome.Sequence_);
+  if (Found == Infos_.end())
     return;
-  CallFinished Done = std::move(Found->second);
-  Waiting_.erase(Found);
+  CallFinished Done = std::move(Found->second.Done_);
+  forgetCall(Outcome.Sequence_, AttemptOutcome::TimedOut, Time);
   Done(std::move(Outcome));
 }
 
@@ -413,6 +419,8 @@
   CallTimes_[Outcome.Run_].record(
       std::max<Duration>(wallNow() - Request.StartedWall_, Duration(0)));
   recordServerSpan(Request, Outcome);
+  if (Request.AloneFingerprint_)
+    noteFinished(Marks_, *Request.AloneFingerprint_);
   HttpHeaders Headers = toHttpHeaders(Outcome.Answer_.headers());
   Headers.push_back(
       {std::string(RunHeader), std::string(runName(Outcome.Run_))});
@@ -447,32 +455,37 @@
   recordSpan(Spans_, std::move(Finished));
 }
 
-void EntryProxy::receiveAnswer(const std::string &Server,
-                               const wire::CallAnswer &Answer, std::string Body,
-                               Now Time) {
-  Time_ = Time.Monotonic_;
+void EntryProxy::learnFromAnswer(const std::string &Server,
+                                 const wire::CallAnswer &Answer, Now Time) {
   auto Found = Attempts_.find(Answer.id().ordinal());
   bool Ours = Answer.id().entry() == Settings_.Server_ &&
               Answer.id().incarnation() == Calls_.Incarnation_;
-  if (Ours && Found != Attempts_.end()) {
-    Duration Whole = Time.Monotonic_ - Found->second.SentAt_;
-    auto Call = Calls_.Calls_.find(Found->second.Sequence_);
-    if (Answer.run() == wire::RUN_DONE && Call != Calls_.Calls_.end()) {
-      AddedTimes_.record(std::max<Duration>(
-          Whole - Duration(Answer.service_time_us()), Duration(0)));
-      noteSuccess(Retries_, Time.Monotonic_);
-      noteLatency(Hedges_, Call->second.Route_,
-                  Time.Monotonic_ - Call->second.StartedAt_);
-    }
-    if (Answer.target_lost() && Call != Calls_.Calls_.end())
-      noteLoss(Marks_, Call->second.Request_.fingerprint(), Server,
-               Call->second.Request_.method() + " " +
-                   Call->second.Request_.path(),
-               Time.Wall_);
-    if (Call != Calls_.Calls_.end() && Call->second.Request_.suspect())
-      noteFinished(Marks_, Call->second.Request_.fingerprint());
-    endAttempt(Answer.id().ordinal(), outcomeOf(Answer), &Answer, Time);
+  if (!Ours || Found == Attempts_.end())
+    return;
+  Duration Whole = Time.Monotonic_ - Found->second.SentAt_;
+  auto Entry = Calls_.Calls_.find(Answer.id().sequence());
+  endAttempt(Answer.id().ordinal(), outcomeOf(Answer), &Answer, Time);
+  if (Entry == Calls_.Calls_.end())
+    return;
+  const EntryCall &Call = Entry->second;
+  const wire::CallRequest &Request = Call.Request_;
+  if (Answer.run() == wire::RUN_DONE) {
+    AddedTimes_.record(std::max<Duration>(
+        Whole - Duration(Answer.service_time_us()), Duration(0)));
+    noteSuccess(Retries_, Time.Monotonic_);
+    noteLatency(Hedges_, Call.Route_, Time.Monotonic_ - Call.StartedAt_);
+    noteSuccess(Marks_, Request.fingerprint(), Time.Wall_);
   }
+  if (Answer.target_lost())
+    noteLoss(Marks_, Request.fingerprint(), Server,
+             Request.method() + " " + Request.path(), Time.Wall_);
+}
+
+void EntryProxy::receiveAnswer(const std::string &Server,
+                               const wire::CallAnswer &Answer, std::string Body,
+                               Now Time) {
+  Time_ = Time.Monotonic_;
+  learnFromAnswer(Server, Answer, Time);
   carryOut(onAnswer(Calls_, Server, Answer, std::move(Body), Policy_,
                     Time.Monotonic_),
            Time);
@@ -500,7 +513,8 @@
     carryOut(onServerLost(Calls_, Server, Policy_, Time.Monotonic_), Time);
 }
 
-void EntryProxy::onLinkEnd(const std::string &Server, LinkEnd End, Now Time) {
+void EntryProxy::onLinkEnd(const std::string &Server, std::uint64_t Link,
+                           LinkEnd End, Now Time) {
   Time_ = Time.Monotonic_;
   if (End == LinkEnd::Lost) {
     carryOut(onLinkLost(Calls_, Server, Policy_, Time.Monotonic_), Time);
@@ -508,16 +522,9 @@
   }
   // Nothing that was given to this link has left.
   std::vector<wire::CallId> Unsent;
-  for (const auto &[Sequence, Call] : Calls_.Calls_)
-    for (const CallAttempt &Attempt : Call.Attempts_)
-      if (Attempt.Server_ == Server && Attempt.State_ == AttemptState::Sent) {
-        wire::CallId &Id = Unsent.emplace_back();
-        Id.set_entry(Calls_.Self_);
-        Id.set_incarnation(Calls_.Incarnation_);
-        Id.set_sequence(Sequence);
-        Id.set_attempt(Attempt.Number_);
-        Id.set_ordinal(Attempt.Ordinal_);
-      }
+  for (const auto &[Ordinal, Info] : Attempts_)
+    if (Info.Server_ == Server && Info.Link_ == Link)
+      Unsent.push_back(Info.Id_);
   for (const wire::CallId &Id : Unsent) {
     endAttempt(Id.ordinal(), AttemptOutcome::ConnectionRefused, nullptr, Time);
     carryOut(onSendFailed(Calls_, Id, Policy_, Time.Monotonic_), Time);
--- a/src/EntryProxy.h
+++ b/src/EntryProxy.h
@@ -26,6 +26,9 @@
   std::string ParentSpan_;
   WallTime StartedWall_;
   std::string Key_; ///< Idempotency key; empty for none.
+  /// Set when the request runs alone because it is suspected of crashing
+  /// targets.
+  std::optional<std::uint64_t> AloneFingerprint_;
 };
 
 struct EntryProxyCounters {
@@ -74,7 +77,8 @@
                           const wire::CallQueryAnswer &Answer, Now Time);
   /// Any message from a peer; Process is its start time.
   void noteMessage(const std::string &Server, std::uint64_t Process, Now Time);
-  void onLinkEnd(const std::string &Server, LinkEnd End, Now Time);
+  void onLinkEnd(const std::string &Server, std::uint64_t Link, LinkEnd End,
+                 Now Time);
 
   void tick(Now Time);
   void startLeaving() { Leaving_ = true; }
@@ -93,13 +97,21 @@
   struct AttemptInfo {
     std::string Target_;
     std::string Server_;
-    std::uint64_t Sequence_ = 0;
+    wire::CallId Id_;
+    std::uint64_t Link_ = 0; ///< 0 for this server.
     TimePoint SentAt_;
     WallTime SentWall_;
     TraceContext Span_;
     std::string ParentSpan_;
   };
 
+  /// Who waits for a call, and its attempts.
+  struct CallInfo {
+    CallFinished Done_;
+    TraceContext Span_;
+    std::vector<std::uint64_t> Ordinals_;
+  };
+
   std::optional<Finish> checkAcceptable() const;
   bool accept(const HttpExchangePointer &Exchange, AcceptedRequest &Request,
               Now Time);
@@ -114,8 +126,11 @@
   void sendQuery(const SendQuery &Action);
   void sendCancel(const SendCancel &Action);
   void finishCall(Finish Outcome, Now Time);
+  void forgetCall(std::uint64_t Sequence, AttemptOutcome Outcome, Now Time);
   void endAttempt(std::uint64_t Ordinal, AttemptOutcome Outcome,
                   const wire::CallAnswer *Answer, Now Time);
+  void learnFromAnswer(const std::string &Server,
+                       const wire::CallAnswer &Answer, Now Time);
   void recordServerSpan(const AcceptedRequest &Request, const Finish &Outcome);
   void sendHeartbeats(Now Time);
 
@@ -133,9 +148,7 @@
   Placement Placement_;
   RetryBudget Retries_;
   HedgePolicy Hedges_;
-  /// Who waits for a call, by sequence.
-  std::unordered_map<std::uint64_t, CallFinished> Waiting_;
-  std::unordered_map<std::uint64_t, TraceContext> SpanOfCall_;
+  std::unordered_map<std::uint64_t, CallInfo> Infos_;       ///< By sequence.
   std::unordered_map<std::uint64_t, AttemptInfo> Attempts_; ///< By ordinal.
   std::unordered_map<std::string, std::uint64_t> ProcessOf_;
   std::unordered_map<std::string, TimePoint> HeardAt_;
--- a/src/Log.cpp
+++ b/src/Log.cpp
@@ -13,8 +13,8 @@
 namespace sycamore {
 namespace {
 
-constexpr std::array<std::string_view, 4> LevelNames = {"debug", "info",
-                                                        "warning", "error"};
+constexpr std::array<std::string_view, 4> LevelNames = {"debug", "info", "warn",
+                                                        "error"};
 
 std::string &serverName() {
   static std::string Name;
@@ -49,7 +49,7 @@
       return static_cast<LogLevel>(I);
   return fail(ErrorKind::InvalidSettings,
               "log.level: \"" + std::string(Name) + "\" is not a level",
-              "use debug, info, warning or error");
+              "use debug, info, warn or error");
 }
 
 void configureLog(LogLevel Level, const std::string &File,
--- a/src/PeerTransport.cpp
+++ b/src/PeerTransport.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 struct Link {
+  std::uint64_t Number_ = 0;
   std::string Peer_;
   PeerAddress Address_;
   std::unique_ptr<LoopSocket> Socket_;
@@ -47,8 +48,8 @@
         Context_(1), Authenticator_(Base, Context_, Config_.AllowedKeys_) {}
 
   Result<std::string> listen();
-  SendOutcome send(const std::string &Peer, wire::PeerMessage &Message,
-                   std::string_view Body, TimePoint Now);
+  SendResult send(const std::string &Peer, wire::PeerMessage &Message,
+                  std::string_view Body, TimePoint Now);
   bool reply(const ReplyRoute &Route, wire::PeerMessage &Message,
              std::string_view Body);
   void closeLink(const std::string &Peer);
@@ -64,7 +65,7 @@
   std::map<std::string, std::shared_ptr<Link>, std::less<>> Links_;
   /// Closed links whose monitor has not reported its end yet.
   std::vector<std::shared_ptr<Link>> Ending_;
-  std::uint64_t MonitorNumber_ = 0;
+  std::uint64_t LastNumber_ = 0;
 
 private:
   void setCommonOptions(zmq::socket_t &Socket) const;
@@ -138,7 +139,7 @@
   // dropped instead of delivered late.
   Socket.set(zmq::sockopt::reconnect_ivl, -1);
   std::string MonitorEndpoint =
-      "inproc://monitor-" + std::to_string(MonitorNumber_++);
+      "inproc://monitor-" + std::to_string(++LastNumber_);
   if (zmq_socket_monitor(
           Socket.handle(), MonitorEndpoint.c_str(),
           ZMQ_EVENT_HANDSHAKE_SUCCEEDED | ZMQ_EVENT_DISCONNECTED |
@@ -150,6 +151,7 @@
   zmq::socket_t Monitor(Context_, ZMQ_PAIR);
   Monitor.connect(MonitorEndpoint);
   auto Opened = std::make_shared<Link>();
+  Opened->Number_ = LastNumber_;
   Opened->Peer_ = Peer;
   Opened->Address_ = Address;
   Opened->OpenedAt_ = Now;
@@ -230,8 +232,8 @@
   if (Entry != Ending_.end())
     Ending_.erase(Entry);
   if (Handlers_.OnLinkEnd_)
-    Handlers_.OnLinkEnd_(Ended->Peer_, Ended->Connected_
-                                           ? LinkEnd::Lost
+    Handlers_.OnLinkEnd_(Ended->Peer_, Ended->Number_,
+                         Ended->Connected_ ? LinkEnd::Lost
                                            : LinkEnd::NeverConnected);
 }
 
@@ -247,13 +249,13 @@
   return Bytes;
 }
 
-SendOutcome PeerTransport::Impl::send(const std::string &Peer,
-                                      wire::PeerMessage &Message,
-                                      std::string_view Body, TimePoint Now) {
+SendResult PeerTransport::Impl::send(const std::string &Peer,
+                                     wire::PeerMessage &Message,
+                                     std::string_view Body, TimePoint Now) {
   auto Address = Handlers_.Resolve_(Peer);
   if (!Address) {
     ++Counters_.DroppedUnroutable_;
-    return SendOutcome::NoAddress;
+    return {SendOutcome::NoAddress, 0};
   }
   auto Entry = Links_.find(Peer);
   if (Entry != Links_.end() && Entry->second->Address_ != *Address) {
@@ -270,14 +272,14 @@
   }
   if (!Used) {
     ++Counters_.DroppedUnroutable_;
-    return SendOutcome::NoAddress;
+    return {SendOutcome::NoAddress, 0};
   }
   Used->UsedAt_ = Now;
   std::string Bytes = encode(Message, Body);
   if (Used->Socket_->send({Bytes, Body}, Body.empty()))
-    return SendOutcome::Sent;
+    return {SendOutcome::Sent, Used->Number_};
   ++Counters_.DroppedUnroutable_;
-  return SendOutcome::LinkFull;
+  return {SendOutcome::LinkFull, Used->Number_};
 }
 
 bool PeerTransport::Impl::reply(const ReplyRoute &Route,
@@ -359,9 +361,9 @@
 
 Result<std::string> PeerTransport::listen() { return Impl_->listen(); }
 
-SendOutcome PeerTransport::send(const std::string &Peer,
-                                wire::PeerMessage &Message,
-                                std::string_view Body, TimePoint Now) {
+SendResult PeerTransport::send(const std::string &Peer,
+                               wire::PeerMessage &Message,
+                               std::string_view Body, TimePoint Now) {
   return Impl_->send(Peer, Message, Body, Now);
 }
 
--- a/test/correctness/PeerTransportTest.cpp
+++ b/test/correctness/PeerTransportTest.cpp
@@ -52,7 +52,8 @@
         EXPECT_TRUE(Transport_->reply(Route, Answer, Body));
       }
     };
-    Handlers.OnLinkEnd_ = [this](const std::string &Name, LinkEnd End) {
+    Handlers.OnLinkEnd_ = [this](const std::string &Name,
+                                 std::uint64_t /*Link*/, LinkEnd End) {
       Ends_.emplace_back(Name, End);
     };
     Handlers.Resolve_ =
--- a/tools/sycamored.cpp
+++ b/tools/sycamored.cpp
@@ -1,7 +1,172 @@
 // The daemon beside each target; thin over the library.
+#include "sycamore/Daemon.h"
+#include "sycamore/Log.h"
+
+#include <array>
+#include <csignal>
 #include <cstdio>
+#include <event2/event.h>
+#include <fstream>
+#include <popt.h>
+
+using namespace sycamore;
+
+namespace {
+
+constexpr int ExitDone = 0;
+constexpr int ExitInternal = 1;
+constexpr int ExitBadInput = 2;
+constexpr int ExitUnavailable = 5;
+constexpr int ExitCutShort = 6;
+
+constexpr std::string_view Description = R"(
+Runs the proxy of one server: carries calls between callers and targets, keeps
+the configuration of the last accepted ticket, and reports which ticket runs.
+
+Signals:
+  SIGTERM, SIGINT  leave: take no new work, finish what is in flight, exit
+  SIGHUP           read certificates, allowed keys and admin tokens again
+
+Exit codes:
+  0  a planned stop that cut nothing
+  2  the command line or the settings are wrong
+  5  an address cannot be bound, or a file cannot be used
+  6  stop_limit_ms passed before everything in flight had ended
+
+Files:
+  the settings file is described in docs/settings.md
+
+Example:
+  sycamored --settings /etc/sycamore/daemon.json
+)";
+
+struct Options {
+  std::string SettingsFile_;
+  std::string PortFile_;
+};
+
+void printError(const Error &Failure) {
+  std::fprintf(stderr, "sycamored: %s\n", describe(Failure).c_str());
+}
+
+/// Fills Out; returns an exit code when the program is to end.
+std::optional<int> parseCommandLine(int Count, const char **Words,
+                                    Options &Out) {
+  char *SettingsFile = nullptr;
+  char *PortFile = nullptr;
+  int Version = 0;
+  int Help = 0;
+  std::array<poptOption, 5> Table = {{
+      {"settings", 's', POPT_ARG_STRING, &SettingsFile, 0, "settings file",
+       "FILE"},
+      {"port-file", 0, POPT_ARG_STRING, &PortFile, 0,
+       "write the bound addresses as JSON to FILE", "FILE"},
+      {"version", 'v', POPT_ARG_NONE, &Version, 0, "print the version",
+       nullptr},
+      {"help", 'h', POPT_ARG_NONE, &Help, 0, "print this text", nullptr},
+      POPT_TABLEEND,
+  }};
+  poptContext Context =
+      poptGetContext("sycamored", Count, Words, Table.data(), 0);
+  int Status = poptGetNextOpt(Context);
+  std::optional<int> Exit;
+  if (Status < -1) {
+    std::fprintf(stderr, "sycamored: %s: %s; see sycamored --help\n",
+                 poptBadOption(Context, 0), poptStrerror(Status));
+    Exit = ExitBadInput;
+  } else if (Help) {
+    poptPrintHelp(Context, stdout, 0);
+    std::fputs(Description.data(), stdout);
+    Exit = ExitDone;
+  } else if (Version) {
+    std::puts("sycamored " SYCAMORE_VERSION);
+    Exit = ExitDone;
+  } else if (!SettingsFile) {
+    std::fputs("sycamored: --settings is missing; name a settings file, see "
+               "docs/settings.md\n",
+               stderr);
+    Exit = ExitBadInput;
+  }
+  Out.SettingsFile_ = SettingsFile ? SettingsFile : "";
+  Out.PortFile_ = PortFile ? PortFile : "";
+  std::free(SettingsFile);
+  std::free(PortFile);
+  poptFreeContext(Context);
+  return Exit;
+}
+
+void writePortFile(const std::string &Path, const DaemonAddresses &Addresses) {
+  // Readers wait for the file, so it must appear complete.
+  std::string Partial = Path + ".partial";
+  {
+    std::ofstream File(Partial);
+    File << Json{{"caller", Addresses.Caller_},
+                 {"admin", Addresses.Admin_},
+                 {"peer", Addresses.Peer_}}
+         << "\n";
+  }
+  std::rename(Partial.c_str(), Path.c_str());
+}
+
+void onStopSignal(evutil_socket_t /*Signal*/, short /*Events*/, void *Running) {
+  static_cast<Daemon *>(Running)->stop();
+}
+
+void onReloadSignal(evutil_socket_t /*Signal*/, short /*Events*/,
+                    void *Running) {
+  auto Done = static_cast<Daemon *>(Running)->reload();
+  if (Done)
+    logEvent(LogLevel::Info, "keys-reloaded");
+  else
+    logEvent(LogLevel::Error, "keys-not-reloaded",
+             {{"error", describe(Done.error())}});
+}
+
+int runDaemon(event_base *Base, const Settings &Config,
+              const Options &CommandLine) {
+  auto Running = Daemon::create(Base, Config);
+  if (!Running) {
+    printError(Running.error());
+    bool BadInput = Running.error().Kind_ == ErrorKind::InvalidSettings ||
+                    Running.error().Kind_ == ErrorKind::PermissionDenied;
+    return BadInput ? ExitBadInput : ExitUnavailable;
+  }
+  std::array<event *, 3> Signals = {
+      evsignal_new(Base, SIGTERM, onStopSignal, Running->get()),
+      evsignal_new(Base, SIGINT, onStopSignal, Running->get()),
+      evsignal_new(Base, SIGHUP, onReloadSignal, Running->get())};
+  for (event *Signal : Signals)
+    event_add(Signal, nullptr);
+  if (!CommandLine.PortFile_.empty())
+    writePortFile(CommandLine.PortFile_, (*Running)->addresses());
+  event_base_dispatch(Base);
+  for (event *Signal : Signals)
+    event_free(Signal);
+  return (*Running)->wasCutShort() ? ExitCutShort : ExitDone;
+}
+
+} // namespace
 
-int main() {
-  std::puts("sycamored " SYCAMORE_VERSION);
-  return 0;
+int main(int Count, const char **Words) {
+  Options CommandLine;
+  if (auto Exit = parseCommandLine(Count, Words, CommandLine))
+    return *Exit;
+  auto Config = loadSettings(CommandLine.SettingsFile_);
+  if (!Config) {
+    printError(Config.error());
+    return ExitBadInput;
+  }
+  auto Level = parseLogLevel(Config->Log_.Level_);
+  if (!Level) {
+    printError(Level.error());
+    return ExitBadInput;
+  }
+  configureLog(*Level, Config->Log_.File_, Config->Server_);
+  std::signal(SIGPIPE, SIG_IGN);
+  event_base *Base = event_base_new();
+  if (!Base)
+    return ExitInternal;
+  int Exit = runDaemon(Base, *Config, CommandLine);
+  event_base_free(Base);
+  return Exit;
 }
