--- a/include/sycamore/HttpClient.h
+++ b/include/sycamore/HttpClient.h
@@ -73,7 +73,8 @@
 /// May be destroyed inside its callbacks; calls under way are then cancelled.
 class HttpClient {
 public:
-  /// Errors: InvalidSettings for TLS files that cannot be used.
+  /// Makes the process ignore SIGPIPE. Errors: InvalidSettings for TLS files
+  /// that cannot be used.
   static Result<std::unique_ptr<HttpClient>>
   create(event_base *Base, const HttpClientConfig &Config = {});
 
@@ -84,7 +85,8 @@
   /// Sends a request to "IP:PORT". Done runs exactly once unless the call is
   /// cancelled, never before send() returns. A call goes on when its handle is
   /// dropped. An answer whose end only the closing of the connection marks is
-  /// Broken, as it may have been cut.
+  /// Broken, as it may have been cut; so is one that the other side sends and
+  /// closes after before it has read the whole request.
   virtual std::shared_ptr<HttpCall> send(const std::string &Address,
                                          HttpClientRequest Request,
                                          Callback Done) = 0;
--- a/include/sycamore/HttpServer.h
+++ b/include/sycamore/HttpServer.h
@@ -25,7 +25,7 @@
 };
 
 struct HttpServerConfig {
-  std::size_t MaxHeaderBytes_ = 64U << 10U; ///< All headers; 413 above.
+  std::size_t MaxHeaderBytes_ = 64U << 10U; ///< All headers; 400 above.
   std::size_t MaxBodyBytes_ = 8U << 20U;    ///< 413 above.
   /// A connection without progress for this long is closed. It does not run
   /// while a request is being handled.
@@ -75,7 +75,8 @@
 /// of its callbacks.
 class HttpServer {
 public:
-  /// Errors: InvalidSettings for TLS files that cannot be used.
+  /// Makes the process ignore SIGPIPE. Errors: InvalidSettings for TLS files
+  /// that cannot be used.
   static Result<std::unique_ptr<HttpServer>>
   create(event_base *Base, const HttpServerConfig &Config = {});
 
--- /dev/null
+++ b/src/HttpClient.cpp
@@ -0,0 +1,304 @@
+// HTTP/1.1 client on a libevent loop, over evhttp, with a pool of connections
+// for each address.
+#include "sycamore/HttpClient.h"
+
+#include "HttpClientPool.h"
+#include "sycamore/Clock.h"
+
+#include <algorithm>
+#include <event2/bufferevent_ssl.h>
+#include <openssl/x509v3.h>
+#include <utility>
+
+namespace sycamore {
+namespace {
+
+constexpr Duration SweepInterval = milliseconds(500);
+
+class ClientImpl : public HttpClient {
+public:
+  explicit ClientImpl(std::shared_ptr<ClientCore> Core)
+      : Core_(std::move(Core)) {}
+  ClientImpl(const ClientImpl &) = delete;
+  ClientImpl &operator=(const ClientImpl &) = delete;
+  ~ClientImpl() override { Core_->shutDown(); }
+
+  std::shared_ptr<HttpCall> send(const std::string &Address,
+                                 HttpClientRequest Request,
+                                 Callback Done) override {
+    return Core_->send(Address, std::move(Request), std::move(Done));
+  }
+  void forget(const std::string &Address) override { Core_->forget(Address); }
+  std::size_t connections(const std::string &Address) const override {
+    return Core_->connections(Address);
+  }
+
+private:
+  std::shared_ptr<ClientCore> Core_;
+};
+
+/// Keeps what is left of a destroyed client until the loop runs again.
+void keepUntilNextTurn(std::shared_ptr<ClientCore> Core) {
+  event_base *Base = Core->Base_;
+  auto *Held = new std::shared_ptr<ClientCore>(std::move(Core));
+  timeval Now{};
+  event_base_once(
+      Base, -1, EV_TIMEOUT,
+      [](evutil_socket_t, short, void *Argument) {
+        delete static_cast<std::shared_ptr<ClientCore> *>(Argument);
+      },
+      Held, &Now);
+}
+
+} // namespace
+
+std::string_view httpOutcomeName(HttpOutcome Outcome) {
+  switch (Outcome) {
+  case HttpOutcome::Answered:
+    return "answered";
+  case HttpOutcome::NotSent:
+    return "not-sent";
+  case HttpOutcome::Broken:
+    return "broken";
+  case HttpOutcome::TimedOut:
+    return "timed-out";
+  }
+  return "";
+}
+
+ClientCore::ClientCore(event_base *Base, HttpClientConfig Config,
+                       TlsContext Tls)
+    : Base_(Base), Config_(std::move(Config)), Tls_(std::move(Tls)),
+      BurialTimer_(evtimer_new(Base, onBurial, this)),
+      SweepTimer_(evtimer_new(Base, onSweep, this)) {}
+
+ClientCore::~ClientCore() {
+  event_free(BurialTimer_);
+  event_free(SweepTimer_);
+}
+
+bufferevent *ClientCore::newStream(const SocketAddress &Address) {
+  if (!Tls_)
+    return bufferevent_socket_new(Base_, -1, BEV_OPT_CLOSE_ON_FREE);
+  SSL *Tls = SSL_new(Tls_.get());
+  X509_VERIFY_PARAM_set1_ip_asc(SSL_get0_param(Tls), Address.Ip_.c_str());
+  bufferevent *Stream = bufferevent_openssl_socket_new(
+      Base_, -1, Tls, BUFFEREVENT_SSL_CONNECTING, BEV_OPT_CLOSE_ON_FREE);
+  // Lengths tell whether an answer is whole, so a missing close notice is no
+  // failure.
+  bufferevent_openssl_set_allow_dirty_shutdown(Stream, 1);
+  return Stream;
+}
+
+ClientPool *ClientCore::poolOf(const std::string &Address) {
+  auto Found = Pools_.find(Address);
+  if (Found != Pools_.end())
+    return Found->second.get();
+  auto Parsed = parseSocketAddress(Address);
+  if (!Parsed)
+    return nullptr;
+  auto Pool = std::make_unique<ClientPool>();
+  Pool->Address_ = *Parsed;
+  return Pools_.emplace(Address, std::move(Pool)).first->second.get();
+}
+
+std::shared_ptr<HttpCall> ClientCore::send(const std::string &Address,
+                                           HttpClientRequest Request,
+                                           HttpClient::Callback Done) {
+  auto Call =
+      std::make_shared<ClientCall>(*this, std::move(Request), std::move(Done));
+  Calls_.emplace(Call.get(), Call);
+  Call->Pool_ = poolOf(Address);
+  if (!Call->Pool_) {
+    // The timer's owner must live until then.
+    Call->Pool_ = Pools_.try_emplace("", std::make_unique<ClientPool>())
+                      .first->second.get();
+    Call->Pool_->Waiting_.push_back(Call);
+    Call->failSoon("\"" + Address + "\" is not of the form IP:PORT");
+    return Call;
+  }
+  Call->Pool_->Waiting_.push_back(Call);
+  if (Call->Pool_->Waiting_.size() > Config_.MaxQueuedPerAddress_) {
+    Call->failSoon("too many requests wait for a connection");
+    return Call;
+  }
+  Call->armTimer();
+  pump(*Call->Pool_);
+  return Call;
+}
+
+ClientConnection *ClientCore::takeConnection(ClientPool &Pool) {
+  for (std::size_t I = Pool.Connections_.size(); I-- > 0;) {
+    ClientConnection &Candidate = *Pool.Connections_[I];
+    if (!Candidate.idle())
+      continue;
+    if (Candidate.usable())
+      return &Candidate;
+    bury(Candidate);
+  }
+  if (Pool.Connections_.size() >= Config_.ConnectionsPerAddress_)
+    return nullptr;
+  Pool.Connections_.push_back(std::make_unique<ClientConnection>(*this, Pool));
+  return Pool.Connections_.back().get();
+}
+
+void ClientCore::pump(ClientPool &Pool) {
+  if (!Pool.Address_.Port_)
+    return;
+  while (!Pool.Waiting_.empty()) {
+    ClientConnection *Connection = takeConnection(Pool);
+    if (!Connection)
+      return;
+    std::shared_ptr<ClientCall> Call = Pool.Waiting_.front();
+    Pool.Waiting_.pop_front();
+    Call->ConnectBy_ = monotonicNow() + Config_.ConnectTimeout_;
+    if (Connection->start(Call)) {
+      Call->armTimer();
+      continue;
+    }
+    std::string Reason = Connection->Failure_;
+    // Keeps the call alive until its timer runs.
+    Connection->Call_ = Call;
+    Call->Connection_ = Connection;
+    Call->failSoon(std::move(Reason));
+  }
+}
+
+void ClientCore::release(ClientCall &Call, bool KeepConnection) {
+  Call.Core_ = nullptr;
+  Calls_.erase(&Call);
+  ClientPool &Pool = *Call.Pool_;
+  if (ClientConnection *Connection = std::exchange(Call.Connection_, nullptr)) {
+    Connection->Call_ = nullptr;
+    Connection->IdleSince_ = monotonicNow();
+    if (!KeepConnection || Connection->Retire_)
+      bury(*Connection);
+    else if (!evtimer_pending(SweepTimer_, nullptr)) {
+      timeval Wait = toTimeval(SweepInterval);
+      evtimer_add(SweepTimer_, &Wait);
+    }
+  } else {
+    std::erase_if(Pool.Waiting_,
+                  [&](const auto &Item) { return Item.get() == &Call; });
+  }
+  pump(Pool);
+}
+
+void ClientCore::finish(ClientCall &Call, HttpAnswer Answer,
+                        bool KeepConnection) {
+  std::shared_ptr<ClientCore> KeepSelf = shared_from_this();
+  std::shared_ptr<ClientCall> KeepCall = Call.shared_from_this();
+  HttpClient::Callback Done = std::exchange(Call.Done_, nullptr);
+  release(Call, KeepConnection);
+  if (Done)
+    Done(std::move(Answer));
+}
+
+void ClientCore::cancel(ClientCall &Call) {
+  std::shared_ptr<ClientCall> KeepCall = Call.shared_from_this();
+  Call.Done_ = nullptr;
+  release(Call, false);
+}
+
+void ClientCore::connectionClosed(ClientConnection &Connection) {
+  bury(Connection);
+}
+
+void ClientCore::bury(ClientConnection &Connection) {
+  auto &All = Connection.pool().Connections_;
+  auto Found = std::find_if(All.begin(), All.end(), [&](const auto &Item) {
+    return Item.get() == &Connection;
+  });
+  if (Found == All.end())
+    return;
+  Graveyard_.push_back(std::move(*Found));
+  All.erase(Found);
+  event_active(BurialTimer_, EV_TIMEOUT, 0);
+}
+
+void ClientCore::onBurial(evutil_socket_t /*Socket*/, short /*Events*/,
+                          void *Self) {
+  auto *This = static_cast<ClientCore *>(Self);
+  auto Dead = std::exchange(This->Graveyard_, {});
+}
+
+void ClientCore::onSweep(evutil_socket_t /*Socket*/, short /*Events*/,
+                         void *Self) {
+  static_cast<ClientCore *>(Self)->sweep();
+}
+
+void ClientCore::sweep() {
+  TimePoint Oldest = monotonicNow() - Config_.IdleTimeout_;
+  bool AnyIdle = false;
+  for (const auto &[Address, Pool] : Pools_) {
+    std::vector<ClientConnection *> Expired;
+    for (const auto &Connection : Pool->Connections_) {
+      if (!Connection->idle())
+        continue;
+      AnyIdle = true;
+      if (Connection->IdleSince_ <= Oldest)
+        Expired.push_back(Connection.get());
+    }
+    for (ClientConnection *Connection : Expired)
+      bury(*Connection);
+  }
+  if (!AnyIdle)
+    return;
+  timeval Wait = toTimeval(SweepInterval);
+  evtimer_add(SweepTimer_, &Wait);
+}
+
+void ClientCore::forget(const std::string &Address) {
+  auto Found = Pools_.find(Address);
+  if (Found == Pools_.end())
+    return;
+  std::vector<ClientConnection *> Unused;
+  for (const auto &Connection : Found->second->Connections_) {
+    Connection->Retire_ = true;
+    if (!Connection->Call_)
+      Unused.push_back(Connection.get());
+  }
+  for (ClientConnection *Connection : Unused)
+    bury(*Connection);
+}
+
+std::size_t ClientCore::connections(const std::string &Address) const {
+  auto Found = Pools_.find(Address);
+  return Found == Pools_.end() ? 0 : Found->second->Connections_.size();
+}
+
+void ClientCore::shutDown() {
+  for (const auto &[Call, Weak] : std::exchange(Calls_, {})) {
+    if (auto Held = Weak.lock()) {
+      Held->Core_ = nullptr;
+      Held->Done_ = nullptr;
+      Held->Connection_ = nullptr;
+    }
+  }
+  for (const auto &[Address, Pool] : Pools_) {
+    Pool->Waiting_.clear();
+    for (auto &Connection : Pool->Connections_) {
+      Connection->Call_ = nullptr;
+      Graveyard_.push_back(std::move(Connection));
+    }
+    Pool->Connections_.clear();
+  }
+  // evhttp's functions may be on the stack below.
+  keepUntilNextTurn(shared_from_this());
+}
+
+Result<std::unique_ptr<HttpClient>>
+HttpClient::create(event_base *Base, const HttpClientConfig &Config) {
+  ignoreBrokenPipeSignal();
+  TlsContext Tls;
+  if (!Config.Tls_.Ca_.empty()) {
+    auto Context = makeTlsContext(Config.Tls_, TlsSide::Client, false);
+    if (!Context)
+      return tl::unexpected(Context.error());
+    Tls = *Context;
+  }
+  return std::make_unique<ClientImpl>(
+      std::make_shared<ClientCore>(Base, Config, std::move(Tls)));
+}
+
+} // namespace sycamore
--- /dev/null
+++ b/src/HttpClientPool.cpp
@@ -0,0 +1,265 @@
+// Connections and calls of the HTTP client.
+#include "HttpClientPool.h"
+
+#include "sycamore/Clock.h"
+
+#include <array>
+#include <charconv>
+#include <event2/bufferevent_ssl.h>
+#include <sys/socket.h>
+
+namespace sycamore {
+namespace {
+
+/// evhttp's own time limits are set out of the way; calls have timers here.
+constexpr int OneDaySeconds = 86400;
+
+std::optional<evhttp_cmd_type> methodOf(std::string_view Name) {
+  static constexpr std::array<std::pair<std::string_view, evhttp_cmd_type>, 7>
+      Methods = {{{"GET", EVHTTP_REQ_GET},
+                  {"POST", EVHTTP_REQ_POST},
+                  {"HEAD", EVHTTP_REQ_HEAD},
+                  {"PUT", EVHTTP_REQ_PUT},
+                  {"DELETE", EVHTTP_REQ_DELETE},
+                  {"OPTIONS", EVHTTP_REQ_OPTIONS},
+                  {"PATCH", EVHTTP_REQ_PATCH}}};
+  for (const auto &[Known, Method] : Methods)
+    if (Known == Name)
+      return Method;
+  return std::nullopt;
+}
+
+/// A space or control character would end the request line early.
+bool validPath(std::string_view Path) {
+  for (char Item : Path)
+    if (static_cast<unsigned char>(Item) <= ' ' || Item == '\x7f')
+      return false;
+  return !Path.empty();
+}
+
+std::string_view errorName(evhttp_request_error Error) {
+  switch (Error) {
+  case EVREQ_HTTP_TIMEOUT:
+    return "the connection timed out";
+  case EVREQ_HTTP_EOF:
+    return "the connection was closed before the end of the answer";
+  case EVREQ_HTTP_INVALID_HEADER:
+    return "the answer's header is invalid";
+  case EVREQ_HTTP_BUFFER_ERROR:
+    return "reading or writing failed";
+  case EVREQ_HTTP_REQUEST_CANCEL:
+    return "the call was cancelled";
+  case EVREQ_HTTP_DATA_TOO_LONG:
+    return "the answer is over the size limit";
+  }
+  return "unknown failure";
+}
+
+/// Why the end of an answer cannot be relied on, or empty.
+std::string_view incompleteness(const HttpAnswer &Answer,
+                                const HttpClientRequest &Request) {
+  if (Request.Method_ == "HEAD" || Answer.Status_ == 204 ||
+      Answer.Status_ == 304 || findHeader(Answer.Headers_, "transfer-encoding"))
+    return {};
+  const std::string *Length = findHeader(Answer.Headers_, "content-length");
+  if (!Length)
+    return "the answer has no length, so it may have been cut";
+  std::size_t Expected = 0;
+  std::from_chars(Length->data(), Length->data() + Length->size(), Expected);
+  if (!Request.OnPart_ && Expected != Answer.Body_.size())
+    return "the answer is shorter than its Content-Length";
+  return {};
+}
+
+} // namespace
+
+ClientConnection::ClientConnection(ClientCore &Core, ClientPool &Pool)
+    : Core_(Core), Pool_(Pool), Stream_(Core.newStream(Pool.Address_)),
+      Handle_(evhttp_connection_base_bufferevent_new(
+          Core.Base_, nullptr, Stream_, Pool.Address_.Ip_.c_str(),
+          Pool.Address_.Port_)),
+      OutputCallback_(
+          evbuffer_add_cb(bufferevent_get_output(Stream_), onOutput, this)) {
+  evhttp_connection_set_timeout(Handle_, OneDaySeconds);
+  evhttp_connection_set_retries(Handle_, 0);
+  // EVHTTP_CON_READ_ON_WRITE_ERROR stays off: with it, evhttp overlooks the
+  // end of a connection whose answer is cut.
+  evhttp_connection_set_max_headers_size(
+      Handle_, static_cast<ev_ssize_t>(Core.Config_.MaxHeaderBytes_));
+  evhttp_connection_set_closecb(Handle_, onClose, this);
+}
+
+ClientConnection::~ClientConnection() {
+  evbuffer_remove_cb_entry(bufferevent_get_output(Stream_), OutputCallback_);
+  evhttp_connection_set_closecb(Handle_, nullptr, nullptr);
+  evhttp_connection_free(Handle_);
+}
+
+// evhttp empties the buffer when a connection fails, but only after it has
+// taken the socket away.
+void ClientConnection::onOutput(evbuffer * /*Buffer*/,
+                                const evbuffer_cb_info *Info, void *Self) {
+  auto *This = static_cast<ClientConnection *>(Self);
+  if (bufferevent_getfd(This->Stream_) >= 0)
+    This->Written_ += Info->n_deleted;
+}
+
+bool ClientConnection::usable() const {
+  char Byte = 0;
+  evutil_socket_t Socket = bufferevent_getfd(Stream_);
+  return !Closed_ && Socket >= 0 &&
+         evbuffer_get_length(bufferevent_get_input(Stream_)) == 0 &&
+         recv(Socket, &Byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
+         EVUTIL_SOCKET_ERROR() == EAGAIN;
+}
+
+evhttp_request *ClientConnection::makeRequest(const HttpClientRequest &From) {
+  evhttp_request *Request = evhttp_request_new(onDone, this);
+  evkeyvalq *Headers = evhttp_request_get_output_headers(Request);
+  addHeaders(Headers, From.Headers_);
+  if (!findHeader(From.Headers_, "host")) {
+    std::string Host = Pool_.Address_.Ip_.find(':') == std::string::npos
+                           ? Pool_.Address_.Ip_
+                           : "[" + Pool_.Address_.Ip_ + "]";
+    Host += ":" + std::to_string(Pool_.Address_.Port_);
+    evhttp_add_header(Headers, "Host", Host.c_str());
+  }
+  if (!From.Body_.empty())
+    evhttp_add_header(Headers, "Content-Length",
+                      std::to_string(From.Body_.size()).c_str());
+  evbuffer_add(evhttp_request_get_output_buffer(Request), From.Body_.data(),
+               From.Body_.size());
+  evhttp_request_set_error_cb(Request, onError);
+  if (From.OnPart_)
+    evhttp_request_set_chunked_cb(Request, onPart);
+  return Request;
+}
+
+bool ClientConnection::start(const std::shared_ptr<ClientCall> &Call) {
+  auto Method = methodOf(Call->Request_.Method_);
+  if (!Method || !validPath(Call->Request_.Path_)) {
+    Failure_ = "the method or the path is not valid";
+    return false;
+  }
+  Call_ = Call;
+  Call->Connection_ = this;
+  Written_ = 0;
+  Failure_.clear();
+  std::size_t Limit =
+      Call->Request_.OnPart_ ? EV_SSIZE_MAX : Core_.Config_.MaxBodyBytes_;
+  evhttp_connection_set_max_body_size(Handle_, static_cast<ev_ssize_t>(Limit));
+  evhttp_request *Request = makeRequest(Call->Request_);
+  Starting_ = true;
+  int Started = evhttp_make_request(Handle_, Request, *Method,
+                                    Call->Request_.Path_.c_str());
+  Starting_ = false;
+  if (Started != 0) {
+    Failure_ = "the connection could not be started";
+    Call->Connection_ = nullptr;
+    Call_ = nullptr;
+    return false;
+  }
+  if (evutil_socket_t Socket = bufferevent_getfd(Stream_); Socket >= 0)
+    setNoDelay(Socket);
+  return true;
+}
+
+void ClientConnection::onClose(evhttp_connection * /*Handle*/, void *Self) {
+  auto *This = static_cast<ClientConnection *>(Self);
+  This->Closed_ = true;
+  if (!This->Call_)
+    This->Core_.connectionClosed(*This);
+}
+
+void ClientConnection::onError(evhttp_request_error Error, void *Self) {
+  static_cast<ClientConnection *>(Self)->Failure_ = errorName(Error);
+}
+
+void ClientConnection::onPart(evhttp_request *Request, void *Self) {
+  auto *This = static_cast<ClientConnection *>(Self);
+  std::shared_ptr<ClientCall> Call = This->Call_;
+  std::string Part = takeBody(evhttp_request_get_input_buffer(Request));
+  if (Call && Call->Core_ && !Part.empty())
+    Call->Request_.OnPart_(Part);
+}
+
+void ClientConnection::onDone(evhttp_request *Request, void *Self) {
+  auto *This = static_cast<ClientConnection *>(Self);
+  std::shared_ptr<ClientCall> Call = This->Call_;
+  if (!Call || This->Starting_)
+    return;
+  HttpAnswer Answer;
+  Answer.Sent_ = This->Written_ > 0;
+  Answer.Status_ = Request ? evhttp_request_get_response_code(Request) : 0;
+  std::string Reason =
+      This->Failure_.empty() ? "the connection failed" : This->Failure_;
+  if (Answer.Status_ != 0) {
+    copyHeaders(evhttp_request_get_input_headers(Request), Answer.Headers_);
+    Answer.Body_ = takeBody(evhttp_request_get_input_buffer(Request));
+    Reason = incompleteness(Answer, Call->Request_);
+    if (Reason.empty())
+      Answer.Outcome_ = HttpOutcome::Answered;
+  }
+  if (!Reason.empty()) {
+    Answer = {Answer.Sent_ ? HttpOutcome::Broken : HttpOutcome::NotSent,
+              Answer.Sent_,
+              0,
+              {},
+              {},
+              Reason};
+  }
+  bool Keep = Answer.Outcome_ == HttpOutcome::Answered && !This->Closed_;
+  Call->Core_->finish(*Call, std::move(Answer), Keep);
+}
+
+ClientCall::ClientCall(ClientCore &Core, HttpClientRequest Request,
+                       HttpClient::Callback Done)
+    : Request_(std::move(Request)), Done_(std::move(Done)),
+      DeadlineAt_(monotonicNow() + Request_.Deadline_),
+      ConnectBy_(TimePoint::max()), Core_(&Core),
+      Timer_(evtimer_new(Core.Base_, onTimer, this)) {}
+
+ClientCall::~ClientCall() { event_free(Timer_); }
+
+void ClientCall::cancel() {
+  if (Core_)
+    Core_->cancel(*this);
+}
+
+void ClientCall::armTimer() {
+  timeval Wait = toTimeval(std::min(DeadlineAt_, ConnectBy_) - monotonicNow());
+  evtimer_add(Timer_, &Wait);
+}
+
+void ClientCall::failSoon(std::string Reason) {
+  SoonReason_ = std::move(Reason);
+  timeval Wait{};
+  evtimer_add(Timer_, &Wait);
+}
+
+void ClientCall::onTimer(evutil_socket_t /*Socket*/, short /*Events*/,
+                         void *Self) {
+  std::shared_ptr<ClientCall> This =
+      static_cast<ClientCall *>(Self)->shared_from_this();
+  if (!This->Core_)
+    return;
+  HttpAnswer Answer;
+  Answer.Sent_ = This->Connection_ && This->Connection_->written() > 0;
+  TimePoint Now = monotonicNow();
+  if (!This->SoonReason_.empty()) {
+    Answer.Reason_ = This->SoonReason_;
+  } else if (Now >= This->DeadlineAt_) {
+    Answer.Outcome_ = HttpOutcome::TimedOut;
+    Answer.Reason_ = "the deadline passed";
+  } else if (Now >= This->ConnectBy_ && !Answer.Sent_) {
+    Answer.Reason_ = "no connection within the time limit";
+  } else {
+    if (Now >= This->ConnectBy_)
+      This->ConnectBy_ = TimePoint::max();
+    This->armTimer();
+    return;
+  }
+  This->Core_->finish(*This, std::move(Answer), false);
+}
+
+} // namespace sycamore
--- /dev/null
+++ b/src/HttpClientPool.h
@@ -0,0 +1,149 @@
+// Connections and calls of the HTTP client.
+#pragma once
+
+#include "HttpSupport.h"
+#include "sycamore/HttpClient.h"
+
+#include <deque>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace sycamore {
+
+class ClientConnection;
+class ClientCall;
+class ClientCore;
+
+/// Connections to one address and the calls that wait for one.
+struct ClientPool {
+  SocketAddress Address_;
+  std::vector<std::unique_ptr<ClientConnection>> Connections_;
+  std::deque<std::shared_ptr<ClientCall>> Waiting_;
+};
+
+/// One evhttp connection; it carries one call at a time and is never used
+/// again after a failure.
+class ClientConnection {
+public:
+  ClientConnection(ClientCore &Core, ClientPool &Pool);
+  ClientConnection(const ClientConnection &) = delete;
+  ClientConnection &operator=(const ClientConnection &) = delete;
+  ~ClientConnection();
+
+  /// False when nothing could be started.
+  bool start(const std::shared_ptr<ClientCall> &Call);
+
+  bool idle() const { return !Call_ && !Closed_; }
+  /// Looks for a closure, or unexpected input, that the loop has not seen yet.
+  bool usable() const;
+  bool closed() const { return Closed_; }
+  std::size_t written() const { return Written_; }
+  ClientPool &pool() { return Pool_; }
+
+  std::shared_ptr<ClientCall> Call_;
+  TimePoint IdleSince_;
+  bool Retire_ = false; ///< Close it after the call.
+  std::string Failure_;
+
+private:
+  static void onOutput(evbuffer *Buffer, const evbuffer_cb_info *Info,
+                       void *Self);
+  static void onClose(evhttp_connection *Handle, void *Self);
+  static void onDone(evhttp_request *Request, void *Self);
+  static void onPart(evhttp_request *Request, void *Self);
+  static void onError(evhttp_request_error Error, void *Self);
+  evhttp_request *makeRequest(const HttpClientRequest &From);
+
+  ClientCore &Core_;
+  ClientPool &Pool_;
+  bufferevent *Stream_;
+  evhttp_connection *Handle_;
+  evbuffer_cb_entry *OutputCallback_;
+  std::size_t Written_ = 0;
+  bool Closed_ = false;
+  bool Starting_ = false; ///< Inside evhttp_make_request().
+};
+
+class ClientCall : public HttpCall,
+                   public std::enable_shared_from_this<ClientCall> {
+public:
+  ClientCall(ClientCore &Core, HttpClientRequest Request,
+             HttpClient::Callback Done);
+  ClientCall(const ClientCall &) = delete;
+  ClientCall &operator=(const ClientCall &) = delete;
+  ~ClientCall() override;
+
+  void cancel() override;
+  void armTimer();
+  /// Ends the call from the loop, never inside send().
+  void failSoon(std::string Reason);
+
+  HttpClientRequest Request_;
+  HttpClient::Callback Done_;
+  TimePoint DeadlineAt_;
+  TimePoint ConnectBy_; ///< Set once it has a connection.
+  ClientPool *Pool_ = nullptr;
+  ClientConnection *Connection_ = nullptr;
+  ClientCore *Core_; ///< Null once the call has ended.
+
+private:
+  static void onTimer(evutil_socket_t Socket, short Events, void *Self);
+
+  event *Timer_;
+  std::string SoonReason_;
+};
+
+/// State of a client. Callbacks hold a shared pointer, so that a client may be
+/// destroyed inside them.
+class ClientCore : public std::enable_shared_from_this<ClientCore> {
+public:
+  ClientCore(event_base *Base, HttpClientConfig Config, TlsContext Tls);
+  ClientCore(const ClientCore &) = delete;
+  ClientCore &operator=(const ClientCore &) = delete;
+  ~ClientCore();
+
+  std::shared_ptr<HttpCall> send(const std::string &Address,
+                                 HttpClientRequest Request,
+                                 HttpClient::Callback Done);
+  void forget(const std::string &Address);
+  std::size_t connections(const std::string &Address) const;
+  /// Ends all calls without running their callbacks.
+  void shutDown();
+
+  /// Ends a call and runs its callback; its connection is kept if it can carry
+  /// another call.
+  void finish(ClientCall &Call, HttpAnswer Answer, bool KeepConnection);
+  void cancel(ClientCall &Call);
+  void connectionClosed(ClientConnection &Connection);
+  bufferevent *newStream(const SocketAddress &Address);
+
+  event_base *Base_;
+  HttpClientConfig Config_;
+
+private:
+  ClientPool *poolOf(const std::string &Address);
+  void pump(ClientPool &Pool);
+  ClientConnection *takeConnection(ClientPool &Pool);
+  void release(ClientCall &Call, bool KeepConnection);
+  void bury(ClientConnection &Connection);
+  void sweep();
+  static void onBurial(evutil_socket_t Socket, short Events, void *Self);
+  static void onSweep(evutil_socket_t Socket, short Events, void *Self);
+
+  TlsContext Tls_;
+  event *BurialTimer_;
+  event *SweepTimer_;
+  std::map<std::string, std::unique_ptr<ClientPool>> Pools_;
+  /// Calls under way by identity, so that shutDown() reaches those that are in
+  /// neither a queue nor on a connection.
+  std::map<ClientCall *, std::weak_ptr<ClientCall>> Calls_;
+  /// Freed once evhttp's functions have returned.
+  std::vector<std::unique_ptr<ClientConnection>> Graveyard_;
+};
+
+} // namespace sycamore
--- /dev/null
+++ b/src/HttpExchange.cpp
@@ -0,0 +1,256 @@
+// One request on the server's side, and the connection that it came on.
+#include "HttpExchange.h"
+
+#include "HttpSupport.h"
+
+#include <sys/ioctl.h>
+#include <utility>
+
+namespace sycamore {
+namespace {
+
+/// Input that a caller sends ahead of its answer; reading pauses above it.
+constexpr std::size_t MaxPipelinedBytes = 64U << 10U;
+
+std::string requestPath(evhttp_request *Request) {
+  const char *Uri = evhttp_request_get_uri(Request);
+  if (*Uri == '/' || *Uri == '*')
+    return Uri;
+  const evhttp_uri *Parts = evhttp_request_get_evhttp_uri(Request);
+  const char *Path = Parts ? evhttp_uri_get_path(Parts) : nullptr;
+  const char *Query = Parts ? evhttp_uri_get_query(Parts) : nullptr;
+  std::string Out = Path && *Path ? Path : "/";
+  return Query ? Out + "?" + Query : Out;
+}
+
+HttpRequest readRequest(evhttp_request *Request) {
+  HttpRequest Out;
+  Out.Method_ = httpMethodName(evhttp_request_get_command(Request));
+  Out.Path_ = requestPath(Request);
+  if (const char *Host = evhttp_request_get_host(Request))
+    Out.Host_ = Host;
+  copyHeaders(evhttp_request_get_input_headers(Request), Out.Headers_);
+  Out.Body_ = takeBody(evhttp_request_get_input_buffer(Request));
+  evhttp_connection *Connection = evhttp_request_get_connection(Request);
+  Out.PeerName_ =
+      verifiedPeerName(evhttp_connection_get_bufferevent(Connection));
+  char *Address = nullptr;
+  std::uint16_t Port = 0;
+  evhttp_connection_get_peer(Connection, &Address, &Port);
+  if (Address)
+    Out.PeerAddress_ = Address;
+  return Out;
+}
+
+/// evhttp takes the body of such a request for the next request.
+bool hasUnreadBody(const HttpRequest &Request) {
+  if (Request.Method_ == "POST" || Request.Method_ == "PUT" ||
+      Request.Method_ == "PATCH")
+    return false;
+  const std::string *Length = findHeader(Request.Headers_, "content-length");
+  return (Length && *Length != "0") ||
+         findHeader(Request.Headers_, "transfer-encoding") != nullptr;
+}
+
+bool statusHasBody(int Status) {
+  return Status >= 200 && Status != 204 && Status != 304;
+}
+
+} // namespace
+
+std::string_view httpMethodName(evhttp_cmd_type Method) {
+  switch (Method) {
+  case EVHTTP_REQ_GET:
+    return "GET";
+  case EVHTTP_REQ_POST:
+    return "POST";
+  case EVHTTP_REQ_HEAD:
+    return "HEAD";
+  case EVHTTP_REQ_PUT:
+    return "PUT";
+  case EVHTTP_REQ_DELETE:
+    return "DELETE";
+  case EVHTTP_REQ_OPTIONS:
+    return "OPTIONS";
+  case EVHTTP_REQ_PATCH:
+    return "PATCH";
+  default:
+    return "";
+  }
+}
+
+HttpServerConnection::HttpServerConnection(HttpConnectionOwner &Owner,
+                                           evhttp_connection *Handle)
+    : Owner_(Owner), Handle_(Handle),
+      Stream_(evhttp_connection_get_bufferevent(Handle)),
+      InputCallback_(
+          evbuffer_add_cb(bufferevent_get_input(Stream_), onInput, this)) {
+  evhttp_connection_set_closecb(Handle_, onClose, this);
+}
+
+void HttpServerConnection::onInput(evbuffer * /*Buffer*/,
+                                   const evbuffer_cb_info *Info, void *Self) {
+  static_cast<HttpServerConnection *>(Self)->BytesSinceReply_ += Info->n_added;
+}
+
+bool HttpServerConnection::idle() const {
+  int Waiting = 0;
+  ioctl(bufferevent_getfd(Stream_), FIONREAD, &Waiting);
+  return !Busy_ && BytesSinceReply_ == 0 && Waiting == 0;
+}
+
+// evhttp stops reading while a request runs, so that it would notice a closed
+// connection only when it writes. Its read callback ends the process when data
+// arrive in that state, hence none is set: pipelined input waits in the buffer
+// until evhttp sets its callbacks again after the answer.
+void HttpServerConnection::watchForClosure() {
+  bufferevent_data_cb Read = nullptr;
+  bufferevent_data_cb Write = nullptr;
+  bufferevent_event_cb Event = nullptr;
+  void *Argument = nullptr;
+  bufferevent_getcb(Stream_, &Read, &Write, &Event, &Argument);
+  bufferevent_setcb(Stream_, nullptr, Write, Event, Argument);
+  bufferevent_setwatermark(Stream_, EV_READ, 0, MaxPipelinedBytes);
+  timeval Limit = toTimeval(Owner_.config().IdleTimeout_);
+  bufferevent_set_timeouts(Stream_, nullptr, &Limit);
+  bufferevent_enable(Stream_, EV_READ);
+}
+
+void HttpServerConnection::start(evhttp_request *Request) {
+  Busy_ = true;
+  evhttp_request_set_on_complete_cb(Request, onComplete, this);
+  auto Exchange =
+      std::make_shared<HttpExchangeImpl>(*this, Request, readRequest(Request));
+  Current_ = Exchange;
+  watchForClosure();
+  if (hasUnreadBody(Exchange->request())) {
+    Exchange->reply(400, {{"Connection", "close"}},
+                    "a request with this method cannot have a body");
+    return;
+  }
+  Owner_.dispatch(std::move(Exchange));
+}
+
+void HttpServerConnection::prepareReply(evhttp_request *Request,
+                                        bool KeepWatching) {
+  if (Owner_.endsConnections())
+    evhttp_add_header(evhttp_request_get_output_headers(Request), "Connection",
+                      "close");
+  if (KeepWatching)
+    return;
+  timeval Limit = toTimeval(Owner_.config().IdleTimeout_);
+  bufferevent_set_timeouts(Stream_, &Limit, &Limit);
+  bufferevent_setwatermark(Stream_, EV_READ, 0, 0);
+}
+
+void HttpServerConnection::onComplete(evhttp_request * /*Request*/,
+                                      void *Self) {
+  auto *This = static_cast<HttpServerConnection *>(Self);
+  This->Busy_ = false;
+  This->BytesSinceReply_ =
+      evbuffer_get_length(bufferevent_get_input(This->Stream_));
+  if (auto Exchange = std::exchange(This->Current_, {}).lock())
+    Exchange->completed();
+}
+
+void HttpServerConnection::onClose(evhttp_connection * /*Connection*/,
+                                   void *Self) {
+  auto *This = static_cast<HttpServerConnection *>(Self);
+  HttpConnectionOwner &Owner = This->Owner_;
+  evhttp_connection *Handle = This->Handle_;
+  This->detach();
+  Owner.connectionClosed(Handle);
+}
+
+void HttpServerConnection::detach() {
+  Busy_ = false;
+  evbuffer_remove_cb_entry(bufferevent_get_input(Stream_), InputCallback_);
+  if (auto Exchange = std::exchange(Current_, {}).lock())
+    Exchange->detached();
+}
+
+HttpExchangeImpl::~HttpExchangeImpl() {
+  if (Handle_ && Started_)
+    abort();
+  else if (Handle_)
+    reply(500, {}, "");
+}
+
+void HttpExchangeImpl::setHeaders(const HttpHeaders &Headers, bool KeepLength) {
+  evkeyvalq *Output = evhttp_request_get_output_headers(Handle_);
+  addHeaders(Output, Headers);
+  if (const std::string *Length = findHeader(Headers, "content-length");
+      Length && KeepLength)
+    evhttp_add_header(Output, "Content-Length", Length->c_str());
+}
+
+void HttpExchangeImpl::reply(int Status, const HttpHeaders &Headers,
+                             std::string_view Body) {
+  if (!Handle_ || Started_)
+    return;
+  Started_ = true;
+  setHeaders(Headers, isHead());
+  evkeyvalq *Output = evhttp_request_get_output_headers(Handle_);
+  if (isHead() && !evhttp_find_header(Output, "Content-Length"))
+    evhttp_add_header(Output, "Content-Length",
+                      std::to_string(Body.size()).c_str());
+  Connection_->prepareReply(Handle_, false);
+  evbuffer *Buffer = evhttp_request_get_output_buffer(Handle_);
+  if (!isHead() && statusHasBody(Status))
+    evbuffer_add(Buffer, Body.data(), Body.size());
+  evhttp_send_reply(std::exchange(Handle_, nullptr), Status, nullptr, nullptr);
+}
+
+void HttpExchangeImpl::startReply(int Status, const HttpHeaders &Headers) {
+  if (!Handle_ || Started_)
+    return;
+  Started_ = true;
+  setHeaders(Headers, true);
+  Connection_->prepareReply(Handle_, true);
+  evhttp_send_reply_start(Handle_, Status, nullptr);
+}
+
+void HttpExchangeImpl::sendPart(std::string_view Part) {
+  if (!Handle_ || !Started_ || Part.empty())
+    return;
+  evbuffer *Buffer = evbuffer_new();
+  evbuffer_add(Buffer, Part.data(), Part.size());
+  evhttp_send_reply_chunk(Handle_, Buffer);
+  evbuffer_free(Buffer);
+}
+
+void HttpExchangeImpl::endReply() {
+  if (!Handle_ || !Started_)
+    return;
+  Connection_->prepareReply(Handle_, false);
+  evhttp_send_reply_end(std::exchange(Handle_, nullptr));
+}
+
+void HttpExchangeImpl::abort() {
+  if (Connection_)
+    Connection_->abort();
+}
+
+void HttpExchangeImpl::onClosed(std::function<void()> Gone) {
+  OnClosed_ = std::move(Gone);
+  if (Gone_ && OnClosed_)
+    std::exchange(OnClosed_, nullptr)();
+}
+
+void HttpExchangeImpl::completed() {
+  Connection_ = nullptr;
+  OnClosed_ = nullptr;
+}
+
+void HttpExchangeImpl::detached() {
+  Gone_ = true;
+  Connection_ = nullptr;
+  // evhttp leaves a request that is being handled to its handler.
+  if (Handle_ && !evhttp_request_get_connection(Handle_))
+    evhttp_request_free(Handle_);
+  Handle_ = nullptr;
+  if (OnClosed_)
+    std::exchange(OnClosed_, nullptr)();
+}
+
+} // namespace sycamore
--- /dev/null
+++ b/src/HttpExchange.h
@@ -0,0 +1,104 @@
+// One request on the server's side, and the connection that it came on.
+#pragma once
+
+#include "sycamore/HttpServer.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+
+namespace sycamore {
+
+class HttpExchangeImpl;
+
+/// What connections need from their server.
+class HttpConnectionOwner {
+public:
+  virtual ~HttpConnectionOwner() = default;
+  virtual void dispatch(HttpExchangePointer Exchange) = 0;
+  /// Forgets the connection, which evhttp is about to free.
+  virtual void connectionClosed(evhttp_connection *Connection) = 0;
+  /// Frees the connection once evhttp's functions have returned.
+  virtual void closeSoon(evhttp_connection *Connection) = 0;
+  virtual bool endsConnections() const = 0;
+  virtual const HttpServerConfig &config() const = 0;
+};
+
+/// A connection that has carried at least one request.
+class HttpServerConnection {
+public:
+  HttpServerConnection(HttpConnectionOwner &Owner, evhttp_connection *Handle);
+  HttpServerConnection(const HttpServerConnection &) = delete;
+  HttpServerConnection &operator=(const HttpServerConnection &) = delete;
+
+  void start(evhttp_request *Request);
+  /// Before the answer is written: restores the time limit for reading.
+  void prepareReply(evhttp_request *Request, bool KeepWatching);
+  /// The server is about to free the connection or itself.
+  void detach();
+  void abort() { Owner_.closeSoon(Handle_); }
+
+  bool busy() const { return Busy_; }
+  /// No request runs or has begun to arrive.
+  bool idle() const;
+  evhttp_connection *handle() const { return Handle_; }
+  const HttpServerConfig &config() const { return Owner_.config(); }
+
+private:
+  static void onInput(evbuffer *Buffer, const evbuffer_cb_info *Info,
+                      void *Self);
+  static void onClose(evhttp_connection *Connection, void *Self);
+  static void onComplete(evhttp_request *Request, void *Self);
+  void watchForClosure();
+
+  HttpConnectionOwner &Owner_;
+  evhttp_connection *Handle_;
+  bufferevent *Stream_;
+  evbuffer_cb_entry *InputCallback_;
+  std::weak_ptr<HttpExchangeImpl> Current_;
+  bool Busy_ = false;
+  std::size_t BytesSinceReply_ = 0;
+};
+
+class HttpExchangeImpl : public HttpExchange {
+public:
+  HttpExchangeImpl(HttpServerConnection &Connection, evhttp_request *Handle,
+                   HttpRequest Request)
+      : Connection_(&Connection), Handle_(Handle),
+        Request_(std::move(Request)) {}
+  HttpExchangeImpl(const HttpExchangeImpl &) = delete;
+  HttpExchangeImpl &operator=(const HttpExchangeImpl &) = delete;
+  ~HttpExchangeImpl() override;
+
+  const HttpRequest &request() const override { return Request_; }
+  void reply(int Status, const HttpHeaders &Headers,
+             std::string_view Body) override;
+  void startReply(int Status, const HttpHeaders &Headers) override;
+  void sendPart(std::string_view Part) override;
+  void endReply() override;
+  void abort() override;
+  void onClosed(std::function<void()> Gone) override;
+  bool isOpen() const override { return Handle_ != nullptr; }
+
+  /// The answer is written completely.
+  void completed();
+  /// The connection is gone.
+  void detached();
+
+private:
+  bool isHead() const { return Request_.Method_ == "HEAD"; }
+  void setHeaders(const HttpHeaders &Headers, bool KeepLength);
+
+  HttpServerConnection *Connection_; ///< Null when gone or completed.
+  evhttp_request *Handle_;           ///< Null when answered or gone.
+  HttpRequest Request_;
+  bool Started_ = false;
+  bool Gone_ = false;
+  std::function<void()> OnClosed_;
+};
+
+/// Methods that a server takes; others are answered with 501.
+std::string_view httpMethodName(evhttp_cmd_type Method);
+
+} // namespace sycamore
--- /dev/null
+++ b/src/HttpMessage.cpp
@@ -0,0 +1,33 @@
+// Names of headers.
+#include "sycamore/HttpMessage.h"
+
+#include <algorithm>
+#include <array>
+#include <event2/util.h>
+
+namespace sycamore {
+
+bool equalHeaderNames(std::string_view Left, std::string_view Right) {
+  return Left.size() == Right.size() &&
+         evutil_ascii_strncasecmp(Left.data(), Right.data(), Left.size()) == 0;
+}
+
+const std::string *findHeader(const HttpHeaders &Headers,
+                              std::string_view Name) {
+  for (const HttpMessageHeader &Header : Headers)
+    if (equalHeaderNames(Header.Name_, Name))
+      return &Header.Value_;
+  return nullptr;
+}
+
+bool isHopByHopHeader(std::string_view Name) {
+  static constexpr std::array<std::string_view, 9> Names = {
+      "connection",          "keep-alive", "proxy-connection",
+      "proxy-authenticate",  "te",         "trailer",
+      "proxy-authorization", "upgrade",    "transfer-encoding"};
+  return std::any_of(
+      Names.begin(), Names.end(),
+      [Name](std::string_view Known) { return equalHeaderNames(Known, Name); });
+}
+
+} // namespace sycamore
--- /dev/null
+++ b/src/HttpServer.cpp
@@ -0,0 +1,204 @@
+// HTTP/1.1 server on a libevent loop, over evhttp.
+#include "sycamore/HttpServer.h"
+
+#include "HttpExchange.h"
+#include "HttpSupport.h"
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <event2/bufferevent_ssl.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <map>
+
+namespace sycamore {
+namespace {
+
+constexpr std::uint16_t AllowedMethods =
+    EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT |
+    EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS | EVHTTP_REQ_PATCH;
+
+class ServerImpl : public HttpServer, public HttpConnectionOwner {
+public:
+  ServerImpl(event_base *Base, const HttpServerConfig &Config, TlsContext Tls);
+  ServerImpl(const ServerImpl &) = delete;
+  ServerImpl &operator=(const ServerImpl &) = delete;
+  ~ServerImpl() override;
+
+  Result<std::string> listen(const std::string &Address) override;
+  void setHandler(HttpHandler Handler) override {
+    Handler_ = std::move(Handler);
+  }
+  void stopAccepting() override;
+  void closeIdle() override;
+  std::size_t openExchanges() const override;
+  Result<void> reloadTls() override;
+
+private:
+  void dispatch(HttpExchangePointer Exchange) override;
+  void connectionClosed(evhttp_connection *Connection) override;
+  void closeSoon(evhttp_connection *Connection) override;
+  bool endsConnections() const override { return Stopping_; }
+  const HttpServerConfig &config() const override { return Config_; }
+
+  static bufferevent *newStream(event_base *Base, void *Self);
+  static void onRequest(evhttp_request *Request, void *Self);
+  static void onCloseTimer(evutil_socket_t Socket, short Events, void *Self);
+
+  event_base *Base_;
+  HttpServerConfig Config_;
+  TlsContext Tls_;
+  evhttp *Http_;
+  event *CloseTimer_;
+  HttpHandler Handler_;
+  std::vector<evhttp_bound_socket *> Sockets_;
+  std::map<evhttp_connection *, std::unique_ptr<HttpServerConnection>>
+      Connections_;
+  std::vector<evhttp_connection *> ToClose_;
+  bool Stopping_ = false;
+};
+
+ServerImpl::ServerImpl(event_base *Base, const HttpServerConfig &Config,
+                       TlsContext Tls)
+    : Base_(Base), Config_(Config), Tls_(std::move(Tls)),
+      Http_(evhttp_new(Base)),
+      CloseTimer_(evtimer_new(Base, onCloseTimer, this)) {
+  evhttp_set_max_headers_size(Http_,
+                              static_cast<ev_ssize_t>(Config_.MaxHeaderBytes_));
+  evhttp_set_max_body_size(Http_,
+                           static_cast<ev_ssize_t>(Config_.MaxBodyBytes_));
+  evhttp_set_allowed_methods(Http_, AllowedMethods);
+  evhttp_set_default_content_type(Http_, nullptr);
+  // Reads a body that is too large to its end before the connection closes;
+  // otherwise the caller would get a reset instead of status 413.
+  evhttp_set_flags(Http_, EVHTTP_SERVER_LINGERING_CLOSE);
+  timeval Idle = toTimeval(Config_.IdleTimeout_);
+  evhttp_set_timeout_tv(Http_, &Idle);
+  evhttp_set_bevcb(Http_, newStream, this);
+  evhttp_set_gencb(Http_, onRequest, this);
+}
+
+ServerImpl::~ServerImpl() {
+  for (const auto &[Handle, Connection] : Connections_) {
+    evhttp_connection_set_closecb(Handle, nullptr, nullptr);
+    Connection->detach();
+  }
+  event_free(CloseTimer_);
+  evhttp_free(Http_);
+}
+
+bufferevent *ServerImpl::newStream(event_base *Base, void *Self) {
+  auto *This = static_cast<ServerImpl *>(Self);
+  if (!This->Tls_)
+    return bufferevent_socket_new(Base, -1, BEV_OPT_CLOSE_ON_FREE);
+  bufferevent *Stream = bufferevent_openssl_socket_new(
+      Base, -1, SSL_new(This->Tls_.get()), BUFFEREVENT_SSL_ACCEPTING,
+      BEV_OPT_CLOSE_ON_FREE);
+  bufferevent_openssl_set_allow_dirty_shutdown(Stream, 1);
+  return Stream;
+}
+
+Result<std::string> ServerImpl::listen(const std::string &Address) {
+  auto Parsed = parseSocketAddress(Address);
+  if (!Parsed)
+    return tl::unexpected(Parsed.error());
+  evconnlistener *Listener = evconnlistener_new_bind(
+      Base_, nullptr, nullptr,
+      LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_CLOSE_ON_FREE, -1,
+      Parsed->get(), Parsed->Length_);
+  if (!Listener)
+    return fail(ErrorKind::Unavailable,
+                "cannot listen on " + Address + ": " + std::strerror(errno),
+                "choose a free port and an address of this machine");
+  // Accepted sockets inherit this option.
+  setNoDelay(evconnlistener_get_fd(Listener));
+  std::string Bound = boundAddress(evconnlistener_get_fd(Listener));
+  Sockets_.push_back(evhttp_bind_listener(Http_, Listener));
+  return Bound;
+}
+
+void ServerImpl::stopAccepting() {
+  Stopping_ = true;
+  for (evhttp_bound_socket *Socket : Sockets_)
+    evhttp_del_accept_socket(Http_, Socket);
+  Sockets_.clear();
+}
+
+void ServerImpl::closeIdle() {
+  std::vector<evhttp_connection *> Idle;
+  for (const auto &[Handle, Connection] : Connections_)
+    if (Connection->idle())
+      Idle.push_back(Handle);
+  for (evhttp_connection *Handle : Idle)
+    evhttp_connection_free(Handle);
+}
+
+std::size_t ServerImpl::openExchanges() const {
+  return static_cast<std::size_t>(
+      std::count_if(Connections_.begin(), Connections_.end(),
+                    [](const auto &Item) { return Item.second->busy(); }));
+}
+
+Result<void> ServerImpl::reloadTls() {
+  if (!Config_.Tls_.enabled())
+    return {};
+  auto Context = makeTlsContext(Config_.Tls_, TlsSide::Server,
+                                Config_.RequireClientCertificate_);
+  if (!Context)
+    return tl::unexpected(Context.error());
+  Tls_ = *Context;
+  return {};
+}
+
+void ServerImpl::dispatch(HttpExchangePointer Exchange) {
+  // The handler may replace itself.
+  HttpHandler Handler = Handler_;
+  if (Handler)
+    Handler(std::move(Exchange));
+}
+
+void ServerImpl::connectionClosed(evhttp_connection *Connection) {
+  std::erase(ToClose_, Connection);
+  Connections_.erase(Connection);
+}
+
+void ServerImpl::closeSoon(evhttp_connection *Connection) {
+  if (std::find(ToClose_.begin(), ToClose_.end(), Connection) == ToClose_.end())
+    ToClose_.push_back(Connection);
+  event_active(CloseTimer_, EV_TIMEOUT, 0);
+}
+
+void ServerImpl::onCloseTimer(evutil_socket_t /*Socket*/, short /*Events*/,
+                              void *Self) {
+  auto *This = static_cast<ServerImpl *>(Self);
+  while (!This->ToClose_.empty())
+    evhttp_connection_free(This->ToClose_.back());
+}
+
+void ServerImpl::onRequest(evhttp_request *Request, void *Self) {
+  auto *This = static_cast<ServerImpl *>(Self);
+  evhttp_connection *Handle = evhttp_request_get_connection(Request);
+  auto &Connection = This->Connections_[Handle];
+  if (!Connection)
+    Connection = std::make_unique<HttpServerConnection>(*This, Handle);
+  Connection->start(Request);
+}
+
+} // namespace
+
+Result<std::unique_ptr<HttpServer>>
+HttpServer::create(event_base *Base, const HttpServerConfig &Config) {
+  ignoreBrokenPipeSignal();
+  TlsContext Tls;
+  if (Config.Tls_.enabled()) {
+    auto Context = makeTlsContext(Config.Tls_, TlsSide::Server,
+                                  Config.RequireClientCertificate_);
+    if (!Context)
+      return tl::unexpected(Context.error());
+    Tls = *Context;
+  }
+  return std::make_unique<ServerImpl>(Base, Config, std::move(Tls));
+}
+
+} // namespace sycamore
--- /dev/null
+++ b/src/HttpSupport.h
@@ -0,0 +1,70 @@
+// Addresses, TLS contexts and small helpers for the HTTP adapters.
+#pragma once
+
+#include "sycamore/Error.h"
+#include "sycamore/HttpMessage.h"
+#include "sycamore/Time.h"
+
+#include <cstdint>
+#include <event2/util.h>
+#include <memory>
+#include <openssl/ssl.h>
+#include <string>
+#include <sys/socket.h>
+#include <sys/time.h>
+
+struct evkeyvalq;
+struct evbuffer;
+struct bufferevent;
+
+namespace sycamore {
+
+struct SocketAddress {
+  sockaddr_storage Storage_{};
+  int Length_ = 0;
+  std::string Ip_;
+  std::uint16_t Port_ = 0;
+
+  const sockaddr *get() const {
+    return reinterpret_cast<const sockaddr *>(&Storage_);
+  }
+};
+
+/// Reads "IP:PORT" or "[IP]:PORT". Errors: InvalidArgument.
+Result<SocketAddress> parseSocketAddress(const std::string &Text);
+
+/// The address that a socket is bound to, in the form that
+/// parseSocketAddress() reads.
+std::string boundAddress(evutil_socket_t Socket);
+
+/// Turns Nagle's algorithm off. With it, a body over 16 KiB waits for the
+/// other side's delayed acknowledgement, which costs 44 ms or more.
+void setNoDelay(evutil_socket_t Socket);
+
+/// libevent writes without MSG_NOSIGNAL, so a closed connection would end the
+/// process.
+void ignoreBrokenPipeSignal();
+
+timeval toTimeval(Duration Span);
+
+void copyHeaders(const evkeyvalq *From, HttpHeaders &To);
+
+std::string takeBody(evbuffer *From);
+
+/// Adds headers, without those that frame the body.
+void addHeaders(evkeyvalq *To, const HttpHeaders &From);
+
+using TlsContext = std::shared_ptr<SSL_CTX>;
+
+enum class TlsSide { Server, Client };
+
+/// Reads the files. Errors: InvalidSettings, naming the file. A client checks
+/// the server against Ca_; a server asks for certificates when Ca_ is set and
+/// refuses connections without one when RequirePeer is set.
+Result<TlsContext> makeTlsContext(const TlsFiles &Files, TlsSide Side,
+                                  bool RequirePeer);
+
+/// Subject common name of the other side's verified certificate, or empty.
+std::string verifiedPeerName(bufferevent *Connection);
+
+} // namespace sycamore
--- /dev/null
+++ b/test/failure/HttpFailureTest.cpp
@@ -0,0 +1,313 @@
+// Guards against wrong outcomes when the other side closes, cuts, refuses or
+// breaks HTTP's rules at an awkward moment.
+#include "RawSocket.h"
+
+#include <gtest/gtest.h>
+
+using namespace sycamore;
+
+namespace {
+
+constexpr std::string_view OkEmpty =
+    "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+
+bool ended(const RawServer::Peer &Item) {
+  return Item.Input_.find("\r\n\r\n") != std::string::npos;
+}
+
+} // namespace
+
+// Guards against an unknown outcome where the request provably did not run.
+TEST(HttpFailure, ReportsARefusedConnectionAsNotSent) {
+  HttpPair Pair;
+  std::string Closed = *Pair.Server_->listen("127.0.0.1:0");
+  Pair.Server_->stopAccepting();
+  HttpAnswer Answer = Pair.call({}, Closed);
+  EXPECT_EQ(Answer.Outcome_, HttpOutcome::NotSent);
+  EXPECT_FALSE(Answer.Sent_);
+  EXPECT_NE(Answer.Reason_, "");
+}
+
+// Guards against a crash or a hang when connect() fails at once.
+TEST(HttpFailure, ReportsAnUnreachableAddressAsNotSent) {
+  HttpPair Pair;
+  for (int I = 0; I < 2; ++I) {
+    HttpAnswer Answer = Pair.call({}, "255.255.255.255:9");
+    EXPECT_EQ(Answer.Outcome_, HttpOutcome::NotSent);
+    EXPECT_EQ(Pair.Client_->connections("255.255.255.255:9"), 0U);
+  }
+}
+
+// Guards against a part of an answer that is taken for the whole.
+TEST(HttpFailure, ReportsACutAnswerAsBroken) {
+  const std::string Cuts[] = {
+      "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf",
+      "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n0\r\n",
+      "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nno length",
+      "HTTP/1.0 200 OK\r\n\r\nno length",
+      "HTTP/1.1 200 OK\r\nContent-Le",
+      "nonsense\r\n\r\n",
+      ""};
+  HttpPair Pair;
+  for (const std::string &Cut : Cuts) {
+    RawServer Server(Pair.Loop_.base(), [&](RawServer::Peer &Item) {
+      Item.write(Cut);
+      Item.finish();
+      if (Cut.empty())
+        shutdown(bufferevent_getfd(Item.Stream_), SHUT_RDWR);
+    });
+    HttpAnswer Answer = Pair.call({}, Server.Address_);
+    EXPECT_EQ(Answer.Outcome_, HttpOutcome::Broken) << Cut;
+    EXPECT_TRUE(Answer.Sent_) << Cut;
+    EXPECT_EQ(Answer.Body_, "") << Cut;
+  }
+}
+
+// Guards against unknown outcomes caused by a pooled connection that the other
+// side had closed while it was unused.
+TEST(HttpFailure, DoesNotUseAConnectionThatWasClosedMeanwhile) {
+  HttpPair Pair;
+  RawServer Server(Pair.Loop_.base(), [&](RawServer::Peer &Item) {
+    if (ended(Item))
+      Item.write(OkEmpty);
+  });
+  HttpClientRequest Request;
+  EXPECT_EQ(Pair.call(Request, Server.Address_).Status_, 200);
+  // The loop does not run between the closure and the next request.
+  shutdown(bufferevent_getfd(Server.Peers_.front().Stream_), SHUT_RDWR);
+  HttpAnswer Answer = Pair.call(Request, Server.Address_);
+  EXPECT_EQ(Answer.Outcome_, HttpOutcome::Answered) << Answer.Reason_;
+  EXPECT_EQ(Server.Peers_.size(), 2U);
+}
+
+// Guards against an answer left over from an earlier request.
+TEST(HttpFailure, DoesNotUseAConnectionWithUnexpectedInput) {
+  HttpPair Pair;
+  RawServer Server(Pair.Loop_.base(), [&](RawServer::Peer &Item) {
+    if (ended(Item))
+      Item.write(std::string(OkEmpty) +
+                 (Item.Number_ == 0 ? "HTTP/1.1 500 Late\r\n\r\n" : ""));
+  });
+  EXPECT_EQ(Pair.call({}, Server.Address_).Status_, 200);
+  EXPECT_EQ(Pair.call({}, Server.Address_).Status_, 200);
+}
+
+// Guards against targets that work for a caller who has left.
+TEST(HttpFailure, NoticesACallerThatCloses) {
+  HttpPair Pair;
+  HttpExchangePointer Held;
+  int Gone = 0;
+  Pair.Server_->setHandler([&](HttpExchangePointer Exchange) {
+    Held = Exchange;
+    Exchange->onClosed([&] { ++Gone; });
+  });
+  bool Answered = false;
+  auto Call = Pair.Client_->send(Pair.Address_, {},
+                                 [&](HttpAnswer) { Answered = true; });
+  ASSERT_TRUE(Pair.Loop_.runUntil([&] { return Held != nullptr; }));
+  Call->cancel();
+  EXPECT_TRUE(Pair.Loop_.runUntil([&] { return Gone == 1; }));
+  EXPECT_FALSE(Held->isOpen());
+  Held->reply(200, {}, "too late");
+  Held->abort();
+  Call->cancel();
+  EXPECT_EQ(Pair.Server_->openExchanges(), 0U);
+  EXPECT_EQ(Pair.Client_->connections(Pair.Address_), 0U);
+  EXPECT_FALSE(Answered);
+}
+
+// Guards against the end of the process, which is evhttp's reaction to input
+// that arrives while a request runs.
+TEST(HttpFailure, SurvivesPipelinedRequests) {
+  HttpPair Pair;
+  std::vector<HttpExchangePointer> Held;
+  Pair.Server_->setHandler(
+      [&](HttpExchangePointer Exchange) { Held.push_back(Exchange); });
+  RawClient Caller(Pair.Loop_.base(), Pair.Address_);
+  Caller.write("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+  ASSERT_TRUE(Pair.Loop_.runUntil([&] { return Held.size() == 1; }));
+  Caller.write("GET /2 HTTP/1.1\r\nHost: a\r\n\r\nGET /3 HTTP/1.1\r\n");
+  Pair.Loop_.runFor(milliseconds(30));
+  EXPECT_EQ(Held.size(), 1U);
+  Pair.Server_->closeIdle();
+  for (std::size_t I = 0; I < 3; ++I) {
+    ASSERT_TRUE(Pair.Loop_.runUntil([&] { return Held.size() == I + 1; }));
+    Held[I]->reply(200, {}, Held[I]->request().Path_);
+    Caller.write(I == 0 ? "Host: a\r\n\r\n" : "");
+  }
+  EXPECT_TRUE(Pair.Loop_.runUntil(
+      [&] { return Caller.Input_.find("/3") != std::string::npos; }));
+  EXPECT_LT(Caller.Input_.find("/1"), Caller.Input_.find("/2"));
+}
+
+// Guards against a body that is taken for the next request.
+TEST(HttpFailure, RefusesABodyOnAMethodWithoutOne) {
+  HttpPair Pair;
+  int Handled = 0;
+  Pair.Server_->setHandler([&](HttpExchangePointer Exchange) {
+    ++Handled;
+    Exchange->reply(200, {}, "");
+  });
+  std::string Inner = "POST /issue HTTP/1.1\r\nContent-Length: 0\r\n\r\n";
+  RawClient Caller(Pair.Loop_.base(), Pair.Address_);
+  Caller.write("GET / HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+               std::to_string(Inner.size()) + "\r\n\r\n" + Inner);
+  EXPECT_TRUE(Pair.Loop_.runUntil([&] { return Caller.Closed_; }));
+  EXPECT_EQ(Caller.Input_.rfind("HTTP/1.1 400", 0), 0U);
+  EXPECT_EQ(Handled, 0);
+}
+
+// Guards against memory that a caller can fill without bound.
+TEST(HttpFailure, RefusesWhatIsTooLarge) {
+  HttpServerConfig Config;
+  Config.MaxBodyBytes_ = 100000;
+  Config.MaxHeaderBytes_ = 4096;
+  HttpPair Pair(Config);
+  int Handled = 0;
+  Pair.Server_->setHandler([&](HttpExchangePointer Exchange) {
+    ++Handled;
+    Exchange->reply(200, {}, "");
+  });
+  HttpClientRequest Request;
+  Request.Method_ = "POST";
+  Request.Body_ = std::string(100000, 'x');
+  EXPECT_EQ(Pair.call(Request).Status_, 200);
+  Request.Body_ = std::string(3000000, 'x');
+  HttpAnswer Answer = Pair.call(Request);
+  EXPECT_EQ(Answer.Status_, 413) << Answer.Reason_;
+  Request.Body_.clear();
+  Request.Headers_ = {{"x-large", std::string(5000, 'x')}};
+  EXPECT_EQ(Pair.call(Request).Status_, 400);
+  RawClient Caller(Pair.Loop_.base(), Pair.Address_);
+  Caller.write("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n"
+               "\r\n1E8480\r\n" +
+               std::string(2000000, 'x'));
+  EXPECT_TRUE(Pair.Loop_.runUntil([&] { return Caller.Closed_; }));
+  EXPECT_NE(Caller.Input_.find(" 413 "), std::string::npos);
+  EXPECT_EQ(Handled, 1);
+}
+
+TEST(HttpFailure, RefusesAnswersThatAreTooLarge) {
+  HttpClientConfig Config;
+  Config.MaxBodyBytes_ = 1000;
+  HttpPair Pair({}, Config);
+  Pair.Server_->setHandler([&](HttpExchangePointer Exchange) {
+    Exchange->reply(200, {}, std::string(2000, 'x'));
+  });
+  EXPECT_EQ(Pair.call({}).Outcome_, HttpOutcome::Broken);
+}
+
+// Guards against a hang, and against a claim that nothing was sent, when the
+// other side answers and closes while the request is still being written.
+TEST(HttpFailure, EndsARequestThatIsAnsweredTooEarly) {
+  HttpPair Pair;
+  RawServer Server(Pair.Loop_.base(), [&](RawServer::Peer &Item) {
+    if (!ended(Item))
+      return;
+    bufferevent_disable(Item.Stream_, EV_READ);
+    Item.write("HTTP/1.1 503 Busy\r\nContent-Length: 2\r\n"
+               "Connection: close\r\n\r\nno");
+    Item.finish();
+  });
+  HttpClientRequest Request;
+  Request.Method_ = "POST";
+  Request.Body_ = std::string(7000000, 'x');
+  HttpAnswer Answer = Pair.call(Request, Server.Address_);
+  EXPECT_EQ(Answer.Outcome_, HttpOutcome::Broken) << Answer.Reason_;
+  EXPECT_TRUE(Answer.Sent_);
+}
+
+// Guards against calls that wait for ever on a peer that accepts and is silent.
+TEST(HttpFailure, TimesOutOnASilentPeer) {
+  HttpClientConfig Config;
+  Config.ConnectionsPerAddress_ = 1;
+  HttpPair Pair({}, Config);
+  RawServer Server(Pair.Loop_.base(), [](RawServer::Peer &) {});
+  HttpClientRequest Request;
+  Request.Deadline_ = milliseconds(200);
+  std::vector<HttpAnswer> Answers;
+  for (int I = 0; I < 2; ++I) {
+    Pair.Client_->send(Server.Address_, Request,
+                       [&](HttpAnswer Value) { Answers.push_back(Value); });
+    // The second request still waits for the connection when its time is up.
+    Request.Deadline_ = milliseconds(100);
+  }
+  ASSERT_TRUE(Pair.Loop_.runUntil([&] { return Answers.size() == 2; }));
+  EXPECT_EQ(Answers[0].Outcome_, HttpOutcome::TimedOut);
+  EXPECT_FALSE(Answers[0].Sent_);
+  EXPECT_EQ(Answers[1].Outcome_, HttpOutcome::TimedOut);
+  EXPECT_TRUE(Answers[1].Sent_);
+  EXPECT_EQ(Pair.Client_->connections(Server.Address_), 0U);
+}
+
+// Guards against queues that grow without bound in front of a stalled peer.
+TEST(HttpFailure, RefusesMoreThanTheQueueHolds) {
+  HttpClientConfig Config;
+  Config.ConnectionsPerAddress_ = 1;
+  Config.MaxQueuedPerAddress_ = 2;
+  HttpPair Pair({}, Config);
+  RawServer Server(Pair.Loop_.base(), [](RawServer::Peer &) {});
+  int Refused = 0;
+  for (int I = 0; I < 5; ++I)
+    Pair.Client_->send(Server.Address_, {}, [&](HttpAnswer Value) {
+      Refused += Value.Outcome_ == HttpOutcome::NotSent;
+    });
+  EXPECT_EQ(Refused, 0) << "callbacks must not run inside send()";
+  EXPECT_TRUE(Pair.Loop_.runUntil([&] { return Refused == 2; }));
+}
+
+TEST(HttpFailure, RefusesRequestLinesThatWouldBeSplit) {
+  HttpPair Pair;
+  Pair.Server_->setHandler(
+      [](HttpExchangePointer Exchange) { Exchange->reply(200, {}, ""); });
+  HttpClientRequest Request;
+  Request.Path_ = "/a HTTP/1.1\r\nX: y\r\n\r\nGET /b";
+  EXPECT_EQ(Pair.call(Request).Outcome_, HttpOutcome::NotSent);
+  Request.Path_ = "/a";
+  Request.Method_ = "BREW";
+  EXPECT_EQ(Pair.call(Request).Outcome_, HttpOutcome::NotSent);
+  Request.Method_ = "GET";
+  EXPECT_EQ(Pair.call(Request).Status_, 200);
+}
+
+// Guards against use of freed memory when a callback ends the client, and when
+// an exchange outlives its server.
+TEST(HttpFailure, AllowsDestructionInAwkwardPlaces) {
+  HttpPair Pair;
+  std::vector<HttpExchangePointer> Held;
+  Pair.Server_->setHandler([&](HttpExchangePointer Exchange) {
+    Held.push_back(Exchange);
+    if (Exchange->request().Path_ == "/now")
+      Exchange->reply(200, {}, "x");
+  });
+  HttpClientRequest Request;
+  Pair.Client_->send(Pair.Address_, Request, [](HttpAnswer) { FAIL(); });
+  ASSERT_TRUE(Pair.Loop_.runUntil([&] { return Held.size() == 1; }));
+  Request.Path_ = "/now";
+  bool Answered = false;
+  Pair.Client_->send(Pair.Address_, Request, [&](HttpAnswer) {
+    Answered = true;
+    Pair.Client_.reset();
+  });
+  ASSERT_TRUE(Pair.Loop_.runUntil([&] { return Answered; }));
+  bool Gone = false;
+  Held[0]->onClosed([&] { Gone = true; });
+  Pair.Server_.reset();
+  EXPECT_TRUE(Gone);
+  Held[0]->reply(200, {}, "");
+  Held.clear();
+}
+
+// Guards against callers that wait when a handler forgets to answer.
+TEST(HttpFailure, AnswersForAHandlerThatDropsTheExchange) {
+  HttpPair Pair;
+  Pair.Server_->setHandler([](HttpExchangePointer) {});
+  EXPECT_EQ(Pair.call({}).Status_, 500);
+  Pair.Server_->setHandler([](HttpExchangePointer Exchange) {
+    Exchange->startReply(200, {});
+    Exchange->sendPart("half");
+  });
+  EXPECT_EQ(Pair.call({}).Outcome_, HttpOutcome::Broken);
+}
--- /dev/null
+++ b/test/support/EventLoop.h
@@ -0,0 +1,95 @@
+// A libevent loop for tests, with waits for conditions, and HTTP calls that
+// wait for their answer.
+#pragma once
+
+#include "sycamore/Clock.h"
+#include "sycamore/HttpClient.h"
+#include "sycamore/HttpServer.h"
+
+#include <event2/event.h>
+#include <functional>
+#include <optional>
+
+namespace sycamore {
+
+/// Generous limit for waits; only a failing test reaches it.
+inline constexpr Duration WaitLimit = seconds(20);
+
+class EventLoop {
+public:
+  EventLoop() : Base_(event_base_new()) {}
+  EventLoop(const EventLoop &) = delete;
+  EventLoop &operator=(const EventLoop &) = delete;
+  ~EventLoop() { event_base_free(Base_); }
+
+  event_base *base() { return Base_; }
+
+  /// Runs the loop until Condition holds; false when the limit passed first.
+  bool runUntil(const std::function<bool()> &Condition,
+                Duration Limit = WaitLimit) {
+    TimePoint End = monotonicNow() + Limit;
+    while (!Condition()) {
+      if (monotonicNow() >= End)
+        return false;
+      timeval Tick{0, 2000};
+      event_base_loopexit(Base_, &Tick);
+      event_base_loop(Base_, EVLOOP_ONCE);
+    }
+    return true;
+  }
+
+  void runFor(Duration Span) {
+    runUntil([] { return false; }, Span);
+  }
+
+private:
+  event_base *Base_;
+};
+
+/// A loop with one server and one client on it.
+struct HttpPair {
+  explicit HttpPair(const HttpServerConfig &ServerConfig = {},
+                    const HttpClientConfig &ClientConfig = {})
+      : Server_(HttpServer::create(Loop_.base(), ServerConfig).value()),
+        Client_(HttpClient::create(Loop_.base(), ClientConfig).value()),
+        Address_(Server_->listen("127.0.0.1:0").value()) {}
+  ~HttpPair() {
+    Client_.reset();
+    Server_.reset();
+    Loop_.runFor(milliseconds(5));
+  }
+
+  HttpAnswer call(HttpClientRequest Request, const std::string &Address = "") {
+    std::optional<HttpAnswer> Out;
+    auto Call =
+        Client_->send(Address.empty() ? Address_ : Address, std::move(Request),
+                      [&](HttpAnswer Answer) { Out = Answer; });
+    if (!Loop_.runUntil([&] { return Out.has_value(); })) {
+      Call->cancel();
+      HttpAnswer None;
+      None.Reason_ = "the test's limit passed without an outcome";
+      return None;
+    }
+    return *Out;
+  }
+
+  EventLoop Loop_;
+  std::unique_ptr<HttpServer> Server_;
+  std::unique_ptr<HttpClient> Client_;
+  std::string Address_;
+};
+
+/// Bytes without a pattern that a truncated or reordered body would keep.
+inline std::string randomBody(std::size_t Size) {
+  std::string Out(Size, '\0');
+  std::uint64_t State = Size + 88172645463325252ULL;
+  for (char &Item : Out) {
+    State ^= State << 13U;
+    State ^= State >> 7U;
+    State ^= State << 17U;
+    Item = static_cast<char>(State);
+  }
+  return Out;
+}
+
+} // namespace sycamore
--- /dev/null
+++ b/test/support/RawSocket.h
@@ -0,0 +1,127 @@
+// Plain TCP ends for tests that need a peer which breaks HTTP's rules.
+#pragma once
+
+#include "EventLoop.h"
+
+#include "HttpSupport.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <list>
+#include <unistd.h>
+
+namespace sycamore {
+
+/// Accepts connections and answers the input of each with OnInput, which gets
+/// the connection's number (from 0) and all bytes received on it so far.
+class RawServer {
+public:
+  struct Peer {
+    RawServer *Server_ = nullptr;
+    int Number_ = 0;
+    bufferevent *Stream_ = nullptr;
+    std::string Input_;
+
+    void write(std::string_view Data) {
+      bufferevent_write(Stream_, Data.data(), Data.size());
+    }
+    /// Closes after what was written has left.
+    void finish() { shutdownAfterWrite(Stream_); }
+    bool closed() const { return Stream_ == nullptr; }
+
+  private:
+    static void shutdownAfterWrite(bufferevent *Stream) {
+      bufferevent_setcb(Stream, nullptr, closeStream, closeOnEvent, nullptr);
+    }
+    static void closeStream(bufferevent *Stream, void * /*Argument*/) {
+      shutdown(bufferevent_getfd(Stream), SHUT_RDWR);
+    }
+    static void closeOnEvent(bufferevent * /*Stream*/, short /*Events*/,
+                             void * /*Argument*/) {}
+  };
+
+  RawServer(event_base *Base, std::function<void(Peer &)> OnInput)
+      : Base_(Base), OnInput_(std::move(OnInput)) {
+    auto Any = *parseSocketAddress("127.0.0.1:0");
+    Listener_ =
+        evconnlistener_new_bind(Base, onAccept, this, LEV_OPT_CLOSE_ON_FREE, -1,
+                                Any.get(), Any.Length_);
+    Address_ = boundAddress(evconnlistener_get_fd(Listener_));
+  }
+  RawServer(const RawServer &) = delete;
+  RawServer &operator=(const RawServer &) = delete;
+  ~RawServer() {
+    evconnlistener_free(Listener_);
+    for (Peer &Item : Peers_)
+      bufferevent_free(Item.Stream_);
+  }
+
+  std::string Address_;
+  std::list<Peer> Peers_;
+
+private:
+  static void onAccept(evconnlistener *, evutil_socket_t Socket, sockaddr *,
+                       int, void *Self) {
+    auto *This = static_cast<RawServer *>(Self);
+    bufferevent *Stream =
+        bufferevent_socket_new(This->Base_, Socket, BEV_OPT_CLOSE_ON_FREE);
+    Peer &Item = This->Peers_.emplace_back();
+    Item.Server_ = This;
+    Item.Number_ = static_cast<int>(This->Peers_.size()) - 1;
+    Item.Stream_ = Stream;
+    bufferevent_setcb(Stream, onRead, nullptr, onEvent, &Item);
+    bufferevent_enable(Stream, EV_READ | EV_WRITE);
+  }
+  static void onRead(bufferevent *Stream, void *Self) {
+    auto *Item = static_cast<Peer *>(Self);
+    Item->Input_ += takeBody(bufferevent_get_input(Stream));
+    Item->Server_->OnInput_(*Item);
+  }
+  static void onEvent(bufferevent *, short, void *) {}
+
+  event_base *Base_;
+  std::function<void(Peer &)> OnInput_;
+  evconnlistener *Listener_;
+};
+
+/// A TCP client that sends what it is told and collects what comes back.
+class RawClient {
+public:
+  RawClient(event_base *Base, const std::string &Address)
+      : Stream_(bufferevent_socket_new(Base, -1, BEV_OPT_CLOSE_ON_FREE)) {
+    auto Parsed = *parseSocketAddress(Address);
+    bufferevent_setcb(Stream_, onRead, nullptr, onEvent, this);
+    bufferevent_enable(Stream_, EV_READ | EV_WRITE);
+    bufferevent_socket_connect(Stream_, Parsed.get(), Parsed.Length_);
+  }
+  RawClient(const RawClient &) = delete;
+  RawClient &operator=(const RawClient &) = delete;
+  ~RawClient() { close(); }
+
+  void write(std::string_view Data) {
+    bufferevent_write(Stream_, Data.data(), Data.size());
+  }
+  void close() {
+    if (Stream_)
+      bufferevent_free(Stream_);
+    Stream_ = nullptr;
+  }
+
+  std::string Input_;
+  bool Closed_ = false;
+
+private:
+  static void onRead(bufferevent *Stream, void *Self) {
+    static_cast<RawClient *>(Self)->Input_ +=
+        takeBody(bufferevent_get_input(Stream));
+  }
+  static void onEvent(bufferevent *, short Events, void *Self) {
+    if (Events & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
+      static_cast<RawClient *>(Self)->Closed_ = true;
+  }
+
+  bufferevent *Stream_;
+};
+
+} // namespace sycamore
