--- a/include/sycamore/Bootstrap.h
+++ b/include/sycamore/Bootstrap.h
@@ -7,7 +7,7 @@
 
 #include <map>
 #include <optional>
-#include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -18,7 +18,10 @@
   Duration MaxReadDelay_ = seconds(5);  ///< First store read: uniform from 0.
   Duration MinRetryDelay_ = seconds(5); ///< After a store read that failed.
   Duration MaxRetryDelay_ = seconds(10);
-  Duration QueryInterval_ = seconds(1); ///< Floor queries are repeated.
+  /// A peer without an answer is asked again after this time, one that has
+  /// answered after RefreshInterval_.
+  Duration QueryInterval_ = seconds(1);
+  Duration RefreshInterval_ = seconds(3);
   Duration StableTime_ = seconds(2); ///< The maximum must not change so long.
   /// A store read without an answer is given up after this time.
   Duration ReadTimeout_ = seconds(3);
@@ -59,37 +62,39 @@
 
 struct WaitingQuestion {
   std::string Asker_;
+  std::uint64_t Question_ = 0;
   std::string PeerAddress_;
   TimePoint ArrivedAt_;
 };
 
+/// The newest answer of one peer.
 struct PeerFloor {
   bool HasFloor_ = false;
   std::uint64_t Number_ = 0; ///< The larger of its ticket and the one seen.
+  std::string Digest_;
+  std::vector<std::string> AliveServers_;
+  TimePoint AskedAt_;
+  std::optional<TimePoint> AnsweredAt_;
 };
 
 struct Bootstrap {
   BootstrapConfig Config_;
-  TimePoint StartedAt_;
+  std::uint64_t Question_ = 0; ///< Random for each start.
   FloorBasis Basis_ = FloorBasis::None;
   std::uint64_t Floor_ = 0;          ///< Valid when Basis_ is set.
   std::optional<TimePoint> FloorAt_; ///< When Floor_ was reached.
-  bool FirstReadDone_ = false;
   bool StoreFailed_ = false; ///< The last read failed; peers may decide.
   TimePoint NextRead_;
-  std::optional<TimePoint> ReadSince_; ///< A read is under way.
-  TimePoint NextQuery_;
-  std::set<std::string> Asked_;
-  std::map<std::string, PeerFloor> Answers_;
-  std::uint64_t Maximum_ = 0; ///< Over Answers_.
+  std::optional<TimePoint> ReadSince_;     ///< A read is under way.
+  std::map<std::string, PeerFloor> Peers_; ///< Servers asked so far.
+  std::uint64_t Maximum_ = 0;              ///< Over the answers.
   TimePoint MaximumSince_;
   std::vector<WaitingQuestion> Waiting_; ///< For a verified answer.
   TimePoint NextVerify_;
-  // Reader's work.
-  bool Watching_ = false;
+  // The work of a reader.
   TimePoint NextHead_;
   TimePoint NextSeeds_;
-  std::vector<std::string> WrittenSeeds_;
+  std::vector<std::string> WrittenSeeds_; ///< Names, as last read or written.
   BootstrapCounters Counters_;
 };
 
@@ -135,13 +140,15 @@
 /// Result of a store read that tickBootstrap() wanted. Offer the head to the
 /// replica first.
 struct StoreReadResult {
-  TimePoint StartedAt_;
+  TimePoint StartedAt_; ///< When the read was sent.
   /// Number and digest of `head`; unset when the read failed or its outcome is
   /// not known.
   std::optional<std::uint64_t> Number_;
   std::string Digest_;
 };
 
+/// Answers the questions that waited for the read, and establishes the own
+/// floor.
 std::vector<BootstrapEvent> onStoreRead(Bootstrap &Boot,
                                         const Membership &Members,
                                         const ConfigReplica &Replica,
@@ -163,6 +170,10 @@
   std::optional<std::vector<wire::ServerRecord>> WriteSeeds_;
 };
 
+/// The seeds key as it was read or written last, so that equal seeds are not
+/// written again.
+void noteSeeds(Bootstrap &Boot, std::span<const wire::ServerRecord> Seeds);
+
 /// Call it every 20 ms, also on daemons that are no readers.
 ReaderStep tickReader(Bootstrap &Boot, const Membership &Members, Now Time,
                       Random &Rng);
--- a/include/sycamore/Dissemination.h
+++ b/include/sycamore/Dissemination.h
@@ -7,8 +7,8 @@
 #include "sycamore/Random.h"
 #include "sycamore/Time.h"
 
-#include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -25,8 +25,8 @@
   /// each second afterwards.
   std::uint32_t FirstServes_ = 2;
   Duration SyncInterval_ = seconds(2); ///< Of offers without a cause.
-  /// Largest total of accepted tickets in one answer, in bytes; more are sent
-  /// as a snapshot if that is smaller.
+  /// Largest total of accepted tickets in one answer, in bytes; a snapshot is
+  /// sent instead of more.
   std::size_t MaxBodyBytes_ = 1U << 20U;
 
   /// Only for tests: each switches one rule off, see test/mutations.txt.
@@ -44,8 +44,7 @@
   std::uint64_t BusySent_ = 0;
   std::uint64_t BusyReceived_ = 0;
   std::uint64_t SnapshotsSent_ = 0;
-  std::uint64_t BodiesRejected_ = 0;
-  std::uint64_t BodiesUnreadable_ = 0;
+  std::uint64_t BodiesRejected_ = 0; ///< Also those that do not parse.
 };
 
 /// A peer that holds a newer ticket than this daemon.
@@ -59,18 +58,18 @@
 struct PullInFlight {
   std::string Source_;
   TimePoint SentAt_;
-  std::uint64_t HaveNumber_ = 0;
 };
 
 struct Dissemination {
   DisseminationConfig Config_;
   std::vector<TicketSource> Sources_; ///< In the order of their offers.
   std::optional<PullInFlight> Pull_;
-  std::uint64_t Announced_ = 0; ///< Number announced last.
-  TimePoint AppliedAt_;         ///< When the ticket in force was applied.
-  std::uint32_t Served_ = 0;    ///< Pulls served since AppliedAt_.
-  /// Servers known to hold the ticket in force.
-  std::set<std::string> Holders_;
+  std::uint64_t Number_ = 0;      ///< Ticket that the fields below are about.
+  std::uint32_t ServesLeft_ = 0;  ///< Pulls that may be served at once.
+  TimePoint ServesAt_;            ///< When ServesLeft_ was raised last.
+  std::set<std::string> Holders_; ///< Servers known to hold the ticket.
+  std::map<std::string, TimePoint> OfferedAt_;
+  std::string SnapshotJson_; ///< Empty until a peer needs it.
   TimePoint NextSync_;
   DisseminationCounters Counters_;
 };
@@ -79,7 +78,7 @@
 
 struct DisseminationEvent {
   DisseminationEventKind Kind_ = DisseminationEventKind::Applied;
-  std::uint64_t Number_ = 0;
+  std::uint64_t Number_ = 0;   ///< Ticket in force afterwards.
   std::string Source_;         ///< Server that sent the body.
   std::optional<Error> Error_; ///< Set when Rejected.
 };
--- a/include/sycamore/Membership.h
+++ b/include/sycamore/Membership.h
@@ -7,10 +7,9 @@
 #include "sycamore/Snapshot.h"
 #include "sycamore/Time.h"
 
-#include <array>
-#include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -100,7 +99,8 @@
 /// One row of the server table.
 struct ServerRow {
   wire::ServerRecord Record_;
-  TimePoint StateSince_; ///< When this daemon learned the state.
+  std::uint64_t RingHash_ = 0; ///< Of the name.
+  TimePoint StateSince_;       ///< When this daemon learned the state.
   /// When the server was known to run Ticket_; unset until heard of.
   std::optional<TimePoint> HeardAt_;
   std::uint64_t Ticket_ = 0;
@@ -135,20 +135,28 @@
 
 enum class GossipKind { Server, Target, Quarantine };
 
-struct GossipItem {
+struct GossipKey {
   GossipKind Kind_ = GossipKind::Server;
-  std::string Name_;  ///< Server or target; unused for quarantine marks.
-  std::string Owner_; ///< Server of a target.
-  wire::QuarantineRecord Mark_;
+  std::string Name_;  ///< Server, target or fingerprint.
+  std::string Owner_; ///< Server of a target, else empty.
+
+  auto operator<=>(const GossipKey &) const = default;
+};
+
+/// One changed record that is still to be sent; it is looked up when sent.
+struct GossipItem {
   std::uint32_t SendsLeft_ = 0;
+  std::string Source_; ///< Server that sent it here; it is not sent back.
+  /// Data centres whose readers this reader still has to tell.
+  std::set<std::string> Remote_;
+  wire::QuarantineRecord Mark_; ///< Only for quarantine marks.
 };
 
-/// Overlay of the own data centre and links between readers, derived from the
-/// server table.
+/// Links of this server, derived from the server table.
 struct Overlay {
-  std::vector<std::string> Ring_;          ///< Own data centre, by name hash.
-  std::vector<std::string> Ahead_;         ///< Distances 1, 2, 4 ... ahead.
-  std::vector<std::string> Neighbours_;    ///< All links, both directions.
+  std::vector<std::string> Ring_;  ///< Own data centre, by hash of the name.
+  std::vector<std::string> Ahead_; ///< At distances 1, 2, 4 ... on the ring.
+  std::vector<std::string> Local_; ///< Neighbours in the own data centre.
   std::vector<std::string> RemoteReaders_; ///< Empty unless a reader.
   std::map<std::string, std::vector<std::string>> Readers_;
 };
@@ -158,21 +166,24 @@
   std::map<std::string, ServerRow> Servers_; ///< Includes this server.
   std::map<TargetKey, TargetRow> Targets_;
   Overlay Overlay_;
-  bool OverlayStale_ = true;
-  bool Leaving_ = false;
-  std::deque<GossipItem> Queue_;
+  bool OverlayStale_ = false;
+  bool Joined_ = false; ///< A whole table has arrived from a peer.
+  std::map<GossipKey, GossipItem> Queue_;
   std::map<std::string, ProbeState> Probes_;
   std::map<std::uint64_t, ProbeOnBehalf> OnBehalf_;
-  std::map<std::string, TimePoint> SyncedAt_; ///< Limits repairs by peer.
+  /// When a repair was last started with a peer, and the last answer to a
+  /// sender whose record is out of date; each limits its own.
+  std::map<std::string, TimePoint> RepairedAt_;
+  std::map<std::string, TimePoint> CorrectedAt_;
   std::uint64_t NextSequence_ = 1;
-  std::uint64_t HeartbeatRound_ = 0;
-  TimePoint Time_; ///< Of the last call with a time.
+  Now Time_; ///< Of the last call with a time.
   TimePoint LastTick_;
-  TimePoint WokeAt_; ///< Messages until a second later may be old.
+  TimePoint WokeAt_; ///< Messages until shortly afterwards may be old.
   TimePoint NextGossip_;
   TimePoint NextProbe_;
-  TimePoint NextHeartbeat_;
+  std::int64_t HeartbeatRound_ = 0;
   TimePoint NextSync_;
+  TimePoint NextScan_; ///< Of suspicion timers and expiry.
   MembershipCounters Counters_;
 };
 
@@ -271,6 +282,9 @@
 /// One row for each record, by name.
 std::vector<FleetRow> fleetView(const Membership &Members, Now Time);
 
+/// Readers of the other data centres; empty unless this daemon is a reader.
+std::vector<std::string> remoteReaders(const Membership &Members);
+
 /// Highest ticket known to have run at a peer address, over all incarnations
 /// and names; 0 when none is known.
 std::uint64_t highestTicketAt(const Membership &Members,
--- /dev/null
+++ b/src/Bootstrap.cpp
@@ -0,0 +1,304 @@
+// Establishes the floor of a starting daemon and answers the floor queries of
+// others.
+#include "sycamore/Bootstrap.h"
+
+#include <algorithm>
+#include <array>
+
+namespace sycamore {
+namespace {
+
+constexpr std::array<std::string_view, 4> BasisNames = {
+    "none", "store", "verified_answer", "peers"};
+
+Duration uniform(Duration Low, Duration High, Random &Rng) {
+  return Low +
+         std::chrono::duration_cast<Duration>((High - Low) * randomUnit(Rng));
+}
+
+void setFloor(Bootstrap &Boot, FloorBasis Basis, std::uint64_t Number,
+              std::vector<BootstrapEvent> &Events) {
+  Boot.Basis_ = Basis;
+  Boot.Floor_ = Number;
+  Events.push_back({BootstrapEventKind::FloorKnown, Basis, Number});
+}
+
+void checkReached(Bootstrap &Boot, const ConfigReplica &Replica, Now Time,
+                  std::vector<BootstrapEvent> &Events) {
+  if (Boot.FloorAt_ || Boot.Basis_ == FloorBasis::None ||
+      Replica.Current_->Number_ < Boot.Floor_)
+    return;
+  Boot.FloorAt_ = Time.Monotonic_;
+  Boot.NextHead_ = Time.Monotonic_ + Boot.Config_.ReaderDelay_;
+  Boot.NextSeeds_ = Boot.NextHead_;
+  Boot.Peers_.clear();
+  Events.push_back({BootstrapEventKind::FloorReached, Boot.Basis_,
+                    Replica.Current_->Number_});
+}
+
+// Asking.
+
+/// Bootstrap peers and the readers of the data centre; all of its servers once
+/// the store has failed.
+std::set<std::string> peersToAsk(const Bootstrap &Boot,
+                                 const Membership &Members) {
+  const std::string &DataCentre = Members.Config_.DataCentre_;
+  std::set<std::string> Out(Boot.Config_.Peers_.begin(),
+                            Boot.Config_.Peers_.end());
+  for (std::string &Name : readersOf(Members, DataCentre))
+    Out.insert(std::move(Name));
+  if (Boot.StoreFailed_) {
+    for (std::string &Name : aliveServers(Members, DataCentre))
+      Out.insert(std::move(Name));
+    for (const auto &[Name, Peer] : Boot.Peers_)
+      Out.insert(Peer.AliveServers_.begin(), Peer.AliveServers_.end());
+  }
+  Out.erase(Members.Config_.Name_);
+  return Out;
+}
+
+void askPeers(Bootstrap &Boot, const Membership &Members, Now Time,
+              Outbox &Out) {
+  for (const std::string &Name : peersToAsk(Boot, Members)) {
+    auto [Item, New] = Boot.Peers_.try_emplace(Name);
+    PeerFloor &Peer = Item->second;
+    Duration Interval = Peer.AnsweredAt_ ? Boot.Config_.RefreshInterval_
+                                         : Boot.Config_.QueryInterval_;
+    if (!New && Time.Monotonic_ - Peer.AskedAt_ < Interval)
+      continue;
+    Peer.AskedAt_ = Time.Monotonic_;
+    Out.push_back({Name, {}, {}});
+    wire::FloorQuery &Query = *Out.back().Message_.mutable_floor_query();
+    Query.set_peer_address(Members.Config_.PeerAddress_);
+    Query.set_question(Boot.Question_);
+    ++Boot.Counters_.QueriesSent_;
+  }
+}
+
+bool isGone(const Membership &Members, const std::string &Name) {
+  const wire::ServerRecord *Record = findServer(Members, Name);
+  return Record && (Record->state() == wire::SERVER_DEAD ||
+                    Record->state() == wire::SERVER_LEFT);
+}
+
+/// Whether every server of the data centre has answered or is gone.
+bool allAnswered(const Bootstrap &Boot, const Membership &Members) {
+  for (const std::string &Name : peersToAsk(Boot, Members)) {
+    auto Found = Boot.Peers_.find(Name);
+    bool Answered = Found != Boot.Peers_.end() && Found->second.AnsweredAt_;
+    if (!Answered && !isGone(Members, Name))
+      return false;
+  }
+  return true;
+}
+
+/// With the store down the peers decide; the last column of the page's table
+/// gives the conditions.
+void decideByPeers(Bootstrap &Boot, const Membership &Members, Now Time,
+                   std::vector<BootstrapEvent> &Events) {
+  bool Any =
+      std::any_of(Boot.Peers_.begin(), Boot.Peers_.end(), [](const auto &Item) {
+        return Item.second.AnsweredAt_ && Item.second.HasFloor_;
+      });
+  if (!Boot.StoreFailed_ || !Any ||
+      Time.Monotonic_ - Boot.MaximumSince_ < Boot.Config_.StableTime_)
+    return;
+  if (Boot.Config_.WaitForAllForTest_ && !allAnswered(Boot, Members))
+    return;
+  setFloor(Boot, FloorBasis::Peers, Boot.Maximum_, Events);
+}
+
+// Store reads.
+
+void failRead(Bootstrap &Boot, Now Time, Random &Rng) {
+  Boot.ReadSince_.reset();
+  ++Boot.Counters_.StoreReadsFailed_;
+  Boot.NextRead_ = Time.Monotonic_ + uniform(Boot.Config_.MinRetryDelay_,
+                                             Boot.Config_.MaxRetryDelay_, Rng);
+  if (!Boot.FloorAt_ && !Boot.StoreFailed_) {
+    Boot.StoreFailed_ = true;
+    Boot.MaximumSince_ = Time.Monotonic_;
+  }
+}
+
+void answer(Bootstrap &Boot, const Membership &Members,
+            const ConfigReplica &Replica, const WaitingQuestion &Question,
+            bool Verified, Outbox &Out) {
+  Out.push_back({Question.Asker_, {}, {}});
+  wire::FloorAnswer &Answer = *Out.back().Message_.mutable_floor_answer();
+  Answer.set_number(Replica.Current_->Number_);
+  Answer.set_digest(Replica.Current_->Digest_);
+  Answer.set_seen_number(highestTicketAt(Members, Question.PeerAddress_));
+  Answer.set_has_floor(hasFloor(Boot));
+  Answer.set_verified(Verified);
+  Answer.set_question(Question.Question_);
+  for (std::string &Name : aliveServers(Members, Members.Config_.DataCentre_))
+    Answer.add_alive_servers(std::move(Name));
+  ++Boot.Counters_.AnswersSent_;
+  Boot.Counters_.VerifiedAnswersSent_ += Verified ? 1 : 0;
+}
+
+/// Questions that arrived before the read began are verified by it.
+void answerWaiting(Bootstrap &Boot, const Membership &Members,
+                   const ConfigReplica &Replica, const StoreReadResult &Read,
+                   Outbox &Out) {
+  std::vector<WaitingQuestion> Later;
+  bool Done = false;
+  for (WaitingQuestion &Question : Boot.Waiting_) {
+    bool InTime = Question.ArrivedAt_ <= Read.StartedAt_;
+    if (!InTime || (Done && !Boot.Config_.CombineReadsForTest_)) {
+      Later.push_back(std::move(Question));
+      continue;
+    }
+    // A head that could not be applied here is no proof for the asker.
+    bool Verified = Read.Number_ && Replica.Current_->Number_ >= *Read.Number_;
+    answer(Boot, Members, Replica, Question, Verified, Out);
+    Done = true;
+  }
+  Boot.Waiting_ = std::move(Later);
+}
+
+bool wantsRead(const Bootstrap &Boot, Now Time) {
+  if (Boot.ReadSince_)
+    return false;
+  if (!Boot.FloorAt_ && Time.Monotonic_ >= Boot.NextRead_)
+    return true;
+  return !Boot.Waiting_.empty() && (Time.Monotonic_ >= Boot.NextVerify_ ||
+                                    !Boot.Config_.CombineReadsForTest_);
+}
+
+void startRead(Bootstrap &Boot, Now Time) {
+  Boot.ReadSince_ = Time.Monotonic_;
+  Boot.NextVerify_ = Time.Monotonic_ + Boot.Config_.VerifyInterval_;
+  ++Boot.Counters_.StoreReadsWanted_;
+}
+
+} // namespace
+
+std::string_view floorBasisName(FloorBasis Basis) {
+  return BasisNames[static_cast<std::size_t>(Basis)];
+}
+
+Bootstrap makeBootstrap(BootstrapConfig Config, Now Time, Random &Rng) {
+  Bootstrap Out;
+  Out.Config_ = std::move(Config);
+  Out.Question_ = Rng();
+  Duration Delay = uniform(Duration(0), Out.Config_.MaxReadDelay_, Rng);
+  Out.NextRead_ =
+      Time.Monotonic_ + (Out.Config_.JitterForTest_ ? Delay : Duration(0));
+  Out.MaximumSince_ = Time.Monotonic_;
+  return Out;
+}
+
+BootstrapStep tickBootstrap(Bootstrap &Boot, const Membership &Members,
+                            const ConfigReplica &Replica, Now Time, Random &Rng,
+                            Outbox &Out) {
+  BootstrapStep Step;
+  if (Boot.ReadSince_ &&
+      Time.Monotonic_ - *Boot.ReadSince_ >= Boot.Config_.ReadTimeout_) {
+    answerWaiting(Boot, Members, Replica, {*Boot.ReadSince_, {}, {}}, Out);
+    failRead(Boot, Time, Rng);
+  }
+  if (Boot.Basis_ == FloorBasis::None) {
+    askPeers(Boot, Members, Time, Out);
+    decideByPeers(Boot, Members, Time, Step.Events_);
+  }
+  checkReached(Boot, Replica, Time, Step.Events_);
+  if (wantsRead(Boot, Time)) {
+    startRead(Boot, Time);
+    Step.ReadStore_ = true;
+  }
+  return Step;
+}
+
+std::vector<BootstrapEvent> receiveFloorAnswer(Bootstrap &Boot,
+                                               const Membership &Members,
+                                               const ConfigReplica &Replica,
+                                               const wire::PeerMessage &Message,
+                                               Now Time) {
+  (void)Members;
+  std::vector<BootstrapEvent> Events;
+  if (Message.body_case() != wire::PeerMessage::kFloorAnswer ||
+      Message.floor_answer().question() != Boot.Question_)
+    return Events;
+  const wire::FloorAnswer &Answer = Message.floor_answer();
+  ++Boot.Counters_.AnswersReceived_;
+  if (Boot.Basis_ != FloorBasis::None)
+    return Events;
+  PeerFloor &Peer = Boot.Peers_[Message.sender()];
+  Peer.HasFloor_ = Answer.has_floor();
+  Peer.Number_ = std::max(Answer.number(), Answer.seen_number());
+  Peer.Digest_ = Answer.digest();
+  Peer.AliveServers_.assign(Answer.alive_servers().begin(),
+                            Answer.alive_servers().end());
+  Peer.AnsweredAt_ = Time.Monotonic_;
+  if (Peer.Number_ > Boot.Maximum_) {
+    Boot.Maximum_ = Peer.Number_;
+    Boot.MaximumSince_ = Time.Monotonic_;
+  }
+  if (Answer.verified()) {
+    setFloor(Boot, FloorBasis::VerifiedAnswer, Answer.number(), Events);
+    ++Boot.Counters_.StoreReadsSpared_;
+    // If the ticket does not arrive, this daemon reads the store after all.
+    Boot.NextRead_ = Time.Monotonic_ + Boot.Config_.MinRetryDelay_;
+  }
+  checkReached(Boot, Replica, Time, Events);
+  return Events;
+}
+
+void answerFloorQuery(Bootstrap &Boot, const Membership &Members,
+                      const ConfigReplica &Replica,
+                      const wire::PeerMessage &Message, Now Time, Outbox &Out) {
+  if (Message.body_case() != wire::PeerMessage::kFloorQuery)
+    return;
+  ++Boot.Counters_.QueriesReceived_;
+  const wire::FloorQuery &Query = Message.floor_query();
+  WaitingQuestion Question{Message.sender(), Query.question(),
+                           Query.peer_address(), Time.Monotonic_};
+  if (!hasFloor(Boot) || !isReader(Members)) {
+    answer(Boot, Members, Replica, Question, false, Out);
+    return;
+  }
+  if (!Boot.Config_.VerifyByReadForTest_) {
+    answer(Boot, Members, Replica, Question, true, Out);
+    return;
+  }
+  // A repeated question keeps its place; one of a later start of the asker
+  // replaces the earlier, which nobody waits for any more.
+  for (WaitingQuestion &Waiting : Boot.Waiting_) {
+    if (Waiting.Asker_ != Question.Asker_)
+      continue;
+    if (Waiting.Question_ != Question.Question_)
+      Waiting = Question;
+    return;
+  }
+  Boot.Waiting_.push_back(std::move(Question));
+}
+
+std::vector<BootstrapEvent> onStoreRead(Bootstrap &Boot,
+                                        const Membership &Members,
+                                        const ConfigReplica &Replica,
+                                        const StoreReadResult &Read, Now Time,
+                                        Random &Rng, Outbox &Out) {
+  std::vector<BootstrapEvent> Events;
+  Boot.ReadSince_.reset();
+  if (!Read.Number_) {
+    failRead(Boot, Time, Rng);
+    answerWaiting(Boot, Members, Replica, Read, Out);
+    return Events;
+  }
+  Boot.StoreFailed_ = false;
+  if (!Boot.FloorAt_) {
+    setFloor(Boot, FloorBasis::Store, *Read.Number_, Events);
+    Boot.NextRead_ =
+        Time.Monotonic_ +
+        uniform(Boot.Config_.MinRetryDelay_, Boot.Config_.MaxRetryDelay_, Rng);
+  }
+  checkReached(Boot, Replica, Time, Events);
+  answerWaiting(Boot, Members, Replica, Read, Out);
+  return Events;
+}
+
+bool hasFloor(const Bootstrap &Boot) { return Boot.FloorAt_.has_value(); }
+
+} // namespace sycamore
--- /dev/null
+++ b/src/ConfigReplica.cpp
@@ -0,0 +1,192 @@
+// Checks offers of tickets, heads and snapshots, and swaps the snapshot
+// pointer.
+#include "sycamore/ConfigReplica.h"
+
+#include "sycamore/Signing.h"
+
+#include <algorithm>
+#include <array>
+
+namespace sycamore {
+namespace {
+
+constexpr std::array<std::string_view, 4> OutcomeNames = {
+    "applied", "already_have", "gap", "rejected"};
+
+OfferResult finish(ConfigReplica &Replica, OfferOutcome Outcome) {
+  ConfigReplicaCounters &Counters = Replica.Counters_;
+  if (Outcome == OfferOutcome::Applied)
+    ++Counters.Applied_;
+  else if (Outcome == OfferOutcome::AlreadyHave)
+    ++Counters.AlreadyHad_;
+  else if (Outcome == OfferOutcome::Gap)
+    ++Counters.Gaps_;
+  else
+    ++Counters.Rejected_;
+  OfferResult Out;
+  Out.Outcome_ = Outcome;
+  Out.Number_ = Replica.Current_->Number_;
+  return Out;
+}
+
+OfferResult reject(ConfigReplica &Replica, std::uint64_t Number,
+                   const Error &Failure) {
+  Replica.Rejection_ = Rejection{Number, Failure};
+  OfferResult Out = finish(Replica, OfferOutcome::Rejected);
+  Out.Error_ = Failure;
+  return Out;
+}
+
+/// The error of a ticket without the signature of a known operator; nothing
+/// when no operators are configured.
+std::optional<Error> checkSignature(const ConfigReplica &Replica,
+                                    const AcceptedTicket &Accepted) {
+  const auto &Operators = Replica.Config_.Operators_;
+  if (Operators.empty() || !Replica.Config_.SignaturesForTest_)
+    return std::nullopt;
+  std::string Name = "ticket " + std::to_string(Accepted.Ticket_.Number_);
+  auto Found = Operators.find(Accepted.Approver_);
+  if (Found == Operators.end())
+    return Error{ErrorKind::PermissionDenied,
+                 Name + ": approver \"" + Accepted.Approver_ +
+                     "\" is not an operator in the settings",
+                 "add the operator's public key to the settings, or have "
+                 "another operator file and approve the change again"};
+  if (!verifyHex(Found->second, Accepted.Digest_, Accepted.Signature_))
+    return Error{ErrorKind::PermissionDenied,
+                 Name + ": the signature is not that of operator \"" +
+                     Accepted.Approver_ + "\"",
+                 "check the operator's key in the settings and the server "
+                 "that sent the ticket"};
+  return std::nullopt;
+}
+
+void keepTicket(ConfigReplica &Replica, const AcceptedTicket &Accepted) {
+  Replica.Recent_.push_back({Accepted, toJson(Accepted).dump()});
+  Replica.RecentSize_ += Replica.Recent_.back().Json_.size();
+  while (Replica.Recent_.size() > 1 &&
+         Replica.RecentSize_ > Replica.Config_.RecentBytes_) {
+    Replica.RecentSize_ -= Replica.Recent_.front().Json_.size();
+    Replica.Recent_.pop_front();
+  }
+}
+
+void swapSnapshot(ConfigReplica &Replica, Snapshot &&Next) {
+  Replica.Current_ = std::make_shared<const Snapshot>(std::move(Next));
+  Replica.Rejection_.reset();
+}
+
+void forgetRecent(ConfigReplica &Replica) {
+  Replica.Recent_.clear();
+  Replica.RecentSize_ = 0;
+}
+
+/// The first error among the signatures that a head relies on.
+std::optional<Error> checkHeadSignatures(const ConfigReplica &Replica,
+                                         const Head &Value,
+                                         const Snapshot &Start) {
+  if (&Start != Replica.Current_.get() && Start.Last_)
+    if (auto Failure = checkSignature(Replica, *Start.Last_))
+      return Failure;
+  for (const AcceptedTicket &Accepted : Value.Recent_)
+    if (Accepted.Ticket_.Number_ > Start.Number_)
+      if (auto Failure = checkSignature(Replica, Accepted))
+        return Failure;
+  return std::nullopt;
+}
+
+} // namespace
+
+std::string_view offerOutcomeName(OfferOutcome Outcome) {
+  return OutcomeNames[static_cast<std::size_t>(Outcome)];
+}
+
+ConfigReplica makeConfigReplica(ConfigReplicaConfig Config) {
+  ConfigReplica Out;
+  Out.Config_ = std::move(Config);
+  return Out;
+}
+
+OfferResult offerTicket(ConfigReplica &Replica,
+                        const AcceptedTicket &Accepted) {
+  const Snapshot &Current = *Replica.Current_;
+  std::uint64_t Number = Accepted.Ticket_.Number_;
+  if (Number <= Current.Number_)
+    return finish(Replica, OfferOutcome::AlreadyHave);
+  if (Accepted.PreviousDigest_ != Current.Digest_)
+    return finish(Replica, OfferOutcome::Gap);
+  if (auto Failure = checkSignature(Replica, Accepted))
+    return reject(Replica, Number, *Failure);
+  auto Next = applyTicket(Current, Accepted);
+  if (!Next)
+    return reject(Replica, Number, Next.error());
+  swapSnapshot(Replica, std::move(*Next));
+  keepTicket(Replica, Accepted);
+  return finish(Replica, OfferOutcome::Applied);
+}
+
+OfferResult offerHead(ConfigReplica &Replica, const Head &Value,
+                      const Snapshot *Base) {
+  SnapshotPointer Before = Replica.Current_;
+  if (Value.Number_ <= Before->Number_)
+    return finish(Replica, OfferOutcome::AlreadyHave);
+  bool FromBase = Before->Number_ < Value.BaseNumber_;
+  if (FromBase && (!Base || Base->Number_ != Value.BaseNumber_)) {
+    OfferResult Out = finish(Replica, OfferOutcome::Gap);
+    Out.BaseNeeded_ = Value.BaseNumber_;
+    return Out;
+  }
+  const Snapshot &Start = FromBase ? *Base : *Before;
+  if (auto Failure = checkHeadSignatures(Replica, Value, Start))
+    return reject(Replica, Value.Number_, *Failure);
+  auto Next = resolveHead(Value, Start);
+  if (!Next)
+    return reject(Replica, Value.Number_, Next.error());
+  if (FromBase)
+    forgetRecent(Replica);
+  for (const AcceptedTicket &Accepted : Value.Recent_)
+    if (Accepted.Ticket_.Number_ > Start.Number_)
+      keepTicket(Replica, Accepted);
+  swapSnapshot(Replica, std::move(*Next));
+  return finish(Replica, OfferOutcome::Applied);
+}
+
+OfferResult offerSnapshot(ConfigReplica &Replica, std::string_view Text,
+                          std::string_view Source) {
+  JsonLimits Limits;
+  Limits.MaxBytes_ = MaxStoreValueBytes;
+  auto Document = parseJson(Text, Source, Limits);
+  if (!Document)
+    return reject(Replica, 0, Document.error());
+  auto Next = parseSnapshot(*Document, Source);
+  if (!Next)
+    return reject(Replica, 0, Next.error());
+  if (Next->Number_ <= Replica.Current_->Number_ &&
+      Replica.Config_.MonotoneForTest_)
+    return finish(Replica, OfferOutcome::AlreadyHave);
+  if (auto Failure = checkSignature(Replica, *Next->Last_))
+    return reject(Replica, Next->Number_, *Failure);
+  AcceptedTicket Last = *Next->Last_;
+  swapSnapshot(Replica, std::move(*Next));
+  forgetRecent(Replica);
+  keepTicket(Replica, Last);
+  return finish(Replica, OfferOutcome::Applied);
+}
+
+std::optional<std::vector<std::string>>
+ticketsAfter(const ConfigReplica &Replica, std::uint64_t Number,
+             std::string_view Digest) {
+  auto First = std::find_if(Replica.Recent_.begin(), Replica.Recent_.end(),
+                            [&](const KeptTicket &Kept) {
+                              return Kept.Accepted_.PreviousDigest_ == Digest;
+                            });
+  if (First == Replica.Recent_.end() ||
+      First->Accepted_.Ticket_.Number_ <= Number)
+    return std::nullopt;
+  std::vector<std::string> Out;
+  for (; First != Replica.Recent_.end(); ++First)
+    Out.push_back(First->Json_);
+  return Out;
+}
+
+} // namespace sycamore
--- /dev/null
+++ b/src/MembershipGossip.cpp
@@ -0,0 +1,181 @@
+// Queue of changed records and the rounds of gossip that spread them.
+#include "MembershipInternal.h"
+
+#include <algorithm>
+#include <bit>
+
+namespace sycamore::membership {
+namespace {
+
+/// Records in one message; about 6 KB.
+constexpr int MaxRecords = 60;
+
+std::uint32_t logOf(std::size_t Count) {
+  return Count < 2 ? 1 : static_cast<std::uint32_t>(std::bit_width(Count - 1));
+}
+
+std::uint32_t minusRemote(std::uint32_t Limit, std::size_t Remote) {
+  auto Used = static_cast<std::uint32_t>(Remote);
+  return Limit > Used + 1 ? Limit - Used : 1;
+}
+
+bool fromHere(const Membership &Members, const GossipKey &Key) {
+  const std::string &Server =
+      Key.Kind_ == GossipKind::Target ? Key.Owner_ : Key.Name_;
+  auto Found = Members.Servers_.find(Server);
+  return Key.Kind_ == GossipKind::Quarantine ||
+         (Found != Members.Servers_.end() &&
+          Found->second.Record_.data_centre() == Members.Config_.DataCentre_);
+}
+
+/// A reader tells one reader of every other data centre, once, what happened in
+/// its own. An item is sent at most log2(servers) + GossipExtraSends_ times in
+/// all, and inside the data centre log2 of its size + GossipExtraSends_ times.
+void limitSends(const Membership &Members, const GossipKey &Key,
+                GossipItem &Item) {
+  const Overlay &Links = Members.Overlay_;
+  Item.Remote_.clear();
+  if (!Links.RemoteReaders_.empty() && fromHere(Members, Key))
+    for (const auto &[DataCentre, Names] : Links.Readers_)
+      if (DataCentre != Members.Config_.DataCentre_ && !Names.empty())
+        Item.Remote_.insert(DataCentre);
+  std::uint32_t Extra = Members.Config_.GossipExtraSends_;
+  std::uint32_t Local = logOf(Links.Ring_.size()) + Extra;
+  std::uint32_t Total = logOf(Members.Servers_.size()) + Extra;
+  Item.SendsLeft_ = std::min(Local, minusRemote(Total, Item.Remote_.size()));
+}
+
+bool addItem(Membership &Members, const GossipKey &Key, const GossipItem &Item,
+             wire::Gossip &Out) {
+  if (Key.Kind_ == GossipKind::Quarantine) {
+    *Out.add_quarantine() = Item.Mark_;
+    return true;
+  }
+  if (Key.Kind_ == GossipKind::Target) {
+    auto Found = Members.Targets_.find({Key.Name_, Key.Owner_});
+    if (Found == Members.Targets_.end())
+      return false;
+    *Out.add_targets() = Found->second.Record_;
+    return true;
+  }
+  auto Found = Members.Servers_.find(Key.Name_);
+  if (Found == Members.Servers_.end())
+    return false;
+  addServer(Found->second, true, Out);
+  return true;
+}
+
+int recordsIn(const wire::Gossip &Gossip) {
+  return Gossip.servers_size() + Gossip.targets_size() +
+         Gossip.quarantine_size();
+}
+
+void sendGossip(Membership &Members, const std::string &To,
+                wire::Gossip &&Gossip, Outbox &Out) {
+  if (recordsIn(Gossip) == 0)
+    return;
+  Members.Counters_.RecordsSent_ += recordsIn(Gossip);
+  *append(Members, Out, To).mutable_gossip() = std::move(Gossip);
+}
+
+void gossipTo(Membership &Members, const std::string &To, Outbox &Out) {
+  wire::Gossip Gossip;
+  for (auto &[Key, Item] : Members.Queue_) {
+    if (Item.SendsLeft_ == 0 || Item.Source_ == To)
+      continue;
+    if (recordsIn(Gossip) >= MaxRecords)
+      break;
+    addItem(Members, Key, Item, Gossip);
+    --Item.SendsLeft_;
+  }
+  sendGossip(Members, To, std::move(Gossip), Out);
+}
+
+void gossipAbroad(Membership &Members, const std::string &DataCentre,
+                  const std::vector<std::string> &Readers, Random &Rng,
+                  Outbox &Out) {
+  wire::Gossip Gossip;
+  for (auto &[Key, Item] : Members.Queue_)
+    if (recordsIn(Gossip) < MaxRecords && Item.Remote_.erase(DataCentre) > 0)
+      addItem(Members, Key, Item, Gossip);
+  sendGossip(Members, Readers[randomIndex(Rng, Readers.size())],
+             std::move(Gossip), Out);
+}
+
+} // namespace
+
+void enqueue(Membership &Members, const GossipKey &Key,
+             const std::string &Source) {
+  GossipItem &Item = Members.Queue_[Key];
+  Item.Source_ = Source;
+  limitSends(Members, Key, Item);
+}
+
+void noteDuplicate(Membership &Members, const GossipKey &Key) {
+  auto Found = Members.Queue_.find(Key);
+  if (Found != Members.Queue_.end() && Found->second.SendsLeft_ > 0)
+    --Found->second.SendsLeft_;
+}
+
+void tickGossip(Membership &Members, Random &Rng, Outbox &Out) {
+  if (Members.Time_.Monotonic_ < Members.NextGossip_)
+    return;
+  Members.NextGossip_ =
+      Members.Time_.Monotonic_ + Members.Config_.GossipInterval_;
+  if (Members.Queue_.empty())
+    return;
+  std::vector<std::string> Peers = Members.Overlay_.Local_;
+  for (std::uint32_t I = 0; I < Members.Config_.GossipFanout_ && !Peers.empty();
+       ++I) {
+    std::size_t Chosen = randomIndex(Rng, Peers.size());
+    gossipTo(Members, Peers[Chosen], Out);
+    Peers.erase(Peers.begin() + static_cast<std::ptrdiff_t>(Chosen));
+  }
+  if (!Members.Overlay_.RemoteReaders_.empty())
+    for (const auto &[DataCentre, Readers] : Members.Overlay_.Readers_)
+      if (DataCentre != Members.Config_.DataCentre_ && !Readers.empty())
+        gossipAbroad(Members, DataCentre, Readers, Rng, Out);
+  std::erase_if(Members.Queue_, [](const auto &Entry) {
+    return Entry.second.SendsLeft_ == 0 && Entry.second.Remote_.empty();
+  });
+}
+
+void addServer(const ServerRow &Row, bool Short, wire::Gossip &Out) {
+  wire::ServerRecord &Record = *Out.add_servers();
+  wire::ServerState State = Row.Record_.state();
+  if (!Short || State == wire::SERVER_ALIVE || State == wire::SERVER_LEAVING) {
+    Record = Row.Record_;
+    return;
+  }
+  Record.set_name(Row.Record_.name());
+  Record.set_incarnation(Row.Record_.incarnation());
+  Record.set_state(State);
+}
+
+void announceOwn(Membership &Members, Outbox &Out) {
+  wire::Gossip Gossip;
+  *Gossip.add_servers() = ownRow(Members).Record_;
+  for (const auto &[Key, Row] : Members.Targets_)
+    if (isOwn(Members, Key.second))
+      *Gossip.add_targets() = Row.Record_;
+  for (const std::string &Neighbour : neighbours(Members)) {
+    wire::Gossip Copy = Gossip;
+    sendGossip(Members, Neighbour, std::move(Copy), Out);
+  }
+}
+
+} // namespace sycamore::membership
+
+namespace sycamore {
+
+void spreadQuarantine(Membership &Members,
+                      std::span<const wire::QuarantineRecord> Marks) {
+  for (const wire::QuarantineRecord &Mark : Marks) {
+    GossipKey Key{GossipKind::Quarantine, std::to_string(Mark.fingerprint()),
+                  ""};
+    membership::enqueue(Members, Key, "");
+    Members.Queue_[Key].Mark_ = Mark;
+  }
+}
+
+} // namespace sycamore
--- /dev/null
+++ b/src/MembershipHeartbeats.cpp
@@ -0,0 +1,177 @@
+// Compact tables of heartbeat ages and tickets, so that every daemon knows how
+// old its knowledge of every other one is.
+#include "MembershipInternal.h"
+
+#include <algorithm>
+
+namespace sycamore::membership {
+namespace {
+
+constexpr Duration AgeUnit = milliseconds(10);
+constexpr std::uint32_t UnknownAge = 65535;
+
+/// Sections that arrive so soon after a freeze may have waited in a socket.
+constexpr Duration WokenTime = seconds(1);
+
+/// A message that seems to have been on its way for longer shows a wrong clock
+/// of the sender or receiver; its delay is not counted.
+constexpr Duration MaxTransit = seconds(30);
+
+using Section = std::vector<std::pair<const std::string *, const ServerRow *>>;
+
+/// The servers that are not gone, by data centre, in the order of their names.
+std::map<std::string, Section> sectionsOf(const Membership &Members) {
+  std::map<std::string, Section> Out;
+  for (const auto &[Name, Row] : Members.Servers_)
+    if (isLive(Row.Record_))
+      Out[Row.Record_.data_centre()].emplace_back(&Name, &Row);
+  return Out;
+}
+
+std::uint64_t sectionHash(const Section &Rows) {
+  std::uint64_t Hash = 0;
+  for (const auto &[Name, Row] : Rows)
+    Hash = hash64(*Name, Hash ^ Row->Record_.incarnation());
+  return Hash;
+}
+
+std::uint32_t encodeAge(const Membership &Members, const std::string &Name,
+                        const ServerRow &Row) {
+  if (isOwn(Members, Name))
+    return 0;
+  if (!Row.HeardAt_)
+    return UnknownAge;
+  Duration Age = Members.Time_.Monotonic_ - *Row.HeardAt_;
+  auto Units = (Age + AgeUnit - Duration(1)) / AgeUnit;
+  return static_cast<std::uint32_t>(
+      std::clamp<std::int64_t>(Units, 0, UnknownAge));
+}
+
+void fillSection(const Membership &Members, const std::string &DataCentre,
+                 const Section &Rows, wire::HeartbeatSection &Out) {
+  Out.set_data_centre(DataCentre);
+  Out.set_members_hash(sectionHash(Rows));
+  std::uint64_t Common = ownRow(Members).Ticket_;
+  Out.set_ticket(Common);
+  std::string &Ages = *Out.mutable_ages();
+  for (std::size_t I = 0; I < Rows.size(); ++I) {
+    const ServerRow &Row = *Rows[I].second;
+    std::uint32_t Age = encodeAge(Members, *Rows[I].first, Row);
+    Ages += static_cast<char>(Age & 255U);
+    Ages += static_cast<char>(Age >> 8U);
+    if (Age == UnknownAge ||
+        (Row.Ticket_ == Common && Row.RejectedTicket_ == 0))
+      continue;
+    for (std::uint64_t Value :
+         {static_cast<std::uint64_t>(I), Row.Ticket_, Row.RejectedTicket_})
+      Out.add_exceptions(Value);
+  }
+}
+
+wire::SyncDigest &appendTable(Membership &Members, const std::string &To,
+                              Outbox &Out) {
+  ++Members.Counters_.HeartbeatTablesSent_;
+  wire::SyncDigest &Digest = *append(Members, Out, To).mutable_sync_digest();
+  Digest.set_sent_unix_us(static_cast<std::uint64_t>(
+      Members.Time_.Wall_.time_since_epoch().count()));
+  return Digest;
+}
+
+/// How long the message may have been on its way.
+Duration transitOf(const Membership &Members, const wire::SyncDigest &Digest) {
+  if (!Members.Config_.CountTransitForTest_)
+    return Duration(0);
+  Duration Allowance = Members.Config_.TransitAllowance_;
+  Duration Measured =
+      Members.Time_.Wall_.time_since_epoch() -
+      Duration(static_cast<std::int64_t>(Digest.sent_unix_us()));
+  return Measured > MaxTransit ? Allowance : std::max(Allowance, Measured);
+}
+
+/// Takes what the section knows later than this daemon.
+void useSection(Membership &Members, const wire::HeartbeatSection &From,
+                const Section &Rows, Duration Transit) {
+  std::map<std::uint64_t, std::pair<std::uint64_t, std::uint64_t>> Exceptions;
+  for (int I = 0; I + 2 < From.exceptions_size(); I += 3)
+    Exceptions[From.exceptions(I)] = {From.exceptions(I + 1),
+                                      From.exceptions(I + 2)};
+  for (std::size_t I = 0; I < Rows.size(); ++I) {
+    auto Low = static_cast<unsigned char>(From.ages()[2 * I]);
+    auto High = static_cast<unsigned char>(From.ages()[2 * I + 1]);
+    std::uint32_t Units = Low | static_cast<std::uint32_t>(High) << 8U;
+    if (Units == UnknownAge || isOwn(Members, *Rows[I].first))
+      continue;
+    TimePoint HeardAt = Members.Time_.Monotonic_ - Units * AgeUnit - Transit;
+    ServerRow &Row = Members.Servers_.at(*Rows[I].first);
+    if (Row.HeardAt_ && *Row.HeardAt_ >= HeardAt)
+      continue;
+    Row.HeardAt_ = HeardAt;
+    auto Exception = Exceptions.find(I);
+    bool Common = Exception == Exceptions.end();
+    Row.Ticket_ = Common ? From.ticket() : Exception->second.first;
+    Row.RejectedTicket_ = Common ? 0 : Exception->second.second;
+    Row.HighestTicket_ = std::max(Row.HighestTicket_, Row.Ticket_);
+  }
+}
+
+/// Sends the own section to one reader of every other data centre; all readers
+/// are linked, so the other sections need not go this way.
+void sendAbroad(Membership &Members, const Section &Own, Outbox &Out) {
+  if (Members.Overlay_.RemoteReaders_.empty())
+    return;
+  const std::string &DataCentre = Members.Config_.DataCentre_;
+  for (const auto &[Remote, Readers] : Members.Overlay_.Readers_) {
+    if (Remote == DataCentre || Readers.empty())
+      continue;
+    auto Chosen =
+        static_cast<std::size_t>(Members.HeartbeatRound_) % Readers.size();
+    fillSection(Members, DataCentre, Own,
+                *appendTable(Members, Readers[Chosen], Out).add_heartbeats());
+  }
+}
+
+} // namespace
+
+void tickHeartbeats(Membership &Members, Outbox &Out) {
+  // In each interval all daemons of a data centre send at the same distance of
+  // the ring. After log2(n) intervals the distances 1, 2, 4 ... have carried
+  // every heartbeat to every daemon. The time of day only aligns the rounds.
+  Duration Interval = Members.Config_.HeartbeatInterval_;
+  Duration Offset(
+      static_cast<std::int64_t>(ownRow(Members).RingHash_ %
+                                static_cast<std::uint64_t>(Interval.count())));
+  std::int64_t Round =
+      (Members.Time_.Wall_.time_since_epoch() - Offset) / Interval;
+  if (Round == Members.HeartbeatRound_)
+    return;
+  Members.HeartbeatRound_ = Round;
+  const std::vector<std::string> &Ahead = Members.Overlay_.Ahead_;
+  std::map<std::string, Section> Sections = sectionsOf(Members);
+  if (!Ahead.empty()) {
+    wire::SyncDigest &Digest = appendTable(
+        Members, Ahead[static_cast<std::size_t>(Round) % Ahead.size()], Out);
+    for (const auto &[DataCentre, Rows] : Sections)
+      fillSection(Members, DataCentre, Rows, *Digest.add_heartbeats());
+  }
+  sendAbroad(Members, Sections[Members.Config_.DataCentre_], Out);
+}
+
+void receiveHeartbeats(Membership &Members, const wire::SyncDigest &Digest) {
+  if (Digest.heartbeats().empty() ||
+      Members.Time_.Monotonic_ - Members.WokeAt_ < WokenTime)
+    return;
+  std::map<std::string, Section> Sections = sectionsOf(Members);
+  Duration Transit = transitOf(Members, Digest);
+  for (const wire::HeartbeatSection &From : Digest.heartbeats()) {
+    const Section &Rows = Sections[From.data_centre()];
+    if (sectionHash(Rows) != From.members_hash() ||
+        From.ages().size() != 2 * Rows.size()) {
+      ++Members.Counters_.HeartbeatSectionsIgnored_;
+      continue;
+    }
+    useSection(Members, From, Rows, Transit);
+    ++Members.Counters_.HeartbeatSectionsUsed_;
+  }
+}
+
+} // namespace sycamore::membership
--- /dev/null
+++ b/src/MembershipProbes.cpp
@@ -0,0 +1,155 @@
+// Probes of the successors on the ring, directly and through other servers.
+#include "MembershipInternal.h"
+
+#include <algorithm>
+
+namespace sycamore::membership {
+namespace {
+
+/// A probe on behalf of another server is forgotten after this time.
+constexpr Duration OnBehalfTime = seconds(3);
+
+std::vector<std::string> successors(const Membership &Members) {
+  const std::vector<std::string> &Ring = Members.Overlay_.Ring_;
+  auto Own = std::find(Ring.begin(), Ring.end(), Members.Config_.Name_);
+  auto Position = static_cast<std::size_t>(Own - Ring.begin());
+  std::vector<std::string> Out;
+  std::size_t Count = std::min<std::size_t>(Members.Config_.ProbeSuccessors_,
+                                            Ring.empty() ? 0 : Ring.size() - 1);
+  for (std::size_t I = 1; I <= Count; ++I)
+    Out.push_back(Ring[(Position + I) % Ring.size()]);
+  return Out;
+}
+
+void sendProbe(Membership &Members, const std::string &To,
+               std::uint64_t Sequence, Outbox &Out) {
+  append(Members, Out, To).mutable_probe()->set_sequence(Sequence);
+  ++Members.Counters_.ProbesSent_;
+}
+
+void suspect(Membership &Members, const std::string &Name,
+             MergeContext &Context) {
+  ServerRow &Row = Members.Servers_.at(Name);
+  if (Row.Record_.state() != wire::SERVER_ALIVE &&
+      Row.Record_.state() != wire::SERVER_LEAVING)
+    return;
+  Row.Record_.set_state(wire::SERVER_SUSPECT);
+  Row.StateSince_ = Context.Time_.Monotonic_;
+  ++Members.Counters_.Suspicions_;
+  Context.Events_.push_back({MembershipEventKind::ServerSuspect, Name});
+  enqueue(Members, {GossipKind::Server, Name, ""}, "");
+}
+
+/// Closes the round of one successor and starts the next.
+void nextRound(Membership &Members, const std::string &Name,
+               MergeContext &Context, Outbox &Out) {
+  ProbeState &State = Members.Probes_[Name];
+  if (State.Answered_) {
+    State.FailedRounds_ = 0;
+  } else {
+    ++State.FailedRounds_;
+    ++Members.Counters_.ProbeRoundsFailed_;
+  }
+  if (State.FailedRounds_ >= Members.Config_.FailedRounds_)
+    suspect(Members, Name, Context);
+  const ServerRow &Row = Members.Servers_.at(Name);
+  // The suspect hears of it directly, because only it can refute.
+  if (Row.Record_.state() == wire::SERVER_SUSPECT)
+    addServer(Row, true, *append(Members, Out, Name).mutable_gossip());
+  State.Sequence_ = Members.NextSequence_++;
+  State.SentAt_ = Context.Time_.Monotonic_;
+  State.Answered_ = State.Indirect_ = false;
+  sendProbe(Members, Name, State.Sequence_, Out);
+}
+
+void probeIndirectly(Membership &Members, const std::string &Name,
+                     const ProbeState &State, Random &Rng, Outbox &Out) {
+  std::vector<std::string> Helpers = Members.Overlay_.Local_;
+  std::erase(Helpers, Name);
+  for (std::uint32_t I = 0;
+       I < Members.Config_.IndirectProbes_ && !Helpers.empty(); ++I) {
+    std::size_t Chosen = randomIndex(Rng, Helpers.size());
+    wire::IndirectProbe &Probe =
+        *append(Members, Out, Helpers[Chosen]).mutable_indirect_probe();
+    Probe.set_sequence(State.Sequence_);
+    Probe.set_server(Name);
+    ++Members.Counters_.IndirectProbesSent_;
+    Helpers.erase(Helpers.begin() + static_cast<std::ptrdiff_t>(Chosen));
+  }
+}
+
+void startRounds(Membership &Members, MergeContext &Context, Outbox &Out) {
+  std::vector<std::string> Wanted = successors(Members);
+  std::erase_if(Members.Probes_, [&](const auto &Item) {
+    return std::find(Wanted.begin(), Wanted.end(), Item.first) == Wanted.end();
+  });
+  for (const std::string &Name : Wanted) {
+    auto Found = Members.Servers_.find(Name);
+    if (Found != Members.Servers_.end() && isLive(Found->second.Record_))
+      nextRound(Members, Name, Context, Out);
+  }
+  std::erase_if(Members.OnBehalf_, [&](const auto &Item) {
+    return Context.Time_.Monotonic_ - Item.second.At_ >= OnBehalfTime;
+  });
+}
+
+} // namespace
+
+void tickProbes(Membership &Members, MergeContext &Context, Random &Rng,
+                Outbox &Out) {
+  TimePoint Time = Context.Time_.Monotonic_;
+  if (Time >= Members.NextProbe_) {
+    Members.NextProbe_ = Time + Members.Config_.ProbeInterval_;
+    startRounds(Members, Context, Out);
+  }
+  for (auto &[Name, State] : Members.Probes_) {
+    if (State.Answered_ || State.Indirect_ ||
+        Time - State.SentAt_ < Members.Config_.ProbeTimeout_)
+      continue;
+    State.Indirect_ = true;
+    if (Members.Config_.IndirectForTest_)
+      probeIndirectly(Members, Name, State, Rng, Out);
+  }
+}
+
+void receiveProbe(Membership &Members, const wire::PeerMessage &Message,
+                  Outbox &Out) {
+  append(Members, Out, Message.sender())
+      .mutable_probe_ack()
+      ->set_sequence(Message.probe().sequence());
+}
+
+void receiveIndirectProbe(Membership &Members, const wire::PeerMessage &Message,
+                          Outbox &Out) {
+  const wire::IndirectProbe &Probe = Message.indirect_probe();
+  if (!Members.Servers_.contains(Probe.server()))
+    return;
+  std::uint64_t Sequence = Members.NextSequence_++;
+  Members.OnBehalf_[Sequence] = {Message.sender(), Probe.sequence(),
+                                 Probe.server(), Members.Time_.Monotonic_};
+  sendProbe(Members, Probe.server(), Sequence, Out);
+}
+
+void receiveProbeAck(Membership &Members, const wire::PeerMessage &Message,
+                     Outbox &Out) {
+  const wire::ProbeAck &Ack = Message.probe_ack();
+  auto Asked = Members.OnBehalf_.find(Ack.sequence());
+  if (Asked != Members.OnBehalf_.end() &&
+      Asked->second.Server_ == Message.sender()) {
+    wire::ProbeAck &Forward =
+        *append(Members, Out, Asked->second.Asker_).mutable_probe_ack();
+    Forward.set_sequence(Asked->second.AskerSequence_);
+    Forward.set_server(Message.sender());
+    Forward.set_incarnation(Message.incarnation());
+    Members.OnBehalf_.erase(Asked);
+    return;
+  }
+  const std::string &Name =
+      Ack.server().empty() ? Message.sender() : Ack.server();
+  auto Found = Members.Probes_.find(Name);
+  if (Found != Members.Probes_.end() &&
+      Found->second.Sequence_ == Ack.sequence())
+    Found->second.Answered_ = true;
+}
+
+} // namespace sycamore::membership
--- /dev/null
+++ b/src/MembershipSync.cpp
@@ -0,0 +1,276 @@
+// Anti-entropy: compares hashes of the tables and repairs what differs.
+#include "MembershipInternal.h"
+
+#include <algorithm>
+#include <array>
+
+namespace sycamore::membership {
+namespace {
+
+constexpr std::size_t BucketCount = 64;
+
+/// Records in one message of a whole table; about 6 KB.
+constexpr int MaxRecords = 60;
+
+/// Least time between two repairs with the same peer.
+constexpr Duration RepairGap = seconds(1);
+
+/// Least time between two requests of a daemon that has no table yet.
+constexpr Duration JoinInterval = seconds(1);
+
+using BucketHashes = std::array<std::uint32_t, BucketCount>;
+
+std::size_t bucketOf(std::string_view Server) {
+  return hash64(Server) % BucketCount;
+}
+
+/// Suspicion is not part of the hash: it is settled within seconds.
+std::uint32_t serverHash(const wire::ServerRecord &Record) {
+  bool Live = isLive(Record);
+  std::uint64_t Seed = hash64(Live ? "live" : "gone", Record.incarnation());
+  return static_cast<std::uint32_t>(
+      hash64(Record.name(), Live ? Seed + Record.version() : Seed));
+}
+
+std::uint32_t targetHash(const wire::TargetRecord &Record) {
+  std::uint64_t Seed = hash64(Record.name(), Record.incarnation());
+  return static_cast<std::uint32_t>(
+      hash64(Record.server(), Seed + Record.version()));
+}
+
+/// Whether a target counts in the hash of the table. What is gone does not,
+/// because daemons forget it at different times.
+bool isLiveTarget(const Membership &Members, const wire::TargetRecord &Record) {
+  auto Owner = Members.Servers_.find(Record.server());
+  return !Record.gone() && Owner != Members.Servers_.end() &&
+         isLive(Owner->second.Record_);
+}
+
+BucketHashes serverBuckets(const Membership &Members) {
+  BucketHashes Out{};
+  for (const auto &[Name, Row] : Members.Servers_)
+    if (isLive(Row.Record_))
+      Out[bucketOf(Name)] ^= serverHash(Row.Record_);
+  return Out;
+}
+
+BucketHashes targetBuckets(const Membership &Members) {
+  BucketHashes Out{};
+  for (const auto &[Key, Row] : Members.Targets_)
+    if (isLiveTarget(Members, Row.Record_))
+      Out[bucketOf(Key.second)] ^= targetHash(Row.Record_);
+  return Out;
+}
+
+std::string toBytes(const BucketHashes &Buckets) {
+  std::string Out;
+  for (std::uint32_t Hash : Buckets)
+    for (unsigned Shift = 0; Shift < 32; Shift += 8)
+      Out += static_cast<char>((Hash >> Shift) & 255U);
+  return Out;
+}
+
+std::uint64_t tableHash(const BucketHashes &Buckets) {
+  return hash64(toBytes(Buckets));
+}
+
+/// Positions whose hashes differ from those received.
+std::vector<std::uint32_t> differing(const BucketHashes &Own,
+                                     const std::string &Received) {
+  std::vector<std::uint32_t> Out;
+  std::string Bytes = toBytes(Own);
+  if (Received.size() != Bytes.size())
+    return Out;
+  for (std::uint32_t I = 0; I < BucketCount; ++I)
+    if (Bytes.compare(4 * I, 4, Received, 4 * I, 4) != 0)
+      Out.push_back(I);
+  return Out;
+}
+
+using Positions = google::protobuf::RepeatedField<std::uint32_t>;
+
+bool contains(const Positions &Buckets, std::size_t Bucket) {
+  return std::find(Buckets.begin(), Buckets.end(), Bucket) != Buckets.end();
+}
+
+void addRecordHashes(const Membership &Members, wire::SyncDigest &Digest) {
+  for (const auto &[Name, Row] : Members.Servers_)
+    if (contains(Digest.differing_servers(), bucketOf(Name)))
+      Digest.add_record_hashes(serverHash(Row.Record_));
+  for (const auto &[Key, Row] : Members.Targets_)
+    if (contains(Digest.differing_targets(), bucketOf(Key.second)))
+      Digest.add_record_hashes(targetHash(Row.Record_));
+}
+
+/// Collects records into messages of limited size.
+struct RecordSender {
+  Membership &Members_;
+  const std::string &To_;
+  Outbox &Out_;
+  wire::Gossip *Gossip_ = nullptr;
+
+  wire::Gossip &next() {
+    if (!Gossip_ ||
+        Gossip_->servers_size() + Gossip_->targets_size() >= MaxRecords)
+      Gossip_ = append(Members_, Out_, To_).mutable_gossip();
+    ++Members_.Counters_.RecordsSent_;
+    return *Gossip_;
+  }
+};
+
+/// Sends the records of the differing buckets that the peer lacks.
+void sendMissing(Membership &Members, const std::string &To,
+                 const wire::SyncDigest &Digest, Outbox &Out) {
+  std::set<std::uint32_t> Theirs(Digest.record_hashes().begin(),
+                                 Digest.record_hashes().end());
+  RecordSender Sender{Members, To, Out};
+  for (const auto &[Name, Row] : Members.Servers_)
+    if (contains(Digest.differing_servers(), bucketOf(Name)) &&
+        !Theirs.contains(serverHash(Row.Record_)))
+      addServer(Row, !isLive(Row.Record_), Sender.next());
+  for (const auto &[Key, Row] : Members.Targets_)
+    if (contains(Digest.differing_targets(), bucketOf(Key.second)) &&
+        !Theirs.contains(targetHash(Row.Record_)))
+      *Sender.next().add_targets() = Row.Record_;
+}
+
+void sendTable(Membership &Members, const std::string &To, Outbox &Out) {
+  RecordSender Sender{Members, To, Out};
+  for (const auto &[Name, Row] : Members.Servers_)
+    if (isLive(Row.Record_))
+      addServer(Row, false, Sender.next());
+  for (const auto &[Key, Row] : Members.Targets_)
+    if (isLiveTarget(Members, Row.Record_))
+      *Sender.next().add_targets() = Row.Record_;
+  sendDigest(Members, To, Out);
+}
+
+bool mayRepair(Membership &Members, const std::string &Peer) {
+  TimePoint &Last = Members.RepairedAt_[Peer];
+  if (Last != TimePoint{} && Members.Time_.Monotonic_ - Last < RepairGap)
+    return false;
+  Last = Members.Time_.Monotonic_;
+  ++Members.Counters_.Repairs_;
+  return true;
+}
+
+void compareHashes(Membership &Members, const wire::PeerMessage &Message,
+                   Outbox &Out) {
+  const wire::SyncDigest &Digest = Message.sync_digest();
+  Members.Joined_ = true;
+  BucketHashes Servers = serverBuckets(Members);
+  BucketHashes Targets = targetBuckets(Members);
+  if ((tableHash(Servers) == Digest.servers_hash() &&
+       tableHash(Targets) == Digest.targets_hash()) ||
+      !mayRepair(Members, Message.sender()))
+    return;
+  wire::SyncDigest &Answer =
+      *append(Members, Out, Message.sender()).mutable_sync_digest();
+  Answer.set_server_buckets(toBytes(Servers));
+  Answer.set_target_buckets(toBytes(Targets));
+}
+
+void compareBuckets(const Membership &Members, const wire::PeerMessage &Message,
+                    Outbox &Out) {
+  const wire::SyncDigest &Digest = Message.sync_digest();
+  std::vector<std::uint32_t> Servers =
+      differing(serverBuckets(Members), Digest.server_buckets());
+  std::vector<std::uint32_t> Targets =
+      differing(targetBuckets(Members), Digest.target_buckets());
+  if (Servers.empty() && Targets.empty())
+    return;
+  wire::SyncDigest &Answer =
+      *append(Members, Out, Message.sender()).mutable_sync_digest();
+  Answer.mutable_differing_servers()->Assign(Servers.begin(), Servers.end());
+  Answer.mutable_differing_targets()->Assign(Targets.begin(), Targets.end());
+  addRecordHashes(Members, Answer);
+}
+
+void exchangeRecords(Membership &Members, const wire::PeerMessage &Message,
+                     Outbox &Out) {
+  const wire::SyncDigest &Digest = Message.sync_digest();
+  sendMissing(Members, Message.sender(), Digest, Out);
+  if (Digest.reply())
+    return;
+  wire::SyncDigest &Answer =
+      *append(Members, Out, Message.sender()).mutable_sync_digest();
+  *Answer.mutable_differing_servers() = Digest.differing_servers();
+  *Answer.mutable_differing_targets() = Digest.differing_targets();
+  Answer.set_reply(true);
+  addRecordHashes(Members, Answer);
+}
+
+/// Names of other servers that Wanted accepts.
+template <typename Predicate>
+std::vector<std::string> otherServers(const Membership &Members,
+                                      Predicate Wanted) {
+  std::vector<std::string> Out;
+  for (const auto &[Name, Row] : Members.Servers_)
+    if (!isOwn(Members, Name) && Wanted(Row.Record_))
+      Out.push_back(Name);
+  return Out;
+}
+
+void digestToOneOf(const Membership &Members,
+                   const std::vector<std::string> &Peers, Random &Rng,
+                   Outbox &Out) {
+  if (!Peers.empty())
+    sendDigest(Members, Peers[randomIndex(Rng, Peers.size())], Out);
+}
+
+void askForTable(Membership &Members, Random &Rng, Outbox &Out) {
+  std::vector<std::string> Peers = Members.Overlay_.Local_;
+  if (Peers.empty())
+    Peers = otherServers(Members, isLive);
+  if (Peers.empty())
+    return;
+  const std::string &To = Peers[randomIndex(Rng, Peers.size())];
+  addServer(ownRow(Members), false, *append(Members, Out, To).mutable_gossip());
+  append(Members, Out, To).mutable_sync_digest()->set_want_all(true);
+}
+
+} // namespace
+
+void sendDigest(const Membership &Members, const std::string &To, Outbox &Out) {
+  wire::SyncDigest &Digest = *append(Members, Out, To).mutable_sync_digest();
+  Digest.set_servers_hash(tableHash(serverBuckets(Members)));
+  Digest.set_targets_hash(tableHash(targetBuckets(Members)));
+}
+
+void tickSync(Membership &Members, Random &Rng, Outbox &Out) {
+  TimePoint Time = Members.Time_.Monotonic_;
+  if (Time < Members.NextSync_)
+    return;
+  if (!Members.Joined_) {
+    Members.NextSync_ = Time + jittered(JoinInterval, Rng);
+    askForTable(Members, Rng, Out);
+    return;
+  }
+  Members.NextSync_ = Time + jittered(Members.Config_.SyncInterval_, Rng);
+  digestToOneOf(Members, Members.Overlay_.Local_, Rng, Out);
+  digestToOneOf(Members, Members.Overlay_.RemoteReaders_, Rng, Out);
+  // A server that was declared dead may only have been cut off; nobody else
+  // would speak to it first.
+  digestToOneOf(Members,
+                otherServers(Members,
+                             [](const wire::ServerRecord &Record) {
+                               return Record.state() == wire::SERVER_DEAD;
+                             }),
+                Rng, Out);
+}
+
+void receiveSync(Membership &Members, const wire::PeerMessage &Message,
+                 Outbox &Out) {
+  const wire::SyncDigest &Digest = Message.sync_digest();
+  if (Digest.want_all())
+    sendTable(Members, Message.sender(), Out);
+  if (Digest.servers_hash() != 0)
+    compareHashes(Members, Message, Out);
+  if (!Digest.server_buckets().empty())
+    compareBuckets(Members, Message, Out);
+  if (!Digest.differing_servers().empty() ||
+      !Digest.differing_targets().empty())
+    exchangeRecords(Members, Message, Out);
+}
+
+} // namespace sycamore::membership
--- /dev/null
+++ b/src/MembershipTables.cpp
@@ -0,0 +1,342 @@
+// Merges records into the tables, runs their timers and derives the overlay.
+#include "MembershipInternal.h"
+
+#include <algorithm>
+#include <array>
+
+namespace sycamore::membership {
+namespace {
+
+constexpr Duration ScanInterval = milliseconds(100);
+
+/// Within one incarnation a claim of higher rank replaces one of lower rank;
+/// only the server itself can go back, with a higher incarnation.
+int rankOf(wire::ServerState State) {
+  constexpr std::array<int, 5> Ranks = {0, 2, 1, 4, 3};
+  auto Index = static_cast<std::size_t>(State);
+  return Index < Ranks.size() ? Ranks[Index] : 0;
+}
+
+MembershipEventKind eventOf(wire::ServerState State) {
+  switch (State) {
+  case wire::SERVER_SUSPECT:
+    return MembershipEventKind::ServerSuspect;
+  case wire::SERVER_LEAVING:
+    return MembershipEventKind::ServerLeaving;
+  case wire::SERVER_LEFT:
+    return MembershipEventKind::ServerLeft;
+  case wire::SERVER_DEAD:
+    return MembershipEventKind::ServerDead;
+  default:
+    return MembershipEventKind::ServerAlive;
+  }
+}
+
+void changed(Membership &Members, const std::string &Name,
+             MembershipEventKind Kind, MergeContext &Context) {
+  Context.Events_.push_back({Kind, Name});
+  enqueue(Members, {GossipKind::Server, Name, ""}, Context.Source_);
+}
+
+/// A short record (of a suspect or of one that is gone) carries no address.
+bool isShort(const wire::ServerRecord &Record) {
+  return Record.data_centre().empty();
+}
+
+void eraseTargetsBelow(Membership &Members, const std::string &Server,
+                       std::uint64_t Started) {
+  std::erase_if(Members.Targets_, [&](const auto &Item) {
+    return Item.first.second == Server &&
+           Item.second.Record_.incarnation() < Started;
+  });
+}
+
+void mergeOwn(Membership &Members, const wire::ServerRecord &Record,
+              MergeContext &Context) {
+  const wire::ServerRecord &Own = ownRow(Members).Record_;
+  if (!Members.Config_.RefuteForTest_)
+    return;
+  bool EarlierLife = Record.incarnation() > Own.incarnation() ||
+                     (Record.incarnation() == Own.incarnation() &&
+                      Record.version() > Own.version());
+  bool Accused = Record.incarnation() == Own.incarnation() &&
+                 rankOf(Record.state()) > rankOf(Own.state());
+  if (EarlierLife || Accused)
+    raiseOwnIncarnation(Members, Record.incarnation(), EarlierLife, Context);
+}
+
+void addNewServer(Membership &Members, const wire::ServerRecord &Record,
+                  MergeContext &Context) {
+  // A record of someone who is gone matters only where the living one is known;
+  // otherwise it would travel for ever between tables that expire it at
+  // different times.
+  if (isShort(Record) || !isLive(Record)) {
+    ++Members.Counters_.RecordsIgnored_;
+    return;
+  }
+  ServerRow Row;
+  Row.Record_ = Record;
+  Row.RingHash_ = hash64(Record.name());
+  Row.StateSince_ = Context.Time_.Monotonic_;
+  Members.Servers_.emplace(Record.name(), std::move(Row));
+  Members.OverlayStale_ = true;
+  changed(Members, Record.name(), MembershipEventKind::ServerJoined, Context);
+}
+
+/// A record with a higher incarnation replaces all, but what a short record
+/// does not carry.
+void replaceServer(Membership &Members, ServerRow &Row,
+                   const wire::ServerRecord &Record, MergeContext &Context) {
+  std::string Name = Record.name();
+  if (isShort(Record)) {
+    Row.Record_.set_incarnation(Record.incarnation());
+    Row.Record_.set_state(Record.state());
+    // The content is that of an older incarnation; any full record replaces it.
+    Row.Record_.set_version(0);
+  } else {
+    if (Record.started() != Row.Record_.started()) {
+      Row.HeardAt_.reset();
+      Row.Ticket_ = Row.RejectedTicket_ = 0;
+      eraseTargetsBelow(Members, Name, Record.started());
+    }
+    Row.Record_ = Record;
+  }
+  Row.StateSince_ = Context.Time_.Monotonic_;
+  Members.OverlayStale_ = true;
+  changed(Members, Name, eventOf(Record.state()), Context);
+}
+
+/// The same incarnation: state by rank, content by version.
+void updateServer(Membership &Members, ServerRow &Row,
+                  const wire::ServerRecord &Record, MergeContext &Context) {
+  wire::ServerState Before = Row.Record_.state();
+  bool Higher = rankOf(Record.state()) > rankOf(Before);
+  bool Newer = Record.version() > Row.Record_.version() && !isShort(Record);
+  if (!Higher && !Newer) {
+    ++Members.Counters_.RecordsIgnored_;
+    if (Record.state() == Before &&
+        (isShort(Record) || Record.version() == Row.Record_.version()))
+      noteDuplicate(Members, {GossipKind::Server, Record.name(), ""});
+    return;
+  }
+  if (Newer)
+    Row.Record_ = Record;
+  Row.Record_.set_state(Higher ? Record.state() : Before);
+  if (Higher) {
+    Row.StateSince_ = Context.Time_.Monotonic_;
+    Members.OverlayStale_ = true;
+  }
+  changed(Members, Record.name(), eventOf(Row.Record_.state()), Context);
+}
+
+/// The owner alone changes its targets, so a record about an own target that
+/// differs can only stem from an earlier process of this name.
+void mergeOwnTarget(Membership &Members, const wire::TargetRecord &Record,
+                    MergeContext &Context) {
+  const wire::ServerRecord &Own = ownRow(Members).Record_;
+  if (Record.incarnation() < Own.started())
+    return;
+  auto Found = Members.Targets_.find({Record.name(), Record.server()});
+  bool Known = Found != Members.Targets_.end() &&
+               std::pair(Found->second.Record_.incarnation(),
+                         Found->second.Record_.version()) >=
+                   std::pair(Record.incarnation(), Record.version());
+  if (!Known)
+    raiseOwnIncarnation(Members,
+                        std::max(Own.incarnation(), Record.incarnation()), true,
+                        Context);
+}
+
+void expireServers(Membership &Members, MergeContext &Context) {
+  TimePoint Time = Context.Time_.Monotonic_;
+  for (auto Item = Members.Servers_.begin(); Item != Members.Servers_.end();) {
+    ServerRow &Row = Item->second;
+    Duration Age = Time - Row.StateSince_;
+    if (Row.Record_.state() == wire::SERVER_SUSPECT &&
+        Age >= Members.Config_.SuspicionTime_) {
+      Row.Record_.set_state(wire::SERVER_DEAD);
+      Row.StateSince_ = Time;
+      Members.OverlayStale_ = true;
+      ++Members.Counters_.Deaths_;
+      changed(Members, Item->first, MembershipEventKind::ServerDead, Context);
+    }
+    bool Expired = !isLive(Row.Record_) && !isOwn(Members, Item->first) &&
+                   (Age >= Members.Config_.GoneRetention_ ||
+                    !Members.Config_.KeepGoneForTest_);
+    if (!Expired) {
+      ++Item;
+      continue;
+    }
+    eraseTargetsBelow(Members, Item->first, UINT64_MAX);
+    Members.CorrectedAt_.erase(Item->first);
+    Members.RepairedAt_.erase(Item->first);
+    Item = Members.Servers_.erase(Item);
+    Members.OverlayStale_ = true;
+  }
+}
+
+void expireTargets(Membership &Members, TimePoint Time) {
+  std::erase_if(Members.Targets_, [&](const auto &Item) {
+    const TargetRow &Row = Item.second;
+    return Row.Record_.gone() && !isOwn(Members, Item.first.second) &&
+           (Time - Row.Since_ >= Members.Config_.GoneRetention_ ||
+            !Members.Config_.KeepGoneForTest_);
+  });
+}
+
+} // namespace
+
+void raiseOwnIncarnation(Membership &Members, std::uint64_t Above, bool NewLife,
+                         MergeContext &Context) {
+  ServerRow &Own = ownRow(Members);
+  auto Wall = static_cast<std::uint64_t>(
+      Context.Time_.Wall_.time_since_epoch().count());
+  std::uint64_t Raised = std::max(Above + 1, Wall);
+  Own.Record_.set_incarnation(Raised);
+  Own.Record_.set_version(Own.Record_.version() + 1);
+  ++Members.Counters_.Refutations_;
+  Context.Events_.push_back(
+      {MembershipEventKind::OwnIncarnationRaised, Members.Config_.Name_});
+  enqueue(Members, {GossipKind::Server, Members.Config_.Name_, ""}, "");
+  if (!NewLife)
+    return;
+  Own.Record_.set_started(Raised);
+  for (auto &[Key, Row] : Members.Targets_) {
+    if (!isOwn(Members, Key.second))
+      continue;
+    Row.Record_.set_incarnation(Raised);
+    enqueue(Members, {GossipKind::Target, Key.first, Key.second}, "");
+  }
+}
+
+void mergeServer(Membership &Members, const wire::ServerRecord &Record,
+                 MergeContext &Context) {
+  if (Record.name().empty())
+    return;
+  if (isOwn(Members, Record.name())) {
+    mergeOwn(Members, Record, Context);
+    return;
+  }
+  auto Found = Members.Servers_.find(Record.name());
+  if (Found == Members.Servers_.end()) {
+    addNewServer(Members, Record, Context);
+    return;
+  }
+  ServerRow &Row = Found->second;
+  if (Record.incarnation() > Row.Record_.incarnation())
+    replaceServer(Members, Row, Record, Context);
+  else if (Record.incarnation() == Row.Record_.incarnation())
+    updateServer(Members, Row, Record, Context);
+  else
+    ++Members.Counters_.RecordsIgnored_;
+}
+
+void mergeTarget(Membership &Members, const wire::TargetRecord &Record,
+                 MergeContext &Context) {
+  if (Record.name().empty() || Record.server().empty())
+    return;
+  if (isOwn(Members, Record.server()) && Members.Config_.OwnerOnlyForTest_) {
+    mergeOwnTarget(Members, Record, Context);
+    return;
+  }
+  auto Owner = Members.Servers_.find(Record.server());
+  TargetKey Key{Record.name(), Record.server()};
+  auto Found = Members.Targets_.find(Key);
+  bool Refused = Owner == Members.Servers_.end() ||
+                 (Record.incarnation() < Owner->second.Record_.started() &&
+                  Members.Config_.OwnerOnlyForTest_) ||
+                 (Record.gone() && Found == Members.Targets_.end());
+  auto Order = std::pair(Record.incarnation(), Record.version());
+  if (!Refused && Found != Members.Targets_.end()) {
+    const wire::TargetRecord &Known = Found->second.Record_;
+    auto KnownOrder = std::pair(Known.incarnation(), Known.version());
+    Refused = Order <= KnownOrder;
+    if (Order == KnownOrder)
+      noteDuplicate(Members, {GossipKind::Target, Key.first, Key.second});
+  }
+  if (Refused) {
+    ++Members.Counters_.RecordsIgnored_;
+    return;
+  }
+  Members.Targets_[Key] = TargetRow{Record, Context.Time_.Monotonic_};
+  Context.Events_.push_back(
+      {MembershipEventKind::TargetChanged, Record.name()});
+  enqueue(Members, {GossipKind::Target, Key.first, Key.second},
+          Context.Source_);
+}
+
+void scanTables(Membership &Members, MergeContext &Context) {
+  if (Context.Time_.Monotonic_ < Members.NextScan_)
+    return;
+  Members.NextScan_ = Context.Time_.Monotonic_ + ScanInterval;
+  expireServers(Members, Context);
+  expireTargets(Members, Context.Time_.Monotonic_);
+  if (Members.OverlayStale_)
+    refreshOverlay(Members);
+}
+
+namespace {
+
+/// The servers that rank first for a data centre by rendezvous hash.
+void rankReaders(const Membership &Members, Overlay &Out) {
+  std::map<std::string, std::vector<std::pair<std::uint64_t, std::string>>>
+      Ranked;
+  for (const auto &[Name, Row] : Members.Servers_)
+    if (isLive(Row.Record_) && Row.Record_.state() != wire::SERVER_LEAVING)
+      Ranked[Row.Record_.data_centre()].emplace_back(
+          hash64(Name, hash64(Row.Record_.data_centre())), Name);
+  for (auto &[DataCentre, Scores] : Ranked) {
+    std::size_t Count = std::min<std::size_t>(
+        Members.Config_.ReadersPerDataCentre_, Scores.size());
+    std::partial_sort(Scores.begin(),
+                      Scores.begin() + static_cast<std::ptrdiff_t>(Count),
+                      Scores.end(), std::greater<>());
+    for (std::size_t I = 0; I < Count; ++I)
+      Out.Readers_[DataCentre].push_back(Scores[I].second);
+  }
+}
+
+void buildRing(const Membership &Members, Overlay &Out) {
+  std::vector<std::pair<std::uint64_t, std::string>> Ring;
+  for (const auto &[Name, Row] : Members.Servers_)
+    if ((isLive(Row.Record_) || isOwn(Members, Name)) &&
+        Row.Record_.data_centre() == Members.Config_.DataCentre_)
+      Ring.emplace_back(Row.RingHash_, Name);
+  std::sort(Ring.begin(), Ring.end());
+  for (auto &[Hash, Name] : Ring)
+    Out.Ring_.push_back(std::move(Name));
+}
+
+void linkRing(const Membership &Members, Overlay &Out) {
+  std::size_t Size = Out.Ring_.size();
+  auto Own =
+      std::find(Out.Ring_.begin(), Out.Ring_.end(), Members.Config_.Name_);
+  auto Position = static_cast<std::size_t>(Own - Out.Ring_.begin());
+  std::set<std::string> Local;
+  for (std::size_t Distance = 1; Distance < Size; Distance *= 2) {
+    Out.Ahead_.push_back(Out.Ring_[(Position + Distance) % Size]);
+    Local.insert(Out.Ahead_.back());
+    Local.insert(Out.Ring_[(Position + Size - Distance) % Size]);
+  }
+  Local.erase(Members.Config_.Name_);
+  Out.Local_.assign(Local.begin(), Local.end());
+}
+
+} // namespace
+
+void refreshOverlay(Membership &Members) {
+  Overlay Out;
+  rankReaders(Members, Out);
+  buildRing(Members, Out);
+  linkRing(Members, Out);
+  const auto &Own = Out.Readers_[Members.Config_.DataCentre_];
+  if (std::find(Own.begin(), Own.end(), Members.Config_.Name_) != Own.end())
+    for (const auto &[DataCentre, Names] : Out.Readers_)
+      if (DataCentre != Members.Config_.DataCentre_)
+        Out.RemoteReaders_.insert(Out.RemoteReaders_.end(), Names.begin(),
+                                  Names.end());
+  Members.Overlay_ = std::move(Out);
+  Members.OverlayStale_ = false;
+}
+
+} // namespace sycamore::membership
--- /dev/null
+++ b/src/ReaderSchedule.cpp
@@ -0,0 +1,71 @@
+// What a reader asks of the store: the watch, the periodic read and the seeds.
+#include "sycamore/Bootstrap.h"
+
+#include <algorithm>
+
+namespace sycamore {
+namespace {
+
+/// The readers first, then other servers by the order of the overlay, so that
+/// both readers of a data centre choose the same seeds.
+std::vector<std::string> chooseSeeds(const Bootstrap &Boot,
+                                     const Membership &Members) {
+  std::vector<std::string> Out =
+      readersOf(Members, Members.Config_.DataCentre_);
+  for (const std::string &Name : Members.Overlay_.Ring_) {
+    const wire::ServerRecord *Record = findServer(Members, Name);
+    if (Out.size() >= Boot.Config_.MaxSeeds_)
+      break;
+    if (Record && Record->state() == wire::SERVER_ALIVE &&
+        std::find(Out.begin(), Out.end(), Name) == Out.end())
+      Out.push_back(Name);
+  }
+  std::sort(Out.begin(), Out.end());
+  return Out;
+}
+
+std::vector<wire::ServerRecord>
+recordsOf(const Membership &Members, const std::vector<std::string> &Names) {
+  std::vector<wire::ServerRecord> Out;
+  for (const std::string &Name : Names)
+    if (const wire::ServerRecord *Record = findServer(Members, Name))
+      Out.push_back(*Record);
+  return Out;
+}
+
+} // namespace
+
+void noteSeeds(Bootstrap &Boot, std::span<const wire::ServerRecord> Seeds) {
+  Boot.WrittenSeeds_.clear();
+  for (const wire::ServerRecord &Seed : Seeds)
+    Boot.WrittenSeeds_.push_back(Seed.name());
+  std::sort(Boot.WrittenSeeds_.begin(), Boot.WrittenSeeds_.end());
+}
+
+ReaderStep tickReader(Bootstrap &Boot, const Membership &Members, Now Time,
+                      Random &Rng) {
+  ReaderStep Step;
+  // A daemon that has just started knows few servers and may wrongly rank
+  // itself first; it waits until its table has filled.
+  if (!Boot.FloorAt_ || !isReader(Members) ||
+      Time.Monotonic_ - *Boot.FloorAt_ < Boot.Config_.ReaderDelay_)
+    return Step;
+  Step.WatchHead_ = true;
+  if (Time.Monotonic_ >= Boot.NextHead_) {
+    Step.ReadHead_ = true;
+    Boot.NextHead_ = Time.Monotonic_ + std::chrono::duration_cast<Duration>(
+                                           Boot.Config_.HeadInterval_ *
+                                           (0.9 + 0.1 * randomUnit(Rng)));
+  }
+  if (Time.Monotonic_ < Boot.NextSeeds_)
+    return Step;
+  std::vector<std::string> Names = chooseSeeds(Boot, Members);
+  if (Names == Boot.WrittenSeeds_)
+    return Step;
+  Boot.NextSeeds_ = Time.Monotonic_ + Boot.Config_.SeedsInterval_;
+  Step.WriteSeeds_ = recordsOf(Members, Names);
+  Boot.WrittenSeeds_ = std::move(Names);
+  return Step;
+}
+
+} // namespace sycamore
--- /dev/null
+++ b/test/support/FleetSim.h
@@ -0,0 +1,432 @@
+// Many daemons' decision modules on one fake clock and fake network. A seed
+// determines a whole run.
+#pragma once
+
+#include "FakeStore.h"
+#include "sycamore/Bootstrap.h"
+#include "sycamore/Dissemination.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <iostream>
+#include <queue>
+
+namespace sycamore::test {
+
+/// SYCAMORE_TEST_SEED, or Default; printed so that a run can be repeated.
+inline std::uint64_t testSeed(std::uint64_t Default) {
+  const char *Text = std::getenv("SYCAMORE_TEST_SEED");
+  std::uint64_t Seed = Text ? std::strtoull(Text, nullptr, 10) : Default;
+  std::cout << "SYCAMORE_TEST_SEED=" << Seed << std::endl;
+  return Seed;
+}
+
+/// Whether SYCAMORE_TEST_MUTATION names this rule; see test/mutations.txt.
+inline bool mutated(std::string_view Rule) {
+  const char *Text = std::getenv("SYCAMORE_TEST_MUTATION");
+  return Text && Text == Rule;
+}
+
+struct FleetOptions {
+  std::uint64_t Seed_ = 1;
+  std::size_t DataCentres_ = 3;
+  std::size_t PerDataCentre_ = 5;
+  double Loss_ = 0;
+  double Duplicates_ = 0;
+  Duration LocalDelay_ = microseconds(500);
+  Duration RemoteDelay_ = milliseconds(8);
+  Duration ExtraDelay_ = Duration(0); ///< Uniform on top; reorders messages.
+  Duration Tick_ = milliseconds(20);
+  bool ClockSkew_ = false; ///< Up to 0.5 s in both directions.
+  MembershipConfig Membership_;
+  ConfigReplicaConfig Replica_;
+  DisseminationConfig Dissemination_;
+  BootstrapConfig Bootstrap_;
+  AcceptanceRequest Acceptance_; ///< Signs tickets when set.
+};
+
+struct Traffic {
+  std::uint64_t Messages_ = 0;
+  std::uint64_t Sent_ = 0;     ///< Bytes of encoded messages.
+  std::uint64_t Received_ = 0; ///< Bytes of encoded messages.
+  std::uint64_t Tickets_ = 0;  ///< Bytes about tickets, both directions.
+};
+
+struct SimDaemon {
+  std::string Name_;
+  std::string DataCentre_;
+  bool Up_ = false;
+  std::uint64_t Life_ = 0;
+  TimePoint FrozenUntil_;
+  Duration Skew_{0};
+  Membership Members_;
+  ConfigReplica Replica_;
+  Dissemination Spread_;
+  Bootstrap Boot_;
+  std::uint64_t HighestRun_ = 0; ///< Over all lives; for promise 1.
+  Traffic Traffic_;
+  MembershipEvents Events_;
+};
+
+class FleetSim {
+public:
+  explicit FleetSim(FleetOptions Options)
+      : Options_(std::move(Options)), Rng_(Options_.Seed_) {
+    std::size_t Count = Options_.DataCentres_ * Options_.PerDataCentre_;
+    Daemons_.resize(Count);
+    for (std::size_t I = 0; I < Count; ++I) {
+      Daemons_[I].DataCentre_ =
+          "dc" + std::to_string(I % Options_.DataCentres_);
+      Daemons_[I].Name_ = "server-" + std::to_string(I);
+      Index_[Daemons_[I].Name_] = I;
+      if (Options_.ClockSkew_)
+        Daemons_[I].Skew_ =
+            milliseconds(static_cast<int>(randomIndex(Rng_, 1000)) - 500);
+    }
+  }
+
+  FleetOptions Options_;
+  std::vector<SimDaemon> Daemons_;
+  FakeStore Store_;
+  /// Whether the network drops everything from one daemon to another.
+  std::function<bool(std::size_t From, std::size_t To)> Cut_;
+  /// Called for every delivered message before it is handled.
+  std::function<void(std::size_t To, const wire::PeerMessage &)> OnDelivery_;
+  std::vector<std::string> Violations_;
+  Random Rng_;
+
+  TimePoint time() const { return Time_; }
+
+  Now now(const SimDaemon &Daemon) const {
+    return {Time_,
+            WallTime(WallStart + Time_.time_since_epoch() + Daemon.Skew_)};
+  }
+
+  void start(std::size_t I) {
+    SimDaemon &Daemon = Daemons_[I];
+    Now Time = now(Daemon);
+    MembershipConfig Members = Options_.Membership_;
+    Members.Name_ = Daemon.Name_;
+    Members.DataCentre_ = Daemon.DataCentre_;
+    Members.PeerAddress_ = addressOf(I);
+    Members.PublicKey_ = std::string(40, 'k');
+    Daemon.Members_ = makeMembership(Members, Time);
+    Daemon.Replica_ = makeConfigReplica(Options_.Replica_);
+    Daemon.Spread_ = makeDissemination(Options_.Dissemination_, Time);
+    BootstrapConfig Boot = Options_.Bootstrap_;
+    std::vector<wire::ServerRecord> Peers = bootstrapPeers(I);
+    for (const wire::ServerRecord &Peer : Peers)
+      Boot.Peers_.push_back(Peer.name());
+    learnSeeds(Daemon.Members_, Peers, Time);
+    Daemon.Boot_ = makeBootstrap(Boot, Time, Rng_);
+    Daemon.Up_ = true;
+    Daemon.FrozenUntil_ = Time_;
+    ++Daemon.Life_;
+    schedule({Time_ + Duration(randomIndex(Rng_, 20000)), 0, I, Daemon.Life_,
+              nullptr, nullptr});
+  }
+
+  void startAll() {
+    for (std::size_t I = 0; I < Daemons_.size(); ++I)
+      start(I);
+  }
+
+  void kill(std::size_t I) {
+    Daemons_[I].Up_ = false;
+    ++Daemons_[I].Life_;
+    Store_.Watchers_.erase(I);
+  }
+
+  void freeze(std::size_t I, Duration Span) {
+    Daemons_[I].FrozenUntil_ = Time_ + Span;
+  }
+
+  /// Accepts the next ticket in the store and notifies the watches.
+  AcceptedTicket acceptTicket(std::size_t Padding = 0) {
+    AcceptedTicket Accepted = Store_.accept(
+        makeChange(Store_.Head_.Number_ + 1, Padding),
+        (WallStart + Time_.time_since_epoch()).count(), Options_.Acceptance_);
+    if (Store_.Mode_ == StoreMode::Up)
+      for (std::size_t I : Store_.Watchers_) {
+        Store_.count(Time_); // The next pending watch.
+        deliverHead(I, false);
+      }
+    return Accepted;
+  }
+
+  void send(std::size_t From, Outbox &Out) {
+    SimDaemon &Sender = Daemons_[From];
+    stampSender(Sender.Members_, Out);
+    for (Outgoing &Item : Out) {
+      std::size_t Bytes = Item.Message_.ByteSizeLong();
+      ++Sender.Traffic_.Messages_;
+      Sender.Traffic_.Sent_ += Bytes;
+      Sender.Traffic_.Tickets_ += isAboutTickets(Item.Message_) ? Bytes : 0;
+      auto To = Index_.find(Item.To_);
+      if (To == Index_.end() || (Cut_ && Cut_(From, To->second)))
+        continue;
+      auto Message =
+          std::make_shared<wire::PeerMessage>(std::move(Item.Message_));
+      int Copies = randomUnit(Rng_) < Options_.Loss_ ? 0 : 1;
+      Copies += randomUnit(Rng_) < Options_.Duplicates_ ? 1 : 0;
+      for (int I = 0; I < Copies; ++I)
+        schedule({Time_ + delay(From, To->second), 0, To->second, 0, Message,
+                  nullptr});
+    }
+    Out.clear();
+  }
+
+  void run(Duration Span) {
+    TimePoint End = Time_ + Span;
+    while (!Queue_.empty() && Queue_.top().At_ <= End) {
+      Event Next = Queue_.top();
+      Queue_.pop();
+      Time_ = std::max(Time_, Next.At_);
+      handle(Next);
+    }
+    Time_ = End;
+  }
+
+  /// Time until the condition held, checked every Step; unset if it never did.
+  std::optional<Duration> runUntil(const std::function<bool()> &Condition,
+                                   Duration Limit,
+                                   Duration Step = milliseconds(50)) {
+    TimePoint Start = Time_;
+    while (!Condition()) {
+      if (Time_ - Start >= Limit)
+        return std::nullopt;
+      run(Step);
+    }
+    return Time_ - Start;
+  }
+
+  /// Whether every running daemon serves on the store's latest ticket.
+  bool converged() const {
+    return std::all_of(
+        Daemons_.begin(), Daemons_.end(), [&](const SimDaemon &Daemon) {
+          return !Daemon.Up_ ||
+                 (hasFloor(Daemon.Boot_) &&
+                  Daemon.Replica_.Current_->Digest_ == Store_.Head_.Digest_);
+        });
+  }
+
+  /// Whether every running daemon knows exactly the running ones as alive.
+  bool membershipSettled() const {
+    std::size_t Up = std::count_if(Daemons_.begin(), Daemons_.end(),
+                                   [](const auto &D) { return D.Up_; });
+    return std::all_of(
+        Daemons_.begin(), Daemons_.end(), [&](const SimDaemon &Daemon) {
+          if (!Daemon.Up_)
+            return true;
+          auto Alive = aliveServers(Daemon.Members_);
+          return Alive.size() == Up &&
+                 std::all_of(Alive.begin(), Alive.end(), [&](const auto &Name) {
+                   return Daemons_[Index_.at(Name)].Up_;
+                 });
+        });
+  }
+
+  void clearTraffic() {
+    for (SimDaemon &Daemon : Daemons_)
+      Daemon.Traffic_ = {};
+  }
+
+  static std::string addressOf(std::size_t I) {
+    return "10.0." + std::to_string(I / 250) + "." + std::to_string(I % 250) +
+           ":7400";
+  }
+
+private:
+  /// A tick when neither message nor call is set.
+  struct Event {
+    TimePoint At_;
+    std::uint64_t Order_ = 0;
+    std::size_t To_ = 0;
+    std::uint64_t Life_ = 0;
+    std::shared_ptr<wire::PeerMessage> Message_;
+    std::shared_ptr<std::function<void()>> Call_;
+
+    bool operator<(const Event &Other) const {
+      return std::pair(At_, Order_) > std::pair(Other.At_, Other.Order_);
+    }
+  };
+
+  static constexpr Duration WallStart = std::chrono::hours(490000);
+
+  void schedule(Event Item) {
+    Item.Order_ = NextOrder_++;
+    Queue_.push(std::move(Item));
+  }
+
+  Duration delay(std::size_t From, std::size_t To) {
+    bool Local = Daemons_[From].DataCentre_ == Daemons_[To].DataCentre_;
+    return (Local ? Options_.LocalDelay_ : Options_.RemoteDelay_) +
+           Duration(randomIndex(Rng_, Options_.ExtraDelay_.count() + 200));
+  }
+
+  /// The first servers of the own data centre and one of the next.
+  std::vector<wire::ServerRecord> bootstrapPeers(std::size_t I) const {
+    std::vector<wire::ServerRecord> Out;
+    std::size_t Centres = Options_.DataCentres_;
+    for (std::size_t Peer : {I % Centres, I % Centres + Centres,
+                             I % Centres + 2 * Centres, (I + 1) % Centres}) {
+      if (Peer == I || Peer >= Daemons_.size())
+        continue;
+      wire::ServerRecord Record;
+      Record.set_name(Daemons_[Peer].Name_);
+      Record.set_data_centre(Daemons_[Peer].DataCentre_);
+      Record.set_peer_address(addressOf(Peer));
+      Out.push_back(Record);
+    }
+    return Out;
+  }
+
+  static bool isAboutTickets(const wire::PeerMessage &Message) {
+    return Message.has_ticket_offer() || Message.has_ticket_pull() ||
+           Message.has_ticket_bodies();
+  }
+
+  void handle(const Event &Next) {
+    SimDaemon &Daemon = Daemons_[Next.To_];
+    if (!Daemon.Up_ || (!Next.Message_ && Next.Life_ != Daemon.Life_))
+      return;
+    if (Daemon.FrozenUntil_ > Time_) {
+      Event Later = Next;
+      Later.At_ = Daemon.FrozenUntil_;
+      schedule(std::move(Later));
+      return;
+    }
+    if (Next.Call_)
+      (*Next.Call_)();
+    else if (Next.Message_)
+      deliver(Next.To_, *Next.Message_);
+    else
+      tick(Next.To_);
+    checkNeverOlder(Daemon);
+  }
+
+  void deliver(std::size_t I, const wire::PeerMessage &Message) {
+    SimDaemon &Daemon = Daemons_[I];
+    if (OnDelivery_)
+      OnDelivery_(I, Message);
+    std::size_t Bytes = Message.ByteSizeLong();
+    Daemon.Traffic_.Received_ += Bytes;
+    Daemon.Traffic_.Tickets_ += isAboutTickets(Message) ? Bytes : 0;
+    Now Time = now(Daemon);
+    Outbox Out;
+    keep(Daemon, receiveMembership(Daemon.Members_, Message, Time, Rng_, Out));
+    receiveDissemination(Daemon.Spread_, Daemon.Replica_,
+                         neighbours(Daemon.Members_), Message, Time, Rng_, Out);
+    receiveFloorAnswer(Daemon.Boot_, Daemon.Members_, Daemon.Replica_, Message,
+                       Time);
+    answerFloorQuery(Daemon.Boot_, Daemon.Members_, Daemon.Replica_, Message,
+                     Time, Out);
+    setOwnTicket(Daemon.Members_, Daemon.Replica_.Current_->Number_);
+    send(I, Out);
+  }
+
+  void tick(std::size_t I) {
+    SimDaemon &Daemon = Daemons_[I];
+    Now Time = now(Daemon);
+    Outbox Out;
+    keep(Daemon, tickMembership(Daemon.Members_, Time, Rng_, Out));
+    tickDissemination(Daemon.Spread_, Daemon.Replica_,
+                      Daemon.Members_.Overlay_.Local_,
+                      Daemon.Members_.Overlay_.RemoteReaders_, Time, Rng_, Out);
+    BootstrapStep Step = tickBootstrap(Daemon.Boot_, Daemon.Members_,
+                                       Daemon.Replica_, Time, Rng_, Out);
+    if (Step.ReadStore_)
+      readStore(I, true);
+    tickStoreReader(I, Time);
+    send(I, Out);
+    schedule({Time_ + Options_.Tick_, 0, I, Daemon.Life_, nullptr, nullptr});
+  }
+
+  void tickStoreReader(std::size_t I, Now Time) {
+    SimDaemon &Daemon = Daemons_[I];
+    ReaderStep Step = tickReader(Daemon.Boot_, Daemon.Members_, Time, Rng_);
+    if (!Step.WatchHead_)
+      Store_.Watchers_.erase(I);
+    else if (Store_.Mode_ == StoreMode::Up && Store_.Watchers_.insert(I).second)
+      Store_.count(Time_);
+    if (Step.ReadHead_)
+      readStore(I, false);
+    if (!Step.WriteSeeds_)
+      return;
+    Store_.count(Time_);
+    if (Store_.Mode_ == StoreMode::Up)
+      Store_.Seeds_[Daemon.DataCentre_] = *Step.WriteSeeds_;
+  }
+
+  void callLater(std::size_t I, Duration Delay, std::function<void()> Call) {
+    schedule({Time_ + Delay, 0, I, Daemons_[I].Life_, nullptr,
+              std::make_shared<std::function<void()>>(std::move(Call))});
+  }
+
+  void readStore(std::size_t I, bool ForBootstrap) {
+    Store_.count(Time_);
+    TimePoint Started = Time_;
+    if (Store_.Mode_ != StoreMode::Down) {
+      deliverHead(I, ForBootstrap);
+      return;
+    }
+    callLater(I, Store_.latency(), [this, I, Started, ForBootstrap] {
+      finishRead(I, {Started, std::nullopt, {}}, ForBootstrap);
+    });
+  }
+
+  void deliverHead(std::size_t I, bool ForBootstrap) {
+    TimePoint Started = Time_;
+    callLater(
+        I, Store_.latency(),
+        [this, I, Started, ForBootstrap, Value = Store_.Head_,
+         Base = Store_.base() ? std::optional(*Store_.base()) : std::nullopt,
+         Seeds = Store_.Seeds_[Daemons_[I].DataCentre_]] {
+          SimDaemon &Daemon = Daemons_[I];
+          OfferResult Result =
+              offerHead(Daemon.Replica_, Value, Base ? &*Base : nullptr);
+          setOwnTicket(Daemon.Members_, Daemon.Replica_.Current_->Number_);
+          learnSeeds(Daemon.Members_, Seeds, now(Daemon));
+          noteSeeds(Daemon.Boot_, Seeds);
+          Outbox Out;
+          if (Result.Outcome_ == OfferOutcome::Applied)
+            announceTicket(Daemon.Spread_, Daemon.Replica_,
+                           neighbours(Daemon.Members_), now(Daemon), Out);
+          send(I, Out);
+          finishRead(I, {Started, Value.Number_, Value.Digest_}, ForBootstrap);
+        });
+  }
+
+  void finishRead(std::size_t I, const StoreReadResult &Read,
+                  bool ForBootstrap) {
+    if (!ForBootstrap)
+      return;
+    SimDaemon &Daemon = Daemons_[I];
+    Outbox Out;
+    onStoreRead(Daemon.Boot_, Daemon.Members_, Daemon.Replica_, Read,
+                now(Daemon), Rng_, Out);
+    send(I, Out);
+  }
+
+  static void keep(SimDaemon &Daemon, MembershipEvents &&Events) {
+    Daemon.Events_.insert(Daemon.Events_.end(), Events.begin(), Events.end());
+  }
+
+  /// Promise 1: a daemon that serves never runs an older ticket than before.
+  void checkNeverOlder(SimDaemon &Daemon) {
+    if (!hasFloor(Daemon.Boot_))
+      return;
+    std::uint64_t Number = Daemon.Replica_.Current_->Number_;
+    if (Number < Daemon.HighestRun_)
+      Violations_.push_back(Daemon.Name_ + " runs " + std::to_string(Number) +
+                            " after " + std::to_string(Daemon.HighestRun_));
+    Daemon.HighestRun_ = std::max(Daemon.HighestRun_, Number);
+  }
+
+  std::map<std::string, std::size_t> Index_;
+  std::priority_queue<Event> Queue_;
+  std::uint64_t NextOrder_ = 0;
+  TimePoint Time_{seconds(100)};
+};
+
+} // namespace sycamore::test
