Add the call tables of entry and target daemons

Change: EntryCalls (split into attempts, answers and ends of calls), TargetCalls, body checks. Test-only switches are in src/CallMutation.h. Ruled out: judging silence by any traffic from the server; a link can be dead in one direction while others work, so only the request link counts, and every attempt is asked about after 2 s even on a live link.

--- a/include/sycamore/EntryCalls.h
+++ b/include/sycamore/EntryCalls.h
@@ -37,8 +37,8 @@
   AttemptState State_ = AttemptState::Queued;
   bool Hedge_ = false;
   TimePoint SentAt_;
-  TimePoint NextQuery_; ///< While InDoubt or Running.
-  std::uint32_t Queries_ = 0;
+  TimePoint NextQuery_;
+  std::uint32_t Queries_ = 0; ///< Since the last answer to one.
   std::uint32_t DamagedAnswers_ = 0;
 };
 
@@ -168,6 +168,11 @@
   /// Silence after which a link is replaced. Heartbeats come every 100 ms, so
   /// this is four lost ones.
   Duration LinkDeadline_ = milliseconds(400);
+  /// An attempt without an answer is asked about after this time even if its
+  /// link is alive, because a message can be lost on a link that is not.
+  Duration AskAfter_ = seconds(2);
+  /// Pause between queries about an attempt that runs, after a lost link.
+  Duration RunningPause_ = milliseconds(500);
   /// Pause before the second query; doubles up to QueryPauseMax_.
   Duration QueryPause_ = milliseconds(50);
   Duration QueryPauseMax_ = milliseconds(400);
@@ -179,6 +184,12 @@
   Duration RetryAfter_ = milliseconds(100);
 };
 
+/// What is known of the link that carries requests to a server.
+struct ServerLink {
+  TimePoint HeardAt_;
+  TimePoint ReplacedAt_;
+};
+
 struct EntryCalls {
   std::string Self_; ///< Name of this server.
   /// Start time of this process in microseconds since the epoch; CallId's
@@ -188,8 +199,7 @@
   std::uint64_t NextSequence_ = 1;
   std::uint64_t NextOrdinal_ = 1;
   std::unordered_map<std::uint64_t, EntryCall> Calls_; ///< By sequence.
-  /// When something last came from a server, on any link.
-  std::unordered_map<std::string, TimePoint> HeardAt_;
+  std::unordered_map<std::string, ServerLink> Links_; ///< By server.
   std::vector<EntryCallEvent> Events_; ///< See takeEvents().
   EntryCallsCounters Counters_;
 };
@@ -211,7 +221,8 @@
 CallActions onSendFailed(EntryCalls &Calls, const wire::CallId &Id,
                          const CallPolicy &Policy, TimePoint Now);
 
-/// Anything at all came from a server.
+/// Anything at all came from a server over the link that carries requests to
+/// it. Traffic on other links says nothing about that one.
 void noteHeard(EntryCalls &Calls, std::string_view Server, TimePoint Now);
 
 /// An answer came from a server. Late, duplicate and mismatched ones change
--- a/include/sycamore/TargetCalls.h
+++ b/include/sycamore/TargetCalls.h
@@ -16,6 +16,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -131,7 +132,7 @@
   std::deque<std::pair<EntryProcessKey, std::uint64_t>> Ended_; ///< In order.
   std::size_t Records_ = 0;
   std::size_t AnswerBytes_ = 0;
-  /// Ended records in the order in which their answers will be dropped.
+  /// Ended records with a body, in the order in which those are dropped.
   std::deque<std::pair<EntryProcessKey, std::uint64_t>> Answers_;
   TimePoint LastTick_; ///< Set it to the start time.
   TimePoint PauseEnd_;
--- /dev/null
+++ b/src/EntryCallsDetail.cpp
@@ -0,0 +1,207 @@
+// Sending of attempts and the ends of calls.
+#include "EntryCallsDetail.h"
+
+#include "CallMutation.h"
+
+#include <algorithm>
+
+namespace sycamore::entrycalls {
+namespace {
+
+/// The error kind that an answer names, or Fallback.
+ErrorKind kindOf(const wire::CallAnswer &Answer, ErrorKind Fallback) {
+  for (int Kind = 0; Kind <= static_cast<int>(ErrorKind::Internal); ++Kind)
+    if (errorKindName(static_cast<ErrorKind>(Kind)) == Answer.error_kind())
+      return static_cast<ErrorKind>(Kind);
+  return Fallback;
+}
+
+bool provenNotRun(const EntryCall &Call) {
+  return std::all_of(Call.Attempts_.begin(), Call.Attempts_.end(),
+                     [](const CallAttempt &Attempt) {
+                       return Attempt.State_ == AttemptState::NotRun;
+                     });
+}
+
+/// Whether the rules allow one more attempt now. An idempotent call may have
+/// several, but waits for one whose link is alive; any other call only after
+/// all earlier ones are proven not to have run.
+bool allowsAnother(const Step &At, const EntryCall &Call) {
+  if (At.Now_ >= Call.Deadline_ ||
+      Call.Attempts_.size() >= At.Calls_.Limits_.MaxAttempts_)
+    return false;
+  if (!Call.Idempotent_ && !mutated(CallMutation::RetryInDoubt))
+    return provenNotRun(Call);
+  return std::none_of(Call.Attempts_.begin(), Call.Attempts_.end(),
+                      [](const CallAttempt &Attempt) {
+                        return isOpen(Attempt) &&
+                               Attempt.State_ != AttemptState::InDoubt;
+                      });
+}
+
+void cancelOpen(Step &At, const EntryCall &Call, std::uint32_t Except) {
+  for (const CallAttempt &Attempt : Call.Attempts_) {
+    if (Attempt.Number_ == Except || !isOpen(Attempt))
+      continue;
+    SendCancel Cancel{Attempt.Server_, {}};
+    *Cancel.Cancel_.mutable_id() = idOf(At.Calls_, Call, Attempt);
+    At.Actions_.emplace_back(std::move(Cancel));
+    ++At.Calls_.Counters_.Cancels_;
+  }
+}
+
+void end(Step &At, const EntryCall &Call, Finish Out) {
+  Out.Sequence_ = Call.Sequence_;
+  At.Actions_.emplace_back(std::move(Out));
+  At.Calls_.Calls_.erase(Call.Sequence_);
+}
+
+/// What a refusal tells the caller.
+void describeRefusal(const Step &At, const EntryCall &Call, Finish &Out) {
+  const wire::CallAnswer &Refusal = Call.Refusal_;
+  Out.Answer_ = Refusal;
+  if (!Refusal.has_id() && !Call.Request_.idempotency_key().empty())
+    Out.Answer_.set_earlier_sends_unknown(true);
+  if (Out.Status_ == 0)
+    Out.Status_ = Refusal.status() != 0 ? Refusal.status() : 503;
+  Out.RetryAfter_ = Refusal.retry_after_ms() != 0
+                        ? milliseconds(Refusal.retry_after_ms())
+                        : At.Calls_.Limits_.RetryAfter_;
+  if (!Out.Error_)
+    Out.Error_ = Error{kindOf(Refusal, ErrorKind::Unavailable),
+                       Refusal.error_message().empty()
+                           ? "no target of service \"" + Call.Service_ +
+                                 "\" took the call"
+                           : Refusal.error_message(),
+                       "send the request again later"};
+}
+
+wire::CallRequest requestFor(const Step &At, const EntryCall &Call,
+                             const CallAttempt &Attempt) {
+  wire::CallRequest Out = Call.Request_;
+  *Out.mutable_id() = idOf(At.Calls_, Call, Attempt);
+  Out.set_target(Attempt.Target_);
+  Out.set_process(Attempt.Process_);
+  Out.set_remaining_us(
+      static_cast<std::uint64_t>((Call.Deadline_ - At.Now_).count()));
+  return Out;
+}
+
+} // namespace
+
+bool isOpen(const CallAttempt &Attempt) {
+  return Attempt.State_ != AttemptState::NotRun &&
+         Attempt.State_ != AttemptState::Unknown;
+}
+
+wire::CallId idOf(const EntryCalls &Calls, const EntryCall &Call,
+                  const CallAttempt &Attempt) {
+  wire::CallId Id;
+  Id.set_entry(Calls.Self_);
+  Id.set_incarnation(Calls.Incarnation_);
+  Id.set_sequence(Call.Sequence_);
+  Id.set_attempt(Attempt.Number_);
+  Id.set_ordinal(Attempt.Ordinal_);
+  return Id;
+}
+
+bool sendAnother(Step &At, EntryCall &Call, bool Hedge,
+                 const std::function<bool(const EntryCall &)> &TakeBudget) {
+  std::vector<std::string> Excluded;
+  for (const CallAttempt &Attempt : Call.Attempts_)
+    Excluded.push_back(Attempt.Target_);
+  auto Chosen = At.Policy_.ChooseTarget_(Call, Excluded);
+  if (!Chosen || !TakeBudget(Call))
+    return false;
+  CallAttempt Attempt;
+  Attempt.Number_ = static_cast<std::uint32_t>(Call.Attempts_.size() + 1);
+  Attempt.Ordinal_ = At.Calls_.NextOrdinal_++;
+  Attempt.Server_ = Chosen->Server_;
+  Attempt.Target_ = Chosen->Target_;
+  Attempt.Process_ = Chosen->Process_;
+  Attempt.Hedge_ = Hedge;
+  Attempt.SentAt_ = At.Now_;
+  Call.Attempts_.push_back(Attempt);
+  ++At.Calls_.Counters_.Attempts_;
+  At.Actions_.emplace_back(SendAttempt{Attempt.Server_,
+                                       requestFor(At, Call, Attempt),
+                                       Call.Body_, std::move(Excluded)});
+  return true;
+}
+
+void queryAttempt(Step &At, EntryCall &Call, CallAttempt &Attempt,
+                  bool NewLink) {
+  const EntryCallLimits &Limits = At.Calls_.Limits_;
+  Duration Pause = Limits.QueryPause_;
+  for (std::uint32_t I = 0; I < Attempt.Queries_ && I < 10; ++I)
+    Pause = std::min(Pause * 2, Limits.QueryPauseMax_);
+  ++Attempt.Queries_;
+  Attempt.NextQuery_ = At.Now_ + Pause;
+  ++At.Calls_.Counters_.Queries_;
+  SendQuery Out{Attempt.Server_, {}, NewLink};
+  *Out.Query_.mutable_id() = idOf(At.Calls_, Call, Attempt);
+  Out.Query_.set_process(Attempt.Process_);
+  At.Actions_.emplace_back(std::move(Out));
+}
+
+void proceed(Step &At, EntryCall &Call) {
+  if (allowsAnother(At, Call) &&
+      sendAnother(At, Call, /*Hedge=*/false, At.Policy_.TakeRetry_)) {
+    ++At.Calls_.Counters_.Retries_;
+    return;
+  }
+  if (std::none_of(Call.Attempts_.begin(), Call.Attempts_.end(), isOpen))
+    finishWithoutAnswer(At, Call, std::nullopt);
+}
+
+void finishWithoutAnswer(Step &At, EntryCall &Call,
+                         std::optional<Error> Reason) {
+  Finish Out;
+  bool Late = Reason && Reason->Kind_ == ErrorKind::DeadlineExceeded;
+  if (Late)
+    Out.Status_ = 504;
+  Out.Error_ = std::move(Reason);
+  cancelOpen(At, Call, 0);
+  if (provenNotRun(Call)) {
+    Out.Run_ = wire::RUN_NOT_RUN;
+    describeRefusal(At, Call, Out);
+    ++At.Calls_.Counters_.NotRun_;
+  } else {
+    Out.Run_ = wire::RUN_UNKNOWN;
+    if (Out.Status_ == 0)
+      Out.Status_ = 502;
+    if (!Out.Error_)
+      Out.Error_ = Error{ErrorKind::OutcomeUnknown,
+                         "the call may have run, and its answer was lost",
+                         "find out whether it took effect, or send it again "
+                         "with the same idempotency key"};
+    ++At.Calls_.Counters_.Unknown_;
+  }
+  end(At, Call, std::move(Out));
+}
+
+void finishDone(Step &At, EntryCall &Call, const CallAttempt &Answered,
+                const wire::CallAnswer &Answer, std::string Body) {
+  cancelOpen(At, Call, Answered.Number_);
+  ++At.Calls_.Counters_.Done_;
+  Finish Out;
+  Out.Run_ = wire::RUN_DONE;
+  Out.Status_ = Answer.status();
+  Out.Answer_ = Answer;
+  Out.Body_ = std::move(Body);
+  end(At, Call, std::move(Out));
+}
+
+void finishDoneNoAnswer(Step &At, EntryCall &Call,
+                        const wire::CallAnswer &Answer, Error Reason) {
+  cancelOpen(At, Call, Answer.id().attempt());
+  ++At.Calls_.Counters_.Done_;
+  Finish Out;
+  Out.Run_ = wire::RUN_DONE;
+  Out.Status_ = 502;
+  Out.Error_ = std::move(Reason);
+  Out.Answer_ = Answer;
+  end(At, Call, std::move(Out));
+}
+
+} // namespace sycamore::entrycalls
--- /dev/null
+++ b/src/TargetCalls.cpp
@@ -0,0 +1,410 @@
+#include "sycamore/TargetCalls.h"
+
+#include "CallMutation.h"
+#include "sycamore/Error.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sycamore {
+namespace {
+
+EntryProcessKey keyOf(const wire::CallId &Id) {
+  return {Id.entry(), Id.incarnation()};
+}
+
+wire::CallAnswer answerFor(const TargetCalls &Calls, const wire::CallId &Id,
+                           wire::RunOutcome Run, std::uint32_t Status,
+                           ErrorKind Kind, std::string Message) {
+  wire::CallAnswer Out;
+  *Out.mutable_id() = Id;
+  Out.set_run(Run);
+  Out.set_status(Status);
+  Out.set_error_kind(std::string(errorKindName(Kind)));
+  Out.set_error_message(std::move(Message));
+  Out.set_process(Calls.Process_);
+  return Out;
+}
+
+wire::CallAnswer forgottenAnswer(const TargetCalls &Calls,
+                                 const wire::CallId &Id) {
+  return answerFor(Calls, Id, wire::RUN_UNKNOWN, 502, ErrorKind::OutcomeUnknown,
+                   "the record of this call was dropped; it may have run");
+}
+
+wire::CallAnswer droppedAnswer(const TargetCalls &Calls,
+                               const wire::CallId &Id) {
+  return answerFor(Calls, Id, wire::RUN_DONE, 502, ErrorKind::OutcomeUnknown,
+                   "the call ran, but its answer is no longer kept");
+}
+
+wire::CallAnswer refusedAnswer(const TargetCalls &Calls,
+                               const wire::CallId &Id) {
+  return answerFor(Calls, Id, wire::RUN_NOT_RUN, 503, ErrorKind::Unavailable,
+                   "the call was refused because a query or a cancellation "
+                   "arrived before it");
+}
+
+TargetCall *findCall(TargetCalls &Calls, const wire::CallId &Id) {
+  auto Process = Calls.Processes_.find(keyOf(Id));
+  if (Process == Calls.Processes_.end())
+    return nullptr;
+  auto Found = Process->second.Calls_.find(Id.ordinal());
+  return Found == Process->second.Calls_.end() ? nullptr : &Found->second;
+}
+
+bool sameCall(const wire::CallId &A, const wire::CallId &B) {
+  return A.sequence() == B.sequence() && A.attempt() == B.attempt();
+}
+
+/// Whether a call without a record may have had one.
+bool mayBeForgotten(const TargetCalls &Calls, const wire::CallId &Id) {
+  if (mutated(CallMutation::NoLowWaterMark))
+    return false;
+  auto Process = Calls.Processes_.find(keyOf(Id));
+  if (Process == Calls.Processes_.end())
+    return Id.incarnation() <= Calls.ForgottenProcesses_;
+  return Id.ordinal() <= Process->second.LowWaterMark_;
+}
+
+void dropBody(TargetCalls &Calls, TargetCall &Call) {
+  if (!Call.Body_)
+    return;
+  Calls.AnswerBytes_ -= Call.Body_->size();
+  Call.Body_.reset();
+}
+
+/// Removes the record that ended first and raises its entry's mark.
+void dropOldestRecord(TargetCalls &Calls) {
+  auto [Key, Ordinal] = Calls.Ended_.front();
+  Calls.Ended_.pop_front();
+  EntryProcess &Process = Calls.Processes_.at(Key);
+  auto Found = Process.Calls_.find(Ordinal);
+  dropBody(Calls, Found->second);
+  Process.Calls_.erase(Found);
+  Process.LowWaterMark_ = std::max(Process.LowWaterMark_, Ordinal);
+  --Calls.Records_;
+  ++Calls.Counters_.RecordsDropped_;
+}
+
+/// Drops the marks of the entry process that started first and has no records.
+void forgetOldestProcess(TargetCalls &Calls) {
+  auto Oldest = Calls.Processes_.end();
+  for (auto It = Calls.Processes_.begin(); It != Calls.Processes_.end(); ++It)
+    if (It->second.Calls_.empty() &&
+        (Oldest == Calls.Processes_.end() ||
+         It->first.second < Oldest->first.second))
+      Oldest = It;
+  if (Oldest == Calls.Processes_.end())
+    return;
+  Calls.ForgottenProcesses_ =
+      std::max(Calls.ForgottenProcesses_, Oldest->first.second);
+  Calls.Processes_.erase(Oldest);
+  ++Calls.Counters_.ProcessesForgotten_;
+}
+
+/// The entry process' table, made if needed. Null when there is no room.
+EntryProcess *processOf(TargetCalls &Calls, const wire::CallId &Id) {
+  auto Found = Calls.Processes_.find(keyOf(Id));
+  if (Found != Calls.Processes_.end())
+    return &Found->second;
+  if (Calls.Processes_.size() >= Calls.Limits_.MaxProcesses_)
+    forgetOldestProcess(Calls);
+  if (Calls.Processes_.size() >= Calls.Limits_.MaxProcesses_)
+    return nullptr;
+  return &Calls.Processes_[keyOf(Id)];
+}
+
+/// Enters a record. Null when every record is of a call that still runs; then
+/// the call counts as forgotten, so that no copy of it is run later.
+TargetCall *addCall(TargetCalls &Calls, const wire::CallId &Id) {
+  EntryProcess *Process = processOf(Calls, Id);
+  if (Process == nullptr) {
+    Calls.ForgottenProcesses_ =
+        std::max(Calls.ForgottenProcesses_, Id.incarnation());
+    return nullptr;
+  }
+  while (Calls.Records_ >= Calls.Limits_.MaxRecords_ && !Calls.Ended_.empty())
+    dropOldestRecord(Calls);
+  if (Calls.Records_ >= Calls.Limits_.MaxRecords_) {
+    Process->LowWaterMark_ = std::max(Process->LowWaterMark_, Id.ordinal());
+    return nullptr;
+  }
+  TargetCall &Out = Process->Calls_[Id.ordinal()];
+  Out.Id_ = Id;
+  ++Calls.Records_;
+  return &Out;
+}
+
+void markEnded(TargetCalls &Calls, TargetCall &Call, TargetCallState State,
+               TimePoint Now) {
+  Call.State_ = State;
+  Call.EndedAt_ = Now;
+  Calls.Ended_.emplace_back(keyOf(Call.Id_), Call.Id_.ordinal());
+}
+
+/// Refuses a call that was never seen, for good.
+bool addTombstone(TargetCalls &Calls, const wire::CallId &Id, TimePoint Now) {
+  TargetCall *Call = addCall(Calls, Id);
+  if (Call == nullptr)
+    return false;
+  Call->Answer_ = refusedAnswer(Calls, Id);
+  markEnded(Calls, *Call, TargetCallState::Refused, Now);
+  ++Calls.Counters_.Tombstones_;
+  return true;
+}
+
+/// How long a request read now may have waited while this process was paused.
+Duration possibleWait(const TargetCalls &Calls, TimePoint Now) {
+  if (mutated(CallMutation::IgnorePause))
+    return Duration{0};
+  Duration SinceTick = Now - Calls.LastTick_;
+  if (SinceTick > Calls.Limits_.PauseThreshold_)
+    return SinceTick;
+  if (Now - Calls.PauseEnd_ <= Calls.Limits_.DrainAfterPause_)
+    return Calls.PauseLength_;
+  return Duration{0};
+}
+
+AcceptResult refuse(Acceptance Kind, wire::CallAnswer Answer) {
+  AcceptResult Out;
+  Out.Acceptance_ = Kind;
+  Out.Answer_ = std::move(Answer);
+  return Out;
+}
+
+/// What is known of a call that has a record.
+AcceptResult acceptAgain(TargetCalls &Calls, const TargetCall &Call,
+                         const wire::CallId &Id) {
+  if (!sameCall(Call.Id_, Id)) {
+    ++Calls.Counters_.Mismatched_;
+    return refuse(Acceptance::Forgotten, forgottenAnswer(Calls, Id));
+  }
+  AcceptResult Out;
+  switch (Call.State_) {
+  case TargetCallState::Queued:
+  case TargetCallState::Running:
+    ++Calls.Counters_.Duplicates_;
+    Out.Acceptance_ = Acceptance::DuplicateRunning;
+    return Out;
+  case TargetCallState::Refused:
+    ++Calls.Counters_.RefusedForGood_;
+    return refuse(Acceptance::RefusedForGood, Call.Answer_);
+  case TargetCallState::Finished:
+    break;
+  }
+  ++Calls.Counters_.Replays_;
+  Out.Acceptance_ = Acceptance::Replay;
+  Out.Answer_ = Call.Answer_;
+  Out.Body_ = Call.Body_;
+  return Out;
+}
+
+AcceptResult acceptExpired(TargetCalls &Calls, const wire::CallId &Id,
+                           TimePoint Now) {
+  ++Calls.Counters_.Expired_;
+  wire::CallAnswer Answer =
+      answerFor(Calls, Id, wire::RUN_NOT_RUN, 504, ErrorKind::DeadlineExceeded,
+                "the call's time may have ended before it was read");
+  // The record keeps a second copy of the request from being run after this
+  // answer.
+  if (!mutated(CallMutation::ExpiredWithoutRecord)) {
+    TargetCall *Call = addCall(Calls, Id);
+    if (Call != nullptr) {
+      Call->Answer_ = Answer;
+      markEnded(Calls, *Call, TargetCallState::Refused, Now);
+    }
+  }
+  return refuse(Acceptance::Expired, std::move(Answer));
+}
+
+wire::CallQueryAnswer queryAnswer(const TargetCalls &Calls,
+                                  const wire::CallId &Id,
+                                  wire::CallState State) {
+  wire::CallQueryAnswer Out;
+  *Out.mutable_id() = Id;
+  Out.set_state(State);
+  Out.set_process(Calls.Process_);
+  return Out;
+}
+
+QueryResult queryKnown(const TargetCalls &Calls, const TargetCall &Call,
+                       const wire::CallId &Id) {
+  QueryResult Out;
+  if (!sameCall(Call.Id_, Id)) {
+    Out.QueryAnswer_ = queryAnswer(Calls, Id, wire::CALL_FORGOTTEN);
+    return Out;
+  }
+  switch (Call.State_) {
+  case TargetCallState::Queued:
+  case TargetCallState::Running:
+    Out.QueryAnswer_ = queryAnswer(Calls, Id, wire::CALL_RUNNING);
+    return Out;
+  case TargetCallState::Refused:
+    Out.QueryAnswer_ = queryAnswer(Calls, Id, wire::CALL_REFUSED_FOR_GOOD);
+    return Out;
+  case TargetCallState::Finished:
+    break;
+  }
+  Out.QueryAnswer_ = queryAnswer(Calls, Id, wire::CALL_DONE);
+  Out.Answer_ = Call.Answer_;
+  Out.Body_ = Call.Body_;
+  return Out;
+}
+
+/// Keeps answer bodies within their bound; the outcome itself stays.
+void boundAnswers(TargetCalls &Calls) {
+  while (Calls.AnswerBytes_ > Calls.Limits_.MaxAnswerBytes_ &&
+         !Calls.Answers_.empty()) {
+    auto [Key, Ordinal] = Calls.Answers_.front();
+    Calls.Answers_.pop_front();
+    auto Process = Calls.Processes_.find(Key);
+    if (Process == Calls.Processes_.end())
+      continue;
+    auto Found = Process->second.Calls_.find(Ordinal);
+    if (Found == Process->second.Calls_.end() || !Found->second.Body_)
+      continue;
+    dropBody(Calls, Found->second);
+    Found->second.AnswerDropped_ = true;
+    if (Found->second.Answer_.run() == wire::RUN_DONE)
+      Found->second.Answer_ = droppedAnswer(Calls, Found->second.Id_);
+    ++Calls.Counters_.AnswersDropped_;
+  }
+}
+
+} // namespace
+
+std::vector<PauseNoticed> takeEvents(TargetCalls &Calls) {
+  return std::exchange(Calls.Events_, {});
+}
+
+AcceptResult acceptRequest(TargetCalls &Calls, const wire::CallRequest &Request,
+                           TimePoint Now) {
+  const wire::CallId &Id = Request.id();
+  TargetCall *Known = findCall(Calls, Id);
+  if (Known != nullptr && !mutated(CallMutation::NoDuplicateCheck))
+    return acceptAgain(Calls, *Known, Id);
+  if (Request.process() != 0 && Request.process() != Calls.Process_) {
+    ++Calls.Counters_.WrongProcess_;
+    return refuse(Acceptance::WrongProcess, forgottenAnswer(Calls, Id));
+  }
+  if (mayBeForgotten(Calls, Id)) {
+    ++Calls.Counters_.Forgotten_;
+    return refuse(Acceptance::Forgotten, forgottenAnswer(Calls, Id));
+  }
+  Duration Remaining =
+      Duration(static_cast<Duration::rep>(Request.remaining_us())) -
+      possibleWait(Calls, Now);
+  if (Remaining <= Duration{0})
+    return acceptExpired(Calls, Id, Now);
+  TargetCall *Call = addCall(Calls, Id);
+  if (Call == nullptr) {
+    ++Calls.Counters_.Full_;
+    return refuse(Acceptance::Full,
+                  answerFor(Calls, Id, wire::RUN_NOT_RUN, 503,
+                            ErrorKind::Unavailable,
+                            "too many calls run beside this target"));
+  }
+  Call->Deadline_ = Now + Remaining;
+  ++Calls.Counters_.Accepted_;
+  AcceptResult Out;
+  Out.Remaining_ = Remaining;
+  return Out;
+}
+
+bool noteRunning(TargetCalls &Calls, const wire::CallId &Id, TimePoint Now) {
+  TargetCall *Call = findCall(Calls, Id);
+  if (Call == nullptr || Call->State_ != TargetCallState::Queued ||
+      Now >= Call->Deadline_)
+    return false;
+  Call->State_ = TargetCallState::Running;
+  return true;
+}
+
+wire::CallAnswer noteDone(TargetCalls &Calls, wire::CallAnswer Answer,
+                          std::shared_ptr<const std::string> Body,
+                          TimePoint Now) {
+  Answer.set_process(Calls.Process_);
+  TargetCall *Call = findCall(Calls, Answer.id());
+  if (Call == nullptr)
+    return Answer;
+  bool Ended = Call->State_ == TargetCallState::Finished ||
+               Call->State_ == TargetCallState::Refused;
+  if (Ended)
+    return Call->Answer_;
+  Call->Answer_ = Answer;
+  TargetCallState State = Answer.run() == wire::RUN_NOT_RUN
+                              ? TargetCallState::Refused
+                              : TargetCallState::Finished;
+  markEnded(Calls, *Call, State, Now);
+  if (Body && !Body->empty()) {
+    Calls.AnswerBytes_ += Body->size();
+    Call->Body_ = std::move(Body);
+    Calls.Answers_.emplace_back(keyOf(Answer.id()), Answer.id().ordinal());
+    boundAnswers(Calls);
+  }
+  return Answer;
+}
+
+QueryResult onQuery(TargetCalls &Calls, const wire::CallQuery &Query,
+                    TimePoint Now) {
+  ++Calls.Counters_.Queries_;
+  const wire::CallId &Id = Query.id();
+  if (const TargetCall *Known = findCall(Calls, Id))
+    return queryKnown(Calls, *Known, Id);
+  QueryResult Out;
+  bool OtherProcess = Query.process() != 0 && Query.process() != Calls.Process_;
+  bool Refused = !OtherProcess && !mayBeForgotten(Calls, Id);
+  if (Refused && !mutated(CallMutation::NoTombstone))
+    Refused = addTombstone(Calls, Id, Now);
+  if (OtherProcess && mutated(CallMutation::RestartedDaemonVouches))
+    Refused = true;
+  Out.QueryAnswer_ =
+      queryAnswer(Calls, Id,
+                  Refused ? wire::CALL_REFUSED_FOR_GOOD : wire::CALL_FORGOTTEN);
+  return Out;
+}
+
+CancelResult onCancel(TargetCalls &Calls, const wire::CallId &Id,
+                      TimePoint Now) {
+  TargetCall *Call = findCall(Calls, Id);
+  if (Call == nullptr) {
+    if (!mayBeForgotten(Calls, Id))
+      addTombstone(Calls, Id, Now);
+    return CancelResult::Nothing;
+  }
+  if (!sameCall(Call->Id_, Id)) {
+    ++Calls.Counters_.Mismatched_;
+    return CancelResult::Nothing;
+  }
+  if (Call->State_ == TargetCallState::Running) {
+    ++Calls.Counters_.Cancelled_;
+    return CancelResult::Abort;
+  }
+  if (Call->State_ != TargetCallState::Queued)
+    return CancelResult::Nothing;
+  ++Calls.Counters_.Cancelled_;
+  Call->Answer_ = refusedAnswer(Calls, Id);
+  markEnded(Calls, *Call, TargetCallState::Refused, Now);
+  return CancelResult::Dequeue;
+}
+
+void tickTargetCalls(TargetCalls &Calls, TimePoint Now) {
+  Duration Gap = Now - Calls.LastTick_;
+  if (Gap > Calls.Limits_.PauseThreshold_) {
+    Calls.PauseEnd_ = Now;
+    Calls.PauseLength_ = Gap;
+    ++Calls.Counters_.Pauses_;
+    Calls.Events_.push_back({Gap});
+  }
+  Calls.LastTick_ = Now;
+  while (!Calls.Ended_.empty()) {
+    const auto &[Key, Ordinal] = Calls.Ended_.front();
+    const TargetCall &Oldest = Calls.Processes_.at(Key).Calls_.at(Ordinal);
+    if (Now - Oldest.EndedAt_ < Calls.Limits_.KeepFor_)
+      break;
+    dropOldestRecord(Calls);
+  }
+}
+
+} // namespace sycamore
