--- a/include/sycamore/KeyBuckets.h
+++ b/include/sycamore/KeyBuckets.h
@@ -18,6 +18,7 @@
 #include <deque>
 #include <memory>
 #include <optional>
+#include <set>
 #include <span>
 #include <unordered_map>
 #include <variant>
@@ -36,6 +37,13 @@
   Duration LeaseGuard_ = milliseconds(500);
   /// Pause after a failed store call; jitter of up to as much is added.
   Duration RetryPause_ = seconds(1);
+  /// A server of rank 1 tries to take a bucket that has had no holder for this
+  /// long, rank 2 after twice this time, rank 3 after four times, and so on,
+  /// for the case that the servers before it cannot reach the store. So seven
+  /// servers at most try during an outage of 10 min.
+  Duration RankDelay_ = seconds(10);
+  /// Records in one part of a handover, in bytes.
+  std::size_t HandoverPartBytes_ = 256U << 10U;
   /// Longest time that a handed-over key may stay running at its old holder.
   Duration MaxRemoteRun_ = seconds(120);
   std::size_t MaxRecords_ = 200000;         ///< Of all buckets together.
@@ -76,7 +84,8 @@
   std::uint64_t Fence_ = 0;
   WallTime UnknownBefore_;
   TimePoint OpaqueUnknownUntil_;
-  TimePoint Expires_;
+  std::uint32_t Parts_ = 1;
+  std::set<std::uint32_t> SeenParts_;
 };
 
 struct KeyBucket {
@@ -91,9 +100,12 @@
   /// Keys in the order in which their records end.
   std::deque<std::pair<TimePoint, std::string>> Expiry_;
   TimePoint NextTry_;
+  /// Since when no server with a valid lease claims it; unset while one does.
+  std::optional<TimePoint> UnheldSince_;
   std::optional<PendingHandover> Pending_;
   std::uint64_t ReplacesFence_ = 0; ///< Of the acquisition under way.
-  std::string Successor_;           ///< While HandingOver.
+  std::int64_t AcquireLease_ = 0;   ///< Likewise; 0 when it began with a grant.
+  std::string Successor_;           ///< Gets updates after a handover.
 };
 
 /// Put the bucket's key with this daemon's lease, if the key's modification
@@ -226,9 +238,14 @@
 /// Whether this daemon may accept new keys of a bucket.
 bool holdsBucket(const BucketTable &Table, std::uint32_t Bucket, TimePoint Now);
 
+/// Position of a server in that ranking, from 0; the list's size if absent.
+std::size_t rendezvousRank(std::uint32_t Bucket, std::string_view Server,
+                           std::span<const std::string> Servers);
+
 /// Renews the lease, acquires free buckets for which this daemon ranks first
 /// among AliveServers (own name included), ends old records. Called every
-/// 20 ms.
+/// 20 ms, but not before the membership has been learnt, or the first server
+/// of a starting fleet would take all buckets.
 BucketActions tickBuckets(BucketTable &Table,
                           std::span<const std::string> AliveServers,
                           std::span<const wire::ServerRecord> Records, Now At,
@@ -274,8 +291,9 @@
 
 /// A leaving holder sent records. They count once this daemon has taken the
 /// bucket from exactly that holder's fence.
-BucketActions onHandover(BucketTable &Table,
-                         const wire::BucketHandover &Handover, Now At);
+/// tickBuckets() starts to take it when all parts are here.
+void onHandover(BucketTable &Table, const wire::BucketHandover &Handover,
+                Now At);
 
 /// The end of a planned stop, with no keyed call running any more: gives up
 /// what nobody has taken over.
--- a/src/EntryCallsDetail.cpp
+++ b/src/EntryCallsDetail.cpp
@@ -60,8 +60,9 @@
 void describeRefusal(const Step &At, const EntryCall &Call, Finish &Out) {
   const wire::CallAnswer &Refusal = Call.Refusal_;
   Out.Answer_ = Refusal;
-  if (!Refusal.has_id() && !Call.Request_.idempotency_key().empty())
-    Out.Answer_.set_earlier_sends_unknown(true);
+  // At the holder, this call is the only one that the key ever had.
+  if (Call.KeepWhenCallerGone_)
+    Out.Answer_.set_no_sending_ran(true);
   if (Out.Status_ == 0)
     Out.Status_ = Refusal.status() != 0 ? Refusal.status() : 503;
   Out.RetryAfter_ = Refusal.retry_after_ms() != 0
--- a/src/TargetCalls.cpp
+++ b/src/TargetCalls.cpp
@@ -392,8 +392,10 @@
 void tickTargetCalls(TargetCalls &Calls, TimePoint Now) {
   Duration Gap = Now - Calls.LastTick_;
   if (Gap > Calls.Limits_.PauseThreshold_) {
+    // A request may have waited through several pauses.
+    bool Draining = Now - Gap - Calls.PauseEnd_ <= Calls.Limits_.DrainAfterPause_;
+    Calls.PauseLength_ = Draining ? Calls.PauseLength_ + Gap : Gap;
     Calls.PauseEnd_ = Now;
-    Calls.PauseLength_ = Gap;
     ++Calls.Counters_.Pauses_;
     Calls.Events_.push_back({Gap});
   }
--- /dev/null
+++ b/test/failure/CallHistoryTest.cpp
@@ -0,0 +1,62 @@
+// Guards against requests that run twice, false "not run" answers and answers
+// that reach the wrong caller, while daemons, links and the store fail at each
+// step of a call. Set SYCAMORE_TEST_SEED and SYCAMORE_TEST_RUNS to choose the
+// runs, and SYCAMORE_TEST_HISTORY to a file name for the history of a failure.
+#include "CallWorld.h"
+
+#include <cstdlib>
+#include <fstream>
+#include <gtest/gtest.h>
+#include <iostream>
+
+using namespace sycamore;
+
+namespace {
+
+std::uint64_t fromEnvironment(const char *Name, std::uint64_t Default) {
+  const char *Text = std::getenv(Name);
+  return Text == nullptr ? Default : std::strtoull(Text, nullptr, 10);
+}
+
+/// Runs seeds until one has a violation; returns how many were run.
+std::uint64_t runSeeds(std::uint64_t First, std::uint64_t Count,
+                       std::vector<history::Violation> &Found,
+                       std::map<std::string, std::uint64_t> &Totals) {
+  for (std::uint64_t Seed = First; Seed < First + Count; ++Seed) {
+    world::World Run(world::shortConfig(Seed));
+    Run.run();
+    for (const auto &[Name, Value] : Run.Totals_)
+      Totals[Name] += Value;
+    for (const auto &[Name, Value] : Run.Outcomes_)
+      Totals["answers: " + Name] += Value;
+    Found = history::check(Run.History_.Events_);
+    if (Found.empty())
+      continue;
+    if (const char *Path = std::getenv("SYCAMORE_TEST_HISTORY"))
+      std::ofstream(Path) << history::toJsonLines(Run.History_.Events_);
+    return Seed - First + 1;
+  }
+  return Count;
+}
+
+} // namespace
+
+TEST(CallHistory, NoSeededRunBreaksAPromise) {
+  world::setMutationFromEnvironment();
+  std::uint64_t First = fromEnvironment("SYCAMORE_TEST_SEED", 1);
+  std::uint64_t Count = fromEnvironment("SYCAMORE_TEST_RUNS", 1000);
+  std::vector<history::Violation> Found;
+  std::map<std::string, std::uint64_t> Totals;
+  std::uint64_t Ran = runSeeds(First, Count, Found, Totals);
+  EXPECT_TRUE(Found.empty())
+      << "SYCAMORE_TEST_SEED=" << First + Ran - 1 << " SYCAMORE_TEST_RUNS=1\n"
+      << history::describe(Found);
+  std::cout << "seeds " << First << " to " << First + Ran - 1 << "\n";
+  for (const auto &[Name, Value] : Totals)
+    std::cout << "  " << Name << ": " << Value << "\n";
+  // A path that no run takes would leave its rule unchecked.
+  if (Count >= 1000 && Found.empty()) {
+    for (const auto &[Name, Value] : Totals)
+      EXPECT_GT(Value, 0U) << Name;
+  }
+}
--- /dev/null
+++ b/test/support/CallWorld.cpp
@@ -0,0 +1,446 @@
+// Time, faults and store of the simulated world.
+#include "CallWorld.h"
+
+#include "CallMutation.h"
+
+#include <algorithm>
+#include <cstdlib>
+
+namespace sycamore::world {
+namespace {
+
+/// True time 0 as wall time.
+constexpr Micros Epoch = 1'800'000'000'000'000;
+
+const std::map<std::string, CallMutation> &mutations() {
+  using enum CallMutation;
+  static const std::map<std::string, CallMutation> Table = {
+      {"retry-in-doubt", RetryInDoubt},
+      {"restarted-daemon-vouches", RestartedDaemonVouches},
+      {"any-incarnation-answers", AnyIncarnationAnswers},
+      {"no-body-check", NoBodyCheck},
+      {"no-tombstone", NoTombstone},
+      {"no-low-water-mark", NoLowWaterMark},
+      {"expired-without-record", ExpiredWithoutRecord},
+      {"no-duplicate-check", NoDuplicateCheck},
+      {"border-without-allowance", BorderWithoutAllowance},
+      {"lease-from-answer", LeaseFromAnswer},
+      {"takeover-from-request", TakeoverFromRequest},
+      {"unknown-forgets-key", UnknownForgetsKey},
+      {"no-request-hash", NoRequestHash},
+      {"no-age-limit", NoAgeLimit},
+      {"handover-without-fence", HandoverWithoutFence},
+      {"accept-while-handing-over", AcceptWhileHandingOver},
+      {"lapsed-is-settled", LapsedIsSettled},
+  };
+  return Table;
+}
+
+} // namespace
+
+bool setMutation(const std::string &Name) {
+  auto Found = mutations().find(Name);
+  ActiveCallMutation =
+      Found == mutations().end() ? CallMutation::None : Found->second;
+  return Found != mutations().end();
+}
+
+std::vector<std::string> mutationNames() {
+  std::vector<std::string> Out;
+  for (const auto &[Name, Which] : mutations())
+    Out.push_back(Name);
+  return Out;
+}
+
+void setMutationFromEnvironment() {
+  const char *Name = std::getenv("SYCAMORE_CALL_MUTATION");
+  setMutation(Name == nullptr ? "" : Name);
+}
+
+Config shortConfig(std::uint64_t Seed) {
+  Config Out;
+  Out.Seed_ = Seed;
+  Out.Keyed_.BucketCount_ = 3;
+  Out.Keyed_.ResendWindow_ = seconds(6);
+  Out.Keyed_.ClockSkew_ = milliseconds(400);
+  Out.Keyed_.LeaseTtl_ = seconds(2);
+  Out.Keyed_.KeepAliveEvery_ = milliseconds(600);
+  Out.Keyed_.LeaseGuard_ = milliseconds(50);
+  Out.Keyed_.RetryPause_ = milliseconds(150);
+  Out.Keyed_.RankDelay_ = seconds(1);
+  Out.Keyed_.MaxRemoteRun_ = seconds(3);
+  Out.Keyed_.HandoverPartBytes_ = 400;
+  // Small enough that records are dropped in every run.
+  Out.Target_.KeepFor_ = milliseconds(800);
+  Out.Target_.MaxRecords_ = 24;
+  Out.Target_.MaxProcesses_ = 6;
+  return Out;
+}
+
+World::World(const Config &Settings)
+    : Config_(Settings), Rng_(Settings.Seed_), Nodes_(Settings.Nodes_) {
+  for (std::uint64_t Number = 1; Number <= 4; ++Number) {
+    auto Made = std::make_shared<Snapshot>();
+    Made->Number_ = Number;
+    Tickets_.push_back(Made);
+  }
+  Micros Skew = Config_.Keyed_.ClockSkew_.count() / 2;
+  for (std::size_t I = 0; I < Nodes_.size(); ++I) {
+    Nodes_[I].Name_ = "server-" + std::to_string(I);
+    Nodes_[I].Index_ = I;
+    Nodes_[I].WallOffset_ = between(-Skew, Skew);
+    CallerOffset_.push_back(between(-Skew, Skew));
+  }
+}
+
+void World::at(Micros When, std::function<void()> Act) {
+  Queue_.push({std::max(When, Now_), Order_++,
+               std::make_shared<std::function<void()>>(std::move(Act))});
+}
+
+void World::atNode(Node &Where, Micros Delay, std::function<void(Node &)> Act) {
+  std::uint64_t Process = Where.Process_;
+  at(Now_ + Delay, [this, &Where, Process, Act = std::move(Act)] {
+    if (!Where.Alive_ || Where.Process_ != Process)
+      return;
+    if (Where.FrozenUntil_ > Now_)
+      atNode(Where, Where.FrozenUntil_ - Now_, Act);
+    else
+      Act(Where);
+  });
+}
+
+void World::arrive(std::size_t Index, Micros Delay,
+                   std::function<void(Node &)> Act) {
+  at(Now_ + Delay, [this, Index, Act = std::move(Act)] {
+    Node &Where = Nodes_[Index];
+    if (Where.Alive_)
+      atNode(Where, 0, Act);
+  });
+}
+
+bool World::chance(double Probability) {
+  return randomUnit(Rng_) < Probability;
+}
+
+Micros World::between(Micros Low, Micros High) {
+  return Low + static_cast<Micros>(randomIndex(
+                   Rng_, static_cast<std::size_t>(High - Low + 1)));
+}
+
+sycamore::Now World::clock(const Node &Of) const {
+  return {TimePoint(Duration(Now_ + Of.MonotonicOffset_)),
+          WallTime(Duration(Epoch + Now_ + Of.WallOffset_))};
+}
+
+void World::start(Node &What) {
+  What.Alive_ = true;
+  What.Leaving_ = false;
+  What.LostSince_ = -1;
+  What.FrozenUntil_ = 0;
+  What.MonotonicOffset_ = between(1, 1'000'000'000);
+  What.Process_ = static_cast<std::uint64_t>(Epoch + Now_ + What.WallOffset_);
+  std::uint64_t Running = What.Snapshot_ ? What.Snapshot_->Number_ : 1;
+  What.Snapshot_ = Tickets_[Running - 1];
+  What.Entry_ = {};
+  What.Entry_.Self_ = What.Name_;
+  What.Entry_.Incarnation_ = What.Process_;
+  What.Entry_.Limits_ = Config_.Entry_;
+  What.Target_ = {};
+  What.Target_.Process_ = What.Process_;
+  What.Target_.Limits_ = Config_.Target_;
+  What.Target_.LastTick_ = clock(What).Monotonic_;
+  What.Buckets_ = makeBucketTable(What.Name_, What.Process_, Config_.Keyed_);
+  What.OnFinish_.clear();
+  What.Waiters_.clear();
+  // The membership is learnt from peers before the first tick.
+  gossip();
+  atNode(What, between(0, Config_.Tick_), [this](Node &At) { tick(At); });
+}
+
+void World::kill(Node &What, Micros Down) {
+  if (!What.Alive_)
+    return;
+  addTotals(*this, What);
+  What.Alive_ = false;
+  What.LostSince_ = Now_;
+  at(Now_ + Down, [this, &What] { start(What); });
+}
+
+void World::freeze(Node &What, Micros Length) {
+  if (!What.Alive_ || What.FrozenUntil_ > Now_)
+    return;
+  What.FrozenUntil_ = Now_ + Length;
+  What.LostSince_ = Now_;
+  at(What.FrozenUntil_, [&What] {
+    if (What.Alive_)
+      What.LostSince_ = -1;
+  });
+}
+
+void World::stopGracefully(Node &What) {
+  if (!What.Alive_ || What.Leaving_)
+    return;
+  atNode(What, 0, [this](Node &At) {
+    At.Leaving_ = true;
+    performBuckets(At, beginHandover(At.Buckets_, At.SeenAlive_, clock(At)));
+    atNode(At, Config_.CallerPatience_, [this](Node &Late) {
+      performBuckets(Late, releaseBuckets(Late.Buckets_));
+      atNode(Late, 100'000, [this](Node &Last) { kill(Last, 300'000); });
+    });
+  });
+}
+
+void World::stepFault(Node &What) {
+  if (!Config_.Faults_)
+    return;
+  if (chance(0.004))
+    freeze(What, chance(0.3) ? between(1'000'000, 5'000'000)
+                             : between(1'000, 900'000));
+  else if (chance(0.002))
+    kill(What, between(50'000, 3'000'000));
+}
+
+void World::scheduleFaults() {
+  for (int I = 0; I < 6; ++I) {
+    at(between(0, Config_.LoadEnd_), [this] {
+      Node &Hit = Nodes_[randomIndex(Rng_, Nodes_.size())];
+      Node &Peer = Nodes_[randomIndex(Rng_, Nodes_.size())];
+      Link &Path = Links_[{Hit.Index_, Peer.Index_}];
+      Micros Skew = Config_.Keyed_.ClockSkew_.count() / 2;
+      switch (between(0, 8)) {
+      case 0:
+        freeze(Hit, between(50'000, 5'000'000));
+        break;
+      case 1:
+        kill(Hit, between(50'000, 4'000'000));
+        break;
+      case 2:
+        Path.Silent_ = true;
+        break;
+      case 3:
+        Path.AnswersSilent_ = true;
+        break;
+      case 4:
+        ++Path.Epoch_;
+        atNode(Hit, 100, [this, &Peer](Node &At) {
+          perform(At, onLinkLost(At.Entry_, Peer.Name_, policy(At),
+                                 clock(At).Monotonic_));
+        });
+        break;
+      case 5:
+        Store_.DownUntil_ = Now_ + between(300'000, 5'000'000);
+        break;
+      case 6:
+        Store_.SlowUntil_ = Now_ + between(300'000, 3'000'000);
+        break;
+      case 7:
+        stopGracefully(Hit);
+        break;
+      default:
+        Hit.WallOffset_ = between(-Skew, Skew);
+      }
+    });
+  }
+}
+
+void World::gossip() {
+  std::vector<wire::ServerRecord> Records;
+  std::vector<std::string> Alive;
+  for (Node &Each : Nodes_) {
+    wire::ServerRecord Record;
+    Record.set_name(Each.Name_);
+    Record.set_incarnation(Each.Process_);
+    bool Lost =
+        Each.LostSince_ >= 0 && Now_ - Each.LostSince_ >= Config_.Detection_;
+    Record.set_state(Lost            ? wire::SERVER_DEAD
+                     : Each.Leaving_ ? wire::SERVER_LEAVING
+                                     : wire::SERVER_ALIVE);
+    for (wire::HeldBucket &Held : heldBuckets(Each.Buckets_))
+      *Record.add_buckets() = Held;
+    if (!Lost && !Each.Leaving_)
+      Alive.push_back(Each.Name_);
+    Records.push_back(std::move(Record));
+  }
+  for (Node &Each : Nodes_) {
+    if (!Each.Alive_ || Each.FrozenUntil_ > Now_)
+      continue;
+    Each.SeenRecords_ = Records;
+    Each.SeenAlive_ = Alive;
+    for (const wire::ServerRecord &Record : Records)
+      Each.SeenProcess_[Record.name()] = Record.incarnation();
+  }
+}
+
+void World::tick(Node &What) {
+  atNode(What, Config_.Tick_, [this](Node &At) { tick(At); });
+  sycamore::Now At = clock(What);
+  for (const Node &Peer : Nodes_) {
+    bool Answers = Peer.Alive_ && Peer.FrozenUntil_ <= Now_;
+    const Link &Path = Links_[{What.Index_, Peer.Index_}];
+    if (Answers && !Path.Silent_)
+      noteHeard(What.Entry_, Peer.Name_, At.Monotonic_);
+    bool Lost = std::none_of(
+        What.SeenAlive_.begin(), What.SeenAlive_.end(),
+        [&](const std::string &Name) { return Name == Peer.Name_; });
+    if (Lost && !Peer.Leaving_ && Peer.Index_ != What.Index_ && chance(0.05))
+      perform(What, onServerLost(What.Entry_, Peer.Name_, policy(What),
+                                 At.Monotonic_));
+  }
+  tickTargetCalls(What.Target_, At.Monotonic_);
+  performBuckets(What, tickBuckets(What.Buckets_, What.SeenAlive_,
+                                   What.SeenRecords_, At, Rng_));
+  perform(What, tickEntryCalls(What.Entry_, policy(What), At.Monotonic_));
+  for (const BucketEvent &Event : takeEvents(What.Buckets_)) {
+    const auto *Settled = std::get_if<KeySettled>(&Event);
+    auto Found = Settled == nullptr ? What.Waiters_.end()
+                                    : What.Waiters_.find(Settled->Key_);
+    if (Found == What.Waiters_.end())
+      continue;
+    auto Waiting = std::move(Found->second);
+    What.Waiters_.erase(Found);
+    for (auto &Reply : Waiting)
+      Reply({});
+  }
+  takeEvents(What.Entry_);
+  takeEvents(What.Target_);
+}
+
+World::StoreFate World::storeFate() {
+  ++Store_.Calls_;
+  StoreFate Out;
+  Out.Before_ = between(300, 2'000);
+  Out.After_ = between(300, 2'000);
+  if (Now_ < Store_.SlowUntil_) {
+    Out.Before_ = between(1'000, 700'000);
+    Out.After_ = between(1'000, 700'000);
+  }
+  Out.Runs_ = Now_ >= Store_.DownUntil_;
+  Out.Answers_ = Out.Runs_ && !(Config_.Faults_ && chance(0.05));
+  return Out;
+}
+
+void World::acquire(Node &From, const AcquireBucket &Action) {
+  StoreFate Fate = storeFate();
+  sycamore::Now Sent = clock(From);
+  if (!Fate.Runs_) {
+    atNode(From, 500'000, [this, Action](Node &At) {
+      onAcquireFailed(At.Buckets_, Action.Bucket_, {}, clock(At), Rng_);
+    });
+    return;
+  }
+  at(Now_ + Fate.Before_, [this, &From, Process = From.Process_, Action, Fate,
+                           Sent] {
+    std::optional<LeaseAnswer> Granted;
+    std::int64_t Lease = Action.LeaseId_;
+    if (Lease == 0) {
+      ++Store_.Calls_;
+      Lease = Store_.NextLease_++;
+      Store_.LeaseEnds_[Lease] =
+          Now_ + Duration(Action.LeaseTtl_).count();
+      Granted = LeaseAnswer{Lease, Action.LeaseTtl_, Sent.Monotonic_};
+    }
+    auto End = Store_.LeaseEnds_.find(Lease);
+    bool LeaseLives = End != Store_.LeaseEnds_.end() && End->second > Now_;
+    auto Claim = Store_.Claims_.find(Action.Bucket_);
+    if (Claim != Store_.Claims_.end() &&
+        Store_.LeaseEnds_[Claim->second.Lease_] <= Now_)
+      Claim = (Store_.Claims_.erase(Claim), Store_.Claims_.end());
+    auto Revision = Claim == Store_.Claims_.end()
+                        ? std::uint64_t{0}
+                        : static_cast<std::uint64_t>(Claim->second.Revision_);
+    bool Took = LeaseLives && Revision == Action.ReplacesFence_;
+    if (Took)
+      Store_.Claims_[Action.Bucket_] = {Action.Value_, Lease,
+                                        ++Store_.Revision_};
+    KeyValue Found;
+    if (auto Seen = Store_.Claims_.find(Action.Bucket_);
+        Seen != Store_.Claims_.end()) {
+      Found.Value_ = Seen->second.Value_;
+      Found.Lease_ = Seen->second.Lease_;
+      Found.ModRevision_ = Seen->second.Revision_;
+    }
+    if (!From.Alive_ || From.Process_ != Process)
+      return;
+    Micros Delay = Fate.Answers_ ? Fate.After_ : 500'000;
+    atNode(From, Delay, [=, this](Node &At) {
+      sycamore::Now Read =
+          mutated(CallMutation::TakeoverFromRequest) ? Sent : clock(At);
+      if (!Fate.Answers_ || !LeaseLives)
+        onAcquireFailed(At.Buckets_, Action.Bucket_, Granted, Read, Rng_);
+      else if (Took)
+        onAcquired(At.Buckets_, Action.Bucket_,
+                   static_cast<std::uint64_t>(Found.ModRevision_), Granted,
+                   Read);
+      else
+        onAcquireConflict(At.Buckets_, Action.Bucket_, Found, Granted, Read,
+                          Rng_);
+    });
+  });
+}
+
+void World::keepAlive(Node &From, const KeepLeaseAlive &Action) {
+  StoreFate Fate = storeFate();
+  TimePoint Sent = clock(From).Monotonic_;
+  at(Now_ + Fate.Before_, [this, &From, Process = From.Process_, Action, Fate,
+                           Sent] {
+    auto End = Store_.LeaseEnds_.find(Action.LeaseId_);
+    bool Lives = End != Store_.LeaseEnds_.end() && End->second > Now_;
+    if (Fate.Runs_ && Lives)
+      End->second = Now_ + Duration(Config_.Keyed_.LeaseTtl_).count();
+    if (!From.Alive_ || From.Process_ != Process)
+      return;
+    atNode(From, Fate.Answers_ ? Fate.After_ : 500'000,
+           [this, Action, Fate, Lives, Sent](Node &At) {
+             if (!Fate.Answers_)
+               onKeepAliveFailed(At.Buckets_, Action.LeaseId_, clock(At), Rng_);
+             else if (Lives)
+               onKeptAlive(At.Buckets_,
+                           {Action.LeaseId_, Config_.Keyed_.LeaseTtl_, Sent},
+                           clock(At));
+             else
+               onLeaseLost(At.Buckets_, Action.LeaseId_);
+           });
+  });
+}
+
+void World::run() {
+  for (std::uint64_t Number = 1; Number <= Tickets_.size(); ++Number)
+    at(static_cast<Micros>(Number - 1) * Config_.LoadEnd_ / 4, [this, Number] {
+      history::Event Accepted;
+      Accepted.Kind_ = history::EventKind::Accepted;
+      Accepted.At_ = Now_;
+      Accepted.Ticket_ = Number;
+      History_.add(Accepted);
+      for (Node &Each : Nodes_)
+        arrive(Each.Index_, between(1'000, 400'000), [this, Number](Node &At) {
+          if (At.Snapshot_->Number_ >= Number)
+            return;
+          At.Snapshot_ = Tickets_[Number - 1];
+          history::Event Runs;
+          Runs.Kind_ = history::EventKind::Ticket;
+          Runs.At_ = Now_;
+          Runs.Proxy_ = At.Name_;
+          Runs.Ticket_ = Number;
+          History_.add(Runs);
+        });
+    });
+  for (Node &Each : Nodes_)
+    start(Each);
+  for (Micros When = 0; When < Config_.Length_; When += 200'000)
+    at(When, [this] { gossip(); });
+  if (Config_.Faults_)
+    scheduleFaults();
+  scheduleLoad();
+  while (!Queue_.empty() && Queue_.top().When_ <= Config_.Length_) {
+    Scheduled Next = Queue_.top();
+    Queue_.pop();
+    Now_ = Next.When_;
+    (*Next.Act_)();
+  }
+  for (const Node &Each : Nodes_)
+    if (Each.Alive_)
+      addTotals(*this, Each);
+}
+
+} // namespace sycamore::world
--- /dev/null
+++ b/test/support/History.cpp
@@ -0,0 +1,254 @@
+#include "History.h"
+
+#include "sycamore/Json.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace sycamore::history {
+namespace {
+
+constexpr std::string_view KindNames[] = {"sent", "answered", "ran", "ticket",
+                                          "accepted"};
+
+/// The events of one history, by what the rules look them up by.
+struct Index {
+  std::map<std::string, const Event *> SentByCall_;
+  std::map<std::string, std::vector<const Event *>> RunsByCall_;
+  std::map<std::string, std::vector<const Event *>> RunsByKey_;
+  std::map<std::string, std::vector<const Event *>> AnswersByCall_;
+  std::map<std::uint64_t, std::int64_t> AcceptedAt_;
+  std::vector<const Event *> TicketsInOrder_;
+};
+
+Index makeIndex(const std::vector<Event> &Events) {
+  Index Out;
+  for (const Event &Entry : Events) {
+    switch (Entry.Kind_) {
+    case EventKind::Sent:
+      Out.SentByCall_[Entry.Call_] = &Entry;
+      break;
+    case EventKind::Answered:
+      Out.AnswersByCall_[Entry.Call_].push_back(&Entry);
+      break;
+    case EventKind::Ran:
+      Out.RunsByCall_[Entry.Call_].push_back(&Entry);
+      if (!Entry.Key_.empty())
+        Out.RunsByKey_[Entry.Key_].push_back(&Entry);
+      break;
+    case EventKind::Ticket:
+      Out.TicketsInOrder_.push_back(&Entry);
+      break;
+    case EventKind::Accepted:
+      Out.AcceptedAt_.emplace(Entry.Ticket_, Entry.At_);
+      break;
+    }
+  }
+  std::stable_sort(Out.TicketsInOrder_.begin(), Out.TicketsInOrder_.end(),
+                   [](auto *A, auto *B) { return A->At_ < B->At_; });
+  return Out;
+}
+
+using Violations = std::vector<Violation>;
+
+void checkRuns(const Index &All, Violations &Out) {
+  for (const auto &[Key, Runs] : All.RunsByKey_)
+    if (Runs.size() > 1)
+      Out.push_back({"at-most-once-key",
+                     "key " + Key + " ran " + std::to_string(Runs.size()) +
+                         " times, on " + Runs[0]->Target_ + " and " +
+                         Runs[1]->Target_});
+  for (const auto &[Call, Runs] : All.RunsByCall_)
+    if (Runs.size() > 1 && !Runs[0]->Idempotent_)
+      Out.push_back({"at-most-once-call",
+                     "call " + Call + " ran " + std::to_string(Runs.size()) +
+                         " times"});
+}
+
+void checkNotRun(const Index &All, const Event &Answer, Violations &Out) {
+  if (auto Runs = All.RunsByCall_.find(Answer.Call_);
+      Runs != All.RunsByCall_.end())
+    Out.push_back({"not-run", "call " + Answer.Call_ + " ran on " +
+                                  Runs->second[0]->Target_});
+  auto Sent = All.SentByCall_.find(Answer.Call_);
+  if (!Answer.Settled_ || Answer.Key_.empty() || Sent == All.SentByCall_.end())
+    return;
+  auto Runs = All.RunsByKey_.find(Answer.Key_);
+  if (Runs == All.RunsByKey_.end())
+    return;
+  // A sending that runs in parallel may start after the refusal was decided.
+  for (const Event *Run : Runs->second)
+    if (Run->At_ < Sent->second->At_)
+      Out.push_back({"not-run-settled", "key " + Answer.Key_ + " of call " +
+                                            Answer.Call_ +
+                                            " had run before it was sent"});
+}
+
+void checkDone(const Index &All, const Event &Answer, Violations &Out) {
+  // A status of 502 says that it ran but that the answer is lost.
+  std::vector<const Event *> Runs;
+  for (const auto *Table : {&All.RunsByCall_, &All.RunsByKey_}) {
+    auto Found =
+        Table->find(Table == &All.RunsByCall_ ? Answer.Call_ : Answer.Key_);
+    if (Found != Table->end())
+      Runs.insert(Runs.end(), Found->second.begin(), Found->second.end());
+  }
+  if (Runs.empty()) {
+    Out.push_back({"done-ran", "call " + Answer.Call_ + " never ran"});
+    return;
+  }
+  if (Answer.Status_ == 502)
+    return;
+  bool Whole = std::any_of(Runs.begin(), Runs.end(), [&](const Event *Run) {
+    return Run->Body_ == Answer.Body_;
+  });
+  if (!Whole)
+    Out.push_back({"whole-answer", "call " + Answer.Call_ + " got \"" +
+                                       Answer.Body_ + "\", not \"" +
+                                       Runs[0]->Body_ + "\""});
+  auto Sent = All.SentByCall_.find(Answer.Call_);
+  bool Right = Sent != All.SentByCall_.end() &&
+               std::any_of(Runs.begin(), Runs.end(), [&](const Event *Run) {
+                 return Run->Request_ == Sent->second->Request_ &&
+                        Run->Body_ == Answer.Body_;
+               });
+  if (!Right)
+    Out.push_back({"right-request", "call " + Answer.Call_ +
+                                        " got the answer to another request"});
+}
+
+void checkAnswers(const Index &All, Violations &Out) {
+  for (const auto &[Call, Answers] : All.AnswersByCall_) {
+    if (Answers.size() > 1)
+      Out.push_back({"one-answer", "call " + Call + " was answered " +
+                                       std::to_string(Answers.size()) +
+                                       " times"});
+    for (const Event *Answer : Answers) {
+      if (Answer->Run_ == "not-run")
+        checkNotRun(All, *Answer, Out);
+      if (Answer->Run_ == "done")
+        checkDone(All, *Answer, Out);
+      auto Accepted = All.AcceptedAt_.find(Answer->Ticket_);
+      bool Known = Answer->Ticket_ == 0 ||
+                   (Accepted != All.AcceptedAt_.end() &&
+                    Accepted->second <= Answer->At_);
+      if (!Known)
+        Out.push_back({"ticket-not-accepted",
+                       "call " + Call + " was answered under ticket " +
+                           std::to_string(Answer->Ticket_)});
+    }
+  }
+}
+
+void checkTickets(const Index &All, Violations &Out) {
+  std::map<std::string, std::uint64_t> Highest;
+  for (const Event *Entry : All.TicketsInOrder_) {
+    std::uint64_t &Before = Highest[Entry->Proxy_];
+    if (Entry->Ticket_ < Before)
+      Out.push_back({"older-ticket", "proxy " + Entry->Proxy_ +
+                                         " went from ticket " +
+                                         std::to_string(Before) + " to " +
+                                         std::to_string(Entry->Ticket_)});
+    Before = std::max(Before, Entry->Ticket_);
+    auto Accepted = All.AcceptedAt_.find(Entry->Ticket_);
+    if (Entry->Ticket_ != 0 && (Accepted == All.AcceptedAt_.end() ||
+                                Accepted->second > Entry->At_))
+      Out.push_back({"ticket-not-accepted",
+                     "proxy " + Entry->Proxy_ + " ran ticket " +
+                         std::to_string(Entry->Ticket_)});
+  }
+}
+
+} // namespace
+
+std::string toJsonLine(const Event &Entry) {
+  Json Out{{"event", KindNames[static_cast<int>(Entry.Kind_)]},
+           {"at", Entry.At_},
+           {"until", Entry.Until_},
+           {"call", Entry.Call_},
+           {"key", Entry.Key_},
+           {"request", Entry.Request_},
+           {"idempotent", Entry.Idempotent_},
+           {"run", Entry.Run_},
+           {"settled", Entry.Settled_},
+           {"status", Entry.Status_},
+           {"body", Entry.Body_},
+           {"target", Entry.Target_},
+           {"proxy", Entry.Proxy_},
+           {"ticket", Entry.Ticket_}};
+  return Out.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+Result<Event> parseJsonLine(std::string_view Line) {
+  auto Document = parseJson(Line, "history");
+  if (!Document)
+    return tl::unexpected(Document.error());
+  try {
+    Event Out;
+    auto Name = Document->at("event").get<std::string>();
+    auto Kind = std::find(std::begin(KindNames), std::end(KindNames), Name);
+    if (Kind == std::end(KindNames))
+      return fail(ErrorKind::InvalidData, "unknown event \"" + Name + "\"",
+                  "use sent, answered, ran, ticket or accepted");
+    Out.Kind_ = static_cast<EventKind>(Kind - std::begin(KindNames));
+    Out.At_ = Document->at("at");
+    Out.Until_ = Document->value("until", std::int64_t{0});
+    Out.Call_ = Document->value("call", "");
+    Out.Key_ = Document->value("key", "");
+    Out.Request_ = Document->value("request", "");
+    Out.Idempotent_ = Document->value("idempotent", false);
+    Out.Run_ = Document->value("run", "");
+    Out.Settled_ = Document->value("settled", false);
+    Out.Status_ = Document->value("status", 0U);
+    Out.Body_ = Document->value("body", "");
+    Out.Target_ = Document->value("target", "");
+    Out.Proxy_ = Document->value("proxy", "");
+    Out.Ticket_ = Document->value("ticket", std::uint64_t{0});
+    return Out;
+  } catch (const Json::exception &Failure) {
+    return fail(ErrorKind::InvalidData, Failure.what(),
+                "write events with toJsonLine()");
+  }
+}
+
+std::string toJsonLines(const std::vector<Event> &Events) {
+  std::string Out;
+  for (const Event &Entry : Events)
+    Out += toJsonLine(Entry) + "\n";
+  return Out;
+}
+
+Result<std::vector<Event>> parseJsonLines(std::string_view Text) {
+  std::vector<Event> Out;
+  while (!Text.empty()) {
+    std::size_t End = std::min(Text.find('\n'), Text.size());
+    std::string_view Line = Text.substr(0, End);
+    Text.remove_prefix(std::min(End + 1, Text.size()));
+    if (Line.empty())
+      continue;
+    auto Entry = parseJsonLine(Line);
+    if (!Entry)
+      return tl::unexpected(Entry.error());
+    Out.push_back(std::move(*Entry));
+  }
+  return Out;
+}
+
+std::vector<Violation> check(const std::vector<Event> &Events) {
+  Violations Out;
+  Index All = makeIndex(Events);
+  checkRuns(All, Out);
+  checkAnswers(All, Out);
+  checkTickets(All, Out);
+  return Out;
+}
+
+std::string describe(const std::vector<Violation> &Violations) {
+  std::string Out;
+  for (const Violation &Each : Violations)
+    Out += Each.Rule_ + ": " + Each.What_ + "\n";
+  return Out;
+}
+
+} // namespace sycamore::history
