Plan filings and withdrawals; bound messages about hostile input

Cause: Head.h lacked planFiling and planWithdrawal of the design, and a record could not tell one operator's lost filing from another's. Error text of the JSON library quoted whole broken tokens in raw bytes; cutting quoted values could split a character, which a JSON encoder then refuses.

Change: filing and withdrawal ids in ticket records; a filing is a trial acceptance, so it is refused for whatever an approval would be; heads whose fields disagree with their last ticket are refused; routes that match the same requests, repeated list items and lower-case methods are problems; messages are cut between characters and list at most 100 problems.

Ruled out: checking duplicate routes in foldTicket, which daemons also run, because it would make them reject a ticket that is already accepted.

--- a/include/sycamore/Head.h
+++ b/include/sycamore/Head.h
@@ -39,9 +39,11 @@
   TicketState State_ = TicketState::Filed;
   Ticket Ticket_;
   std::string Filer_;
+  std::string FilingId_; ///< Random, finds a lost answer again.
   std::int64_t FiledUnixUs_ = 0;
   std::string Approver_;     ///< Who accepted or withdrew it.
   std::string AcceptanceId_; ///< Set once accepted.
+  std::string WithdrawalId_; ///< Set once withdrawn.
   std::int64_t DecidedUnixUs_ = 0;
 
   bool operator==(const TicketRecord &) const = default;
@@ -79,4 +81,32 @@
                                       const TicketRecord &Record,
                                       const AcceptanceRequest &Request);
 
+struct FilingRequest {
+  std::string Filer_;
+  std::string FilingId_;
+  std::int64_t NowUnixUs_ = 0;
+};
+
+/// Decides whether Change, whose number is set, may be filed while Current, the
+/// snapshot of HeadBefore, is in force, and the record to create. Errors:
+/// Conflict when the number is not above the head's, and those of
+/// planAcceptance().
+Result<TicketRecord> planFiling(const Head &HeadBefore, const Snapshot &Current,
+                                const Ticket &Change,
+                                const FilingRequest &Request);
+
+struct WithdrawalRequest {
+  std::string Operator_;
+  std::string WithdrawalId_;
+  std::int64_t NowUnixUs_ = 0;
+};
+
+/// The record after its withdrawal. Errors: Conflict unless it is filed.
+Result<TicketRecord> planWithdrawal(const TicketRecord &Record,
+                                    const WithdrawalRequest &Request);
+
+/// Pairs of routes with the same host, path prefix and a common method, of
+/// which one would never match; one line each.
+std::vector<std::string> duplicateRoutes(const State &Value);
+
 } // namespace sycamore
--- a/include/sycamore/Json.h
+++ b/include/sycamore/Json.h
@@ -67,8 +67,8 @@
   std::set<std::string, std::less<>> Known_;
 };
 
-/// One error of kind Kind that lists all problems, or nothing when there are
-/// none.
+/// One error of kind Kind that lists all problems, one line each and at most
+/// 100, or nothing when there are none.
 std::optional<Error> problemsToError(ErrorKind Kind, std::string_view Source,
                                      const std::vector<std::string> &Problems,
                                      std::string Remedy);
--- a/src/Head.cpp
+++ b/src/Head.cpp
@@ -100,6 +100,51 @@
   Plan.Head_.Recent_ = {Accepted};
 }
 
+/// An inconsistent head was not written by this program.
+void checkHead(const Head &Value, std::vector<std::string> &Problems) {
+  std::uint64_t Previous = Value.BaseNumber_;
+  for (const AcceptedTicket &Accepted : Value.Recent_) {
+    if (Accepted.Ticket_.Number_ <= Previous)
+      Problems.push_back("recent: " + ticketName(Accepted.Ticket_.Number_) +
+                         " does not follow " + ticketName(Previous));
+    Previous = Accepted.Ticket_.Number_;
+  }
+  const AcceptedTicket &Last = Value.Recent_.back();
+  if (Last.Ticket_.Number_ != Value.Number_ || Last.Digest_ != Value.Digest_ ||
+      Last.AcceptanceId_ != Value.AcceptanceId_)
+    Problems.push_back("number, digest or acceptance_id differs from the last "
+                       "recent ticket, " +
+                       ticketName(Last.Ticket_.Number_));
+}
+
+constexpr std::string_view HeadRemedy =
+    "compare the store's head with its backups";
+
+/// The routes that the state has once the ticket is applied, without two that
+/// match the same requests.
+Result<State> foldWithoutDuplicates(const State &Before, const Ticket &Change) {
+  auto After = foldTicket(Before, Change);
+  if (!After)
+    return After;
+  if (auto Failure = problemsToError(
+          ErrorKind::InvalidTicket, ticketName(Change.Number_),
+          duplicateRoutes(*After), "change or remove one route of each pair"))
+    return tl::unexpected<Error>(*Failure);
+  return After;
+}
+
+bool shareMethod(const Route &Left, const Route &Right) {
+  // A route for every method ranks below one that names the method.
+  if (Left.Methods_.empty() || Right.Methods_.empty())
+    return Left.Methods_.empty() && Right.Methods_.empty();
+  return std::any_of(Left.Methods_.begin(), Left.Methods_.end(),
+                     [&](const std::string &Method) {
+                       return std::find(Right.Methods_.begin(),
+                                        Right.Methods_.end(),
+                                        Method) != Right.Methods_.end();
+                     });
+}
+
 /// A later compaction must be able to store the whole state as one value.
 Put futureSnapshot(const AcceptedTicket &Accepted, State After) {
   Snapshot Next;
@@ -144,9 +189,8 @@
   if (!Recent || !Recent->is_array() || Recent->empty())
     Reader.problem("recent", "is not an array of accepted tickets");
   Reader.rejectUnknown();
-  if (auto Failure =
-          problemsToError(ErrorKind::InvalidData, "head", Problems,
-                          "compare the store's head with its backups"))
+  if (auto Failure = problemsToError(ErrorKind::InvalidData, "head", Problems,
+                                     std::string(HeadRemedy)))
     return tl::unexpected<Error>(*Failure);
   for (const Json &Item : *Recent) {
     auto Accepted = parseAcceptedTicket(Item, "head");
@@ -154,6 +198,10 @@
       return tl::unexpected<Error>(Accepted.error());
     Out.Recent_.push_back(std::move(*Accepted));
   }
+  checkHead(Out, Problems);
+  if (auto Failure = problemsToError(ErrorKind::InvalidData, "head", Problems,
+                                     std::string(HeadRemedy)))
+    return tl::unexpected<Error>(*Failure);
   return Out;
 }
 
@@ -179,9 +227,11 @@
   return {{"state", ticketStateName(Value.State_)},
           {"ticket", toJson(Value.Ticket_)},
           {"filer", Value.Filer_},
+          {"filing_id", Value.FilingId_},
           {"filed_unix_us", Value.FiledUnixUs_},
           {"approver", Value.Approver_},
           {"acceptance_id", Value.AcceptanceId_},
+          {"withdrawal_id", Value.WithdrawalId_},
           {"decided_unix_us", Value.DecidedUnixUs_}};
 }
 
@@ -203,6 +253,8 @@
   else
     Out.State_ = static_cast<TicketState>(Found - StateNames.begin());
   Reader.readString("filer", Out.Filer_);
+  Reader.readString("filing_id", Out.FilingId_);
+  Reader.readString("withdrawal_id", Out.WithdrawalId_);
   Out.FiledUnixUs_ =
       static_cast<std::int64_t>(readCount(Reader, "filed_unix_us"));
   Reader.readString("approver", Out.Approver_);
@@ -228,7 +280,7 @@
                                       const AcceptanceRequest &Request) {
   if (auto Failure = checkAcceptable(HeadBefore, Record, Request))
     return tl::unexpected<Error>(*Failure);
-  auto After = foldTicket(Current.State_, Record.Ticket_);
+  auto After = foldWithoutDuplicates(Current.State_, Record.Ticket_);
   if (!After)
     return tl::unexpected<Error>(After.error());
 
@@ -255,4 +307,66 @@
   return Plan;
 }
 
+Result<TicketRecord> planFiling(const Head &HeadBefore, const Snapshot &Current,
+                                const Ticket &Change,
+                                const FilingRequest &Request) {
+  if (Change.Number_ <= HeadBefore.Number_)
+    return fail(ErrorKind::Conflict,
+                ticketName(Change.Number_) + " is not above " +
+                    ticketName(HeadBefore.Number_) + ", which is in force",
+                "file it without a number, which takes the next free one");
+  TicketRecord Out;
+  Out.Ticket_ = Change;
+  Out.Filer_ = Request.Filer_;
+  Out.FilingId_ = Request.FilingId_;
+  Out.FiledUnixUs_ = Request.NowUnixUs_;
+  // A trial acceptance with values of the usual length finds what an approval
+  // would be refused for now.
+  AcceptanceRequest Trial;
+  Trial.Approver_ = std::string(MaxNameBytes, 'x');
+  Trial.AcceptanceId_ = Request.FilingId_;
+  Trial.NowUnixUs_ = Request.NowUnixUs_;
+  Trial.Sign_ = [](std::string_view Digest) {
+    return std::string(Digest) + std::string(Digest);
+  };
+  auto Plan = planAcceptance(HeadBefore, Current, Out, Trial);
+  if (!Plan)
+    return tl::unexpected<Error>(Plan.error());
+  return Out;
+}
+
+Result<TicketRecord> planWithdrawal(const TicketRecord &Record,
+                                    const WithdrawalRequest &Request) {
+  std::string Name = ticketName(Record.Ticket_.Number_);
+  if (Record.State_ == TicketState::Accepted)
+    return fail(ErrorKind::Conflict,
+                Name + " was already accepted by " + Record.Approver_,
+                "file a new ticket with the old content to revert it");
+  if (Record.State_ == TicketState::Withdrawn)
+    return fail(ErrorKind::Conflict,
+                Name + " was already withdrawn by " + Record.Approver_,
+                "nothing is left to do");
+  TicketRecord Out = Record;
+  Out.State_ = TicketState::Withdrawn;
+  Out.Approver_ = Request.Operator_;
+  Out.WithdrawalId_ = Request.WithdrawalId_;
+  Out.DecidedUnixUs_ = Request.NowUnixUs_;
+  return Out;
+}
+
+std::vector<std::string> duplicateRoutes(const State &Value) {
+  using Place = std::pair<std::string_view, std::string_view>;
+  std::map<Place, std::vector<const std::string *>> Places;
+  std::vector<std::string> Problems;
+  for (const auto &[Name, Entity] : Value.Routes_) {
+    auto &Others = Places[{Entity.Host_, Entity.PathPrefix_}];
+    for (const std::string *Other : Others)
+      if (shareMethod(Entity, Value.Routes_.at(*Other)))
+        Problems.push_back("routes." + Name +
+                           ": matches the same requests as routes." + *Other);
+    Others.push_back(&Name);
+  }
+  return Problems;
+}
+
 } // namespace sycamore
--- a/src/Json.cpp
+++ b/src/Json.cpp
@@ -2,12 +2,50 @@
 #include "sycamore/Json.h"
 
 #include <algorithm>
+#include <filesystem>
 #include <fstream>
 #include <numeric>
 
 namespace sycamore {
 namespace {
 
+/// Values and names quoted in messages are cut to this many bytes.
+constexpr std::size_t MaxQuotedBytes = 60;
+
+/// Longest line of a message; longer ones come from hostile names.
+constexpr std::size_t MaxLineBytes = 400;
+
+/// Problems listed in one error; a file with more of them is of another kind.
+constexpr std::size_t MaxListedProblems = 100;
+
+/// Cuts valid UTF-8 between two characters.
+std::string cutText(std::string Text, std::size_t MaxBytes) {
+  if (Text.size() <= MaxBytes)
+    return Text;
+  std::size_t End = MaxBytes;
+  while (End > 0 && (static_cast<unsigned char>(Text[End]) & 0xC0U) == 0x80U)
+    --End;
+  Text.resize(End);
+  return Text + "...";
+}
+
+/// The JSON library quotes all that it read of the broken token, in whatever
+/// bytes; this keeps the end of it, in printable ASCII.
+std::string parseErrorText(std::string Text) {
+  if (std::size_t Start = Text.find("] "); Start != std::string::npos)
+    Text.erase(0, Start + 2);
+  constexpr std::string_view Quote = "last read: '";
+  if (std::size_t Start = Text.find(Quote); Start != std::string::npos) {
+    Start += Quote.size();
+    if (Text.size() - Start > MaxQuotedBytes)
+      Text.replace(Start, Text.size() - Start - MaxQuotedBytes, "...");
+  }
+  for (char &Character : Text)
+    if (Character < ' ' || Character > '~')
+      Character = '?';
+  return Text;
+}
+
 /// Builds a Json value from SAX events and stops at the first duplicate key or
 /// at nesting deeper than the limit.
 class StrictBuilder : public nlohmann::json_sax<Json> {
@@ -35,7 +73,7 @@
   }
   bool key(string_t &Name) override {
     if (!Keys_.back().insert(Name).second) {
-      Message_ = "duplicate key \"" + Name + "\"";
+      Message_ = "duplicate key \"" + cutText(Name, MaxQuotedBytes) + "\"";
       return false;
     }
     return Inner_.key(Name);
@@ -54,7 +92,8 @@
   }
   bool parse_error(std::size_t Position, const std::string & /*Token*/,
                    const nlohmann::detail::exception &Failure) override {
-    Message_ = "at byte " + std::to_string(Position) + ": " + Failure.what();
+    Message_ = "at byte " + std::to_string(Position) + ": " +
+               parseErrorText(Failure.what());
     return false;
   }
 
@@ -90,14 +129,9 @@
   return Row.back();
 }
 
-/// Values quoted in messages are cut to this many bytes.
-constexpr std::size_t MaxQuotedBytes = 60;
-
 std::string quoteValue(const Json &Value) {
-  std::string Text = Value.dump(-1, ' ', false, Json::error_handler_t::replace);
-  if (Text.size() > MaxQuotedBytes)
-    Text = Text.substr(0, MaxQuotedBytes) + "...";
-  return Text;
+  return cutText(Value.dump(-1, ' ', false, Json::error_handler_t::replace),
+                 MaxQuotedBytes);
 }
 
 } // namespace
@@ -120,6 +154,10 @@
 }
 
 Result<Json> parseJsonFile(const std::string &Path, const JsonLimits &Limits) {
+  std::error_code Ignored;
+  if (std::filesystem::is_directory(Path, Ignored))
+    return fail(ErrorKind::InvalidArgument, Path + ": is a directory",
+                "name a file");
   std::ifstream File(Path, std::ios::binary);
   if (!File)
     return fail(ErrorKind::NotFound, Path + ": cannot be opened",
@@ -248,11 +286,15 @@
   if (Problems.empty())
     return std::nullopt;
   std::string Message;
-  for (const std::string &Problem : Problems) {
+  std::size_t Listed = std::min(Problems.size(), MaxListedProblems);
+  for (std::size_t I = 0; I < Listed; ++I) {
     if (!Message.empty())
       Message += "\n";
-    Message += std::string(Source) + ": " + Problem;
+    Message += std::string(Source) + ": " + cutText(Problems[I], MaxLineBytes);
   }
+  if (Listed < Problems.size())
+    Message += "\n" + std::string(Source) + ": and " +
+               std::to_string(Problems.size() - Listed) + " more problems";
   return Error{Kind, Message, std::move(Remedy)};
 }
 
@@ -264,9 +306,13 @@
   std::optional<std::string> Best;
   std::size_t BestDistance = MaxDistance + 1;
   for (const std::string &Candidate : Candidates) {
-    std::size_t Distance = editDistance(Word, Candidate);
+    std::size_t Longer = std::max(Word.size(), Candidate.size());
+    std::size_t Shorter = std::min(Word.size(), Candidate.size());
+    std::size_t Distance = MaxDistance + 1;
+    if (Longer - Shorter <= MaxDistance)
+      Distance = editDistance(Word, Candidate);
     // A forgotten unit such as "_ms" is a frequent mistake of three letters.
-    bool Prefix = std::min(Word.size(), Candidate.size()) >= MinPrefix &&
+    bool Prefix = Shorter >= MinPrefix &&
                   (Candidate.starts_with(Word) || Word.starts_with(Candidate));
     if (Prefix)
       Distance = std::min(Distance, MaxDistance);
--- a/src/Ticket.cpp
+++ b/src/Ticket.cpp
@@ -10,6 +10,7 @@
 constexpr std::uint64_t MaxTimeoutMs = 600'000;
 constexpr std::uint64_t MaxSlots = 10000;
 constexpr std::uint64_t MaxQueue = 100000;
+constexpr std::size_t MaxMethodBytes = 32;
 /// Numbers are padded to 12 digits in store keys.
 constexpr std::uint64_t MaxTicketNumber = 999'999'999'999;
 
@@ -21,6 +22,25 @@
                           "'.')");
 }
 
+/// Reads an array of strings without repetition.
+void readDistinct(ObjectReader &Reader, std::string_view Field,
+                  std::vector<std::string> &Out) {
+  Reader.readStrings(Field, Out);
+  if (std::set<std::string>(Out.begin(), Out.end()).size() != Out.size())
+    Reader.problem(Field, "names the same item twice");
+}
+
+/// Methods are case-sensitive, so "get" would match no request.
+void readMethods(ObjectReader &Reader, std::vector<std::string> &Out) {
+  readDistinct(Reader, "methods", Out);
+  for (const std::string &Method : Out)
+    if (Method.empty() || Method.size() > MaxMethodBytes ||
+        Method.find_first_not_of("ABCDEFGHIJKLMNOPQRSTUVWXYZ-_") !=
+            std::string::npos)
+      Reader.problem("methods", "holds a name that is not a method in capital "
+                                "letters, such as \"GET\"");
+}
+
 template <typename T, typename ReadEntity>
 void readChanges(ObjectReader &Reader, std::string_view Field, Changes<T> &Out,
                  std::vector<std::string> &Problems, ReadEntity Read) {
@@ -68,10 +88,10 @@
   Reader.readString("path_prefix", Out.PathPrefix_);
   if (!Out.PathPrefix_.starts_with('/'))
     Reader.problem("path_prefix", "does not start with '/'");
-  Reader.readStrings("methods", Out.Methods_);
+  readMethods(Reader, Out.Methods_);
   Reader.require("service");
   readName(Reader, "service", Out.Service_);
-  Reader.readStrings("targets", Out.Targets_);
+  readDistinct(Reader, "targets", Out.Targets_);
   if (Reader.find("idempotent")) {
     bool Idempotent = false;
     Reader.readBool("idempotent", Idempotent);
