Add operator actions on tickets and an in-memory store for tests

Cause: filing, approving and withdrawing need truthful outcomes although the store loses answers and operators race.

Change: TicketDesk. Each action notes the revisions that a doubtful write compares and reports "not accepted" only after reading another revision without its own id; until then the outcome is unknown, with the command that finds out. Approvals are repeated after a rival unless it changed the same entities.

--- /dev/null
+++ b/src/TicketApproval.cpp
@@ -0,0 +1,227 @@
+// Approves tickets, with compaction of the head.
+#include "DeskAction.h"
+#include "TicketMutations.h"
+#include "sycamore/Signing.h"
+
+#include <algorithm>
+
+namespace sycamore {
+namespace {
+
+/// Daemons refuse a signature that does not fit the operator's public key, so
+/// such an acceptance must not reach the store.
+std::optional<Error> checkSignature(const DeskOperator &Operator,
+                                    const AcceptedTicket &Accepted) {
+  for (const OperatorEntry &Entry : Operator.Operators_)
+    if (Entry.Name_ == Operator.Name_ &&
+        !verifyHex(Entry.PublicKey_, Accepted.Digest_, Accepted.Signature_))
+      return Error{ErrorKind::PermissionDenied,
+                   "the signing key is not that of operator \"" +
+                       Operator.Name_ + "\"",
+                   "set signing_key_file to the key whose public part is "
+                   "listed under operators"};
+  return std::nullopt;
+}
+
+struct Compaction {
+  std::uint64_t NewBase_ = 0;
+  std::uint64_t OldBase_ = 0;
+};
+
+/// Deletes the snapshots below the new base, but for the one that the head
+/// before refers to: an operator or daemon that read that head may still fetch
+/// it. Failures are harmless, because the next compaction deletes the rest.
+void prune(DeskAction &Action, const Compaction &Done) {
+  if (Action.expired())
+    return;
+  RangeRequest Older{snapshotKey(0), snapshotKey(Done.NewBase_)};
+  Older.KeysOnly_ = true;
+  auto Answer = Action.read({Older});
+  if (!Answer)
+    return;
+  Txn Request;
+  for (const KeyValue &Value : Answer->Reads_[0].Values_)
+    if (Value.Key_ != snapshotKey(Done.OldBase_) ||
+        mutated("desk-prune-previous-base"))
+      Request.Deletes_.push_back(Value.Key_);
+  if (!Request.Deletes_.empty())
+    Action.write(Request);
+}
+
+/// Approval of one ticket.
+class Approval {
+public:
+  Approval(const DeskSession &Session, const DeskOperator &Operator,
+           std::uint64_t Number, WallTime Now)
+      : Action_(Session), Operator_(Operator), Number_(Number) {
+    Request_.Approver_ = Operator.Name_;
+    Request_.AcceptanceId_ = randomId();
+    Request_.NowUnixUs_ = unixMicroseconds(Now);
+    Request_.Sign_ = Operator.Sign_;
+    Request_.RequireSecondOperator_ = Operator.RequireSecondOperator_;
+  }
+
+  DeskOutcome run() {
+    std::optional<DeskOutcome> Outcome;
+    while (!Outcome)
+      Outcome = step();
+    return *Outcome;
+  }
+
+private:
+  /// Reads, decides and writes once; unset when another step is needed.
+  std::optional<DeskOutcome> step();
+  std::optional<DeskOutcome> accept(const HeadView &View,
+                                    const TicketRecord &Record,
+                                    std::int64_t RecordRevision);
+  bool foundOwnId(const HeadView &View, const TicketRecord &Record) const;
+  /// A rival changed what this ticket changes since the first read.
+  std::optional<Error> checkRivals(const HeadView &View, const Ticket &Change);
+  /// Unset once the base snapshot is stored.
+  std::optional<DeskOutcome> storeSnapshot(const Put &Snapshot);
+  DeskOutcome accepted(bool FoundByReading);
+
+  DeskAction Action_;
+  const DeskOperator &Operator_;
+  std::uint64_t Number_;
+  AcceptanceRequest Request_;
+  std::optional<Doubt> Pending_;
+  std::optional<Compaction> Compaction_;
+  std::optional<State> FirstState_;
+};
+
+bool Approval::foundOwnId(const HeadView &View,
+                          const TicketRecord &Record) const {
+  if (mutated("desk-no-read-back"))
+    return false;
+  auto IsOwn = [&](const AcceptedTicket &Accepted) {
+    return Accepted.AcceptanceId_ == Request_.AcceptanceId_;
+  };
+  return Record.AcceptanceId_ == Request_.AcceptanceId_ ||
+         std::any_of(View.Head_.Recent_.begin(), View.Head_.Recent_.end(),
+                     IsOwn);
+}
+
+std::optional<Error> Approval::checkRivals(const HeadView &View,
+                                           const Ticket &Change) {
+  if (!FirstState_) {
+    FirstState_ = View.Current_.State_;
+    return std::nullopt;
+  }
+  auto Before = changesAgainst(*FirstState_, Change);
+  auto Now = changesAgainst(View.Current_.State_, Change);
+  auto Same = [](const EntityChange &Left, const EntityChange &Right) {
+    return Left.Path_ == Right.Path_ && Left.Before_ == Right.Before_;
+  };
+  if (std::equal(Before.begin(), Before.end(), Now.begin(), Now.end(), Same) ||
+      mutated("desk-ignore-rivals"))
+    return std::nullopt;
+  const AcceptedTicket &Rival = *View.Current_.Last_;
+  return Error{ErrorKind::Conflict,
+               ticketName(Number_) + " lost a race with " +
+                   ticketName(Rival.Ticket_.Number_) + " of " +
+                   Rival.Approver_ + ", which changed the same entities",
+               "run `sycamorectl ticket diff " + std::to_string(Number_) +
+                   "` and approve again if it is still right"};
+}
+
+DeskOutcome Approval::accepted(bool FoundByReading) {
+  if (Compaction_)
+    prune(Action_, *Compaction_);
+  return DeskAccepted{Number_, FoundByReading};
+}
+
+std::optional<DeskOutcome> Approval::storeSnapshot(const Put &Snapshot) {
+  Txn Request;
+  Request.Puts_ = {Snapshot};
+  for (;;) {
+    // The same snapshot may be written twice: its content follows from the
+    // head.
+    WriteEnd End = Action_.write(Request);
+    if (End == WriteEnd::Applied)
+      return std::nullopt;
+    if (End == WriteEnd::Refused)
+      return endRefused(Pending_, Number_, Action_.lastError());
+    if (Action_.expired())
+      return giveUp(Pending_, Number_, Action_.lastError());
+    Action_.backOff();
+  }
+}
+
+std::optional<DeskOutcome> Approval::accept(const HeadView &View,
+                                            const TicketRecord &Record,
+                                            std::int64_t RecordRevision) {
+  auto Plan = planAcceptance(View.Head_, View.Current_, Record, Request_);
+  if (!Plan)
+    return giveUp(Pending_, Number_, Plan.error());
+  if (auto Failure = checkSignature(Operator_, Plan->Accepted_))
+    return giveUp(Pending_, Number_, *Failure);
+  Compaction_.reset();
+  if (Plan->Snapshot_) {
+    if (!mutated("desk-head-before-snapshot"))
+      if (auto Outcome = storeSnapshot(*Plan->Snapshot_))
+        return Outcome;
+    Compaction_ = {Plan->Head_.BaseNumber_, View.Head_.BaseNumber_};
+  }
+  Txn Request;
+  if (!mutated("desk-skip-head-compare"))
+    Request.Compares_.push_back({headKey(), View.HeadRevision_});
+  if (!mutated("desk-skip-ticket-compare"))
+    Request.Compares_.push_back({ticketKey(Number_), RecordRevision});
+  Request.Puts_ = Plan->Puts_;
+  switch (Action_.write(Request)) {
+  case WriteEnd::Applied:
+    if (Plan->Snapshot_ && mutated("desk-head-before-snapshot"))
+      storeSnapshot(*Plan->Snapshot_);
+    return accepted(false);
+  case WriteEnd::Mismatch:
+    return std::nullopt;
+  case WriteEnd::Refused:
+    return endRefused(Pending_, Number_, Action_.lastError());
+  case WriteEnd::Maybe:
+    if (mutated("desk-doubt-as-acceptance"))
+      return accepted(false);
+    Pending_ = Doubt{Number_, View.HeadRevision_, RecordRevision};
+    break;
+  case WriteEnd::NotRun:
+    break;
+  }
+  Action_.backOff();
+  return std::nullopt;
+}
+
+std::optional<DeskOutcome> Approval::step() {
+  if (Action_.expired())
+    return giveUp(Pending_, Number_, Action_.lastError());
+  std::vector<RangeResult> Answers;
+  auto View = Action_.readHead({oneKey(ticketKey(Number_))}, &Answers);
+  if (!View)
+    return giveUp(Pending_, Number_, View.error());
+  if (Answers[0].Values_.empty())
+    return giveUp(Pending_, Number_, notFiled(Number_));
+  const KeyValue &Stored = Answers[0].Values_[0];
+  auto Record = parseRecordAt(Stored, Number_);
+  if (!Record)
+    return giveUp(Pending_, Number_, Record.error());
+  if (foundOwnId(*View, *Record))
+    return accepted(true);
+  if (Pending_ && (Pending_->HeadRevision_ != View->HeadRevision_ ||
+                   Pending_->RecordRevision_ != Stored.ModRevision_))
+    Pending_.reset();
+  if (auto Failure = checkRivals(*View, Record->Ticket_))
+    return giveUp(Pending_, Number_, *Failure);
+  return accept(*View, *Record, Stored.ModRevision_);
+}
+
+} // namespace
+
+DeskOutcome approveTicket(const DeskSession &Session,
+                          const DeskOperator &Operator, std::uint64_t Number,
+                          WallTime Now) {
+  if (auto Failure =
+          checkRight(Operator, &OperatorEntry::MayApprove_, "approve"))
+    return refuse(Number, *Failure);
+  return Approval(Session, Operator, Number, Now).run();
+}
+
+} // namespace sycamore
--- /dev/null
+++ b/src/TicketDesk.cpp
@@ -0,0 +1,146 @@
+// Reads tickets, their standing and their differences for operators.
+#include "DeskAction.h"
+
+#include <algorithm>
+#include <array>
+
+namespace sycamore {
+namespace {
+
+constexpr std::array<std::string_view, 6> StandingNames = {
+    "not filed", "filed", "overtaken", "withdrawn", "in force", "superseded"};
+
+template <typename T>
+void compareEntities(const std::map<std::string, T> &Current,
+                     const Changes<T> &Change, std::string_view Kind,
+                     std::vector<EntityChange> &Out) {
+  for (const auto &[Name, NewState] : Change) {
+    auto Found = Current.find(Name);
+    EntityChange Entry;
+    Entry.Path_ = std::string(Kind) + "." + Name;
+    if (Found != Current.end())
+      Entry.Before_ = toJson(Found->second);
+    if (NewState)
+      Entry.After_ = toJson(*NewState);
+    Out.push_back(std::move(Entry));
+  }
+}
+
+TicketStanding standingOf(const std::optional<TicketRecord> &Record,
+                          const Head &Current) {
+  if (!Record)
+    return TicketStanding::NotFiled;
+  std::uint64_t Number = Record->Ticket_.Number_;
+  switch (Record->State_) {
+  case TicketState::Withdrawn:
+    return TicketStanding::Withdrawn;
+  case TicketState::Accepted:
+    return Number == Current.Number_ ? TicketStanding::InForce
+                                     : TicketStanding::Superseded;
+  case TicketState::Filed:
+    break;
+  }
+  return Number > Current.Number_ ? TicketStanding::Filed
+                                  : TicketStanding::Overtaken;
+}
+
+} // namespace
+
+std::string_view ticketStandingName(TicketStanding Value) {
+  return StandingNames[static_cast<std::size_t>(Value)];
+}
+
+std::vector<EntityChange> changesAgainst(const State &Current,
+                                         const Ticket &Change) {
+  std::vector<EntityChange> Out;
+  compareEntities(Current.Routes_, Change.Routes_, "routes", Out);
+  compareEntities(Current.Services_, Change.Services_, "services", Out);
+  compareEntities(Current.Targets_, Change.Targets_, "targets", Out);
+  return Out;
+}
+
+Result<HeadView> readHead(const DeskSession &Session) {
+  return DeskAction(Session).readHead();
+}
+
+Result<TicketRecord> showTicket(const DeskSession &Session,
+                                std::uint64_t Number) {
+  auto Answer = DeskAction(Session).read({oneKey(ticketKey(Number))});
+  if (!Answer)
+    return tl::unexpected<Error>(Answer.error());
+  if (Answer->Reads_[0].Values_.empty())
+    return tl::unexpected<Error>(notFiled(Number));
+  return parseRecordAt(Answer->Reads_[0].Values_[0], Number);
+}
+
+Result<std::vector<TicketRecord>> listTickets(const DeskSession &Session,
+                                              std::uint64_t Limit,
+                                              std::uint64_t Before) {
+  RangeRequest Request{ticketKey(0),
+                       Before != 0
+                           ? ticketKey(Before)
+                           : prefixEnd(std::string(KeyPrefix) + "tickets/")};
+  Request.Limit_ = static_cast<std::int64_t>(Limit);
+  Request.Descending_ = true;
+  auto Answer = DeskAction(Session).read({Request});
+  if (!Answer)
+    return tl::unexpected<Error>(Answer.error());
+  std::vector<TicketRecord> Out;
+  for (const KeyValue &Value : Answer->Reads_[0].Values_) {
+    auto Record = parseRecordAt(Value, ticketNumberOf(Value.Key_));
+    if (!Record)
+      return tl::unexpected<Error>(Record.error());
+    Out.push_back(std::move(*Record));
+  }
+  return Out;
+}
+
+Result<TicketStatus> ticketStatus(const DeskSession &Session,
+                                  std::uint64_t Number) {
+  auto Answer =
+      DeskAction(Session).read({oneKey(headKey()), oneKey(ticketKey(Number))});
+  if (!Answer)
+    return tl::unexpected<Error>(Answer.error());
+  const auto &HeadValues = Answer->Reads_[0].Values_;
+  auto Current = parseHead(HeadValues.empty() ? "" : HeadValues[0].Value_);
+  if (!Current)
+    return tl::unexpected<Error>(Current.error());
+  TicketStatus Out;
+  Out.Number_ = Number;
+  Out.HeadNumber_ = Current->Number_;
+  if (!Answer->Reads_[1].Values_.empty()) {
+    auto Record = parseRecordAt(Answer->Reads_[1].Values_[0], Number);
+    if (!Record)
+      return tl::unexpected<Error>(Record.error());
+    Out.Record_ = std::move(*Record);
+  }
+  Out.Standing_ = standingOf(Out.Record_, *Current);
+  return Out;
+}
+
+Result<TicketDiff> diffTicket(const DeskSession &Session,
+                              std::uint64_t Number) {
+  DeskAction Action(Session);
+  std::vector<RangeResult> Answers;
+  auto View = Action.readHead({oneKey(ticketKey(Number))}, &Answers);
+  if (!View)
+    return tl::unexpected<Error>(View.error());
+  if (Answers[0].Values_.empty())
+    return tl::unexpected<Error>(notFiled(Number));
+  auto Record = parseRecordAt(Answers[0].Values_[0], Number);
+  if (!Record)
+    return tl::unexpected<Error>(Record.error());
+  TicketDiff Out;
+  Out.HeadNumber_ = View->Head_.Number_;
+  Out.Record_ = std::move(*Record);
+  Out.Changes_ = changesAgainst(View->Current_.State_, Out.Record_.Ticket_);
+  std::erase_if(Out.Changes_, [](const EntityChange &Change) {
+    return Change.Before_ == Change.After_;
+  });
+  auto After = foldTicket(View->Current_.State_, Out.Record_.Ticket_);
+  if (!After && Out.Record_.State_ == TicketState::Filed)
+    Out.Problem_ = After.error();
+  return Out;
+}
+
+} // namespace sycamore
--- /dev/null
+++ b/src/TicketMutations.h
@@ -0,0 +1,20 @@
+// Deliberate faults that prove that a test notices them. Only builds with
+// SYCAMORE_MUTATIONS contain them; test/mutations-tickets.txt lists each.
+#pragma once
+
+#include <cstdlib>
+#include <string_view>
+
+namespace sycamore {
+
+#ifdef SYCAMORE_MUTATIONS
+/// Whether the environment variable SYCAMORE_MUTATION names this fault.
+inline bool mutated(std::string_view Name) {
+  const char *Chosen = std::getenv("SYCAMORE_MUTATION");
+  return Chosen && Name == Chosen;
+}
+#else
+constexpr bool mutated(std::string_view /*Name*/) { return false; }
+#endif
+
+} // namespace sycamore
--- /dev/null
+++ b/test/support/FakeStore.h
@@ -0,0 +1,114 @@
+// An in-memory store with revisions, leases, watches and faults, on a clock
+// that only moves when told to.
+#pragma once
+
+#include "sycamore/Store.h"
+#include "sycamore/TicketDesk.h"
+
+#include <map>
+#include <set>
+
+namespace sycamore {
+
+class FakeStore : public Store {
+public:
+  enum class Fault {
+    None,
+    Down,           ///< Unavailable, not applied.
+    LostApplied,    ///< Applied, the answer is lost.
+    LostNotApplied, ///< Not applied, the answer is lost.
+    Late,           ///< The answer is lost; applied before a later call.
+  };
+
+  /// Faults by the number of the call, from 1; hooks make no numbered calls.
+  std::map<std::size_t, Fault> Faults_;
+  /// Fault of every call that Faults_ does not name.
+  Fault EveryCall_ = Fault::None;
+  /// Calls after which a Late call is applied.
+  std::size_t LateCalls_ = 1;
+  /// Time until each answer. Beyond a call's deadline, the call is applied and
+  /// its answer is lost.
+  Duration Latency_{0};
+  /// Runs before or after the n-th call is applied. It may make calls itself,
+  /// or throw to end the caller there.
+  std::function<void(std::size_t)> BeforeCall_;
+  std::function<void(std::size_t)> AfterCall_;
+
+  void range(const RangeRequest &Request, Duration Deadline,
+             StoreCallback<RangeResult> Done) override;
+  void txn(const Txn &Request, Duration Deadline,
+           StoreCallback<TxnResult> Done) override;
+  void grantLease(seconds Ttl, Duration Deadline,
+                  StoreCallback<Lease> Done) override;
+  void keepLeaseAlive(std::int64_t Id, Duration Deadline,
+                      StoreCallback<Lease> Done) override;
+  void revokeLease(std::int64_t Id, Duration Deadline,
+                   StoreCallback<bool> Done) override;
+  std::unique_ptr<WatchHandle>
+  watch(const std::string &Key, std::int64_t FromRevision,
+        std::function<void(const KeyValue &)> Changed,
+        std::function<void(const Error &)> Failed) override;
+
+  TimePoint now() const { return Now_; }
+  /// Moves the clock, runs answers that are due and expires leases.
+  void advance(Duration Span);
+  /// Moves to the next answer.
+  void pump();
+  /// Applies all Late calls that are still under way.
+  void settle();
+  /// Breaks every watch.
+  void breakWatches();
+  /// Forgets hooks and faults, numbers calls from 1 again.
+  void resetFaults();
+
+  std::size_t calls() const { return Calls_; }
+  const std::map<std::string, KeyValue> &values() const { return Values_; }
+  /// Writes a value past all faults.
+  void force(const std::string &Key, const std::string &Value);
+
+  /// Sessions over this store and its clock.
+  StoreSession session();
+  DeskSession desk(StoreSession &Session, Random &Rng,
+                   Duration Deadline = seconds(10));
+
+private:
+  struct Watch;
+  class Handle;
+  struct HeldLease {
+    seconds Ttl_{0};
+    TimePoint End_;
+  };
+
+  template <typename T>
+  void call(Duration Deadline, StoreCallback<T> Done,
+            std::function<Result<T>()> Apply);
+  template <typename T>
+  void answer(Duration Deadline, const StoreCallback<T> &Done,
+              Result<T> Outcome);
+  void runHook(const std::function<void(std::size_t)> &Hook);
+  void applyLate();
+  TxnResult applyTxn(const Txn &Request);
+  RangeResult applyRange(const RangeRequest &Request) const;
+  void put(const Put &Write);
+  void erase(const std::string &Key);
+  void expireLeases();
+
+  struct LateCall {
+    std::size_t BeforeCall_;
+    std::function<void()> Apply_;
+  };
+
+  std::map<std::string, KeyValue> Values_;
+  std::int64_t Revision_ = 1;
+  std::vector<KeyValue> History_;
+  std::map<std::int64_t, HeldLease> Leases_;
+  std::int64_t NextLease_ = 1;
+  std::set<Watch *> Watches_;
+  std::vector<LateCall> Late_;
+  std::multimap<TimePoint, std::function<void()>> Events_;
+  TimePoint Now_{seconds(1000)};
+  std::size_t Calls_ = 0;
+  bool InHook_ = false;
+};
+
+} // namespace sycamore
