--- a/test/support/FakeStore.h
+++ b/test/support/FakeStore.h
@@ -1,90 +1,114 @@
-// Stand-in for the store inside a simulated fleet: head and seeds, with counted
-// calls, outages and slowness.
+// An in-memory store with revisions, leases, watches and faults, on a clock
+// that only moves when told to.
 #pragma once
 
-#include "sycamore/Head.h"
-#include "sycamore/PeerMessages.pb.h"
+#include "sycamore/Store.h"
+#include "sycamore/TicketDesk.h"
 
 #include <map>
 #include <set>
 
-namespace sycamore::test {
+namespace sycamore {
 
-enum class StoreMode { Up, Down, Slow };
-
-class FakeStore {
+class FakeStore : public Store {
 public:
-  StoreMode Mode_ = StoreMode::Up;
-  Head Head_;
-  Snapshot Current_;
-  std::map<std::string, std::vector<wire::ServerRecord>> Seeds_;
-  std::set<std::size_t> Watchers_; ///< Daemons with a pending watch.
-  std::uint64_t Calls_ = 0;
-
-  void count(TimePoint Time) {
-    ++Calls_;
-    ++PerSecond_[std::chrono::floor<seconds>(Time.time_since_epoch()).count()];
-  }
+  enum class Fault {
+    None,
+    Down,           ///< Unavailable, not applied.
+    LostApplied,    ///< Applied, the answer is lost.
+    LostNotApplied, ///< Not applied, the answer is lost.
+    Late,           ///< The answer is lost; applied before a later call.
+  };
 
-  std::uint64_t peakPerSecond() const {
-    std::uint64_t Peak = 0;
-    for (const auto &[Second, Count] : PerSecond_)
-      Peak = std::max(Peak, Count);
-    return Peak;
-  }
+  /// Faults by the number of the call, from 1; hooks make no numbered calls.
+  std::map<std::size_t, Fault> Faults_;
+  /// Fault of every call that Faults_ does not name.
+  Fault EveryCall_ = Fault::None;
+  /// Calls after which a Late call is applied.
+  std::size_t LateCalls_ = 1;
+  /// Time until each answer. Beyond a call's deadline, the call is applied and
+  /// its answer is lost.
+  Duration Latency_{0};
+  /// Runs before or after the n-th call is applied. It may make calls itself,
+  /// or throw to end the caller there.
+  std::function<void(std::size_t)> BeforeCall_;
+  std::function<void(std::size_t)> AfterCall_;
 
-  void forgetPeak() { PerSecond_.clear(); }
+  void range(const RangeRequest &Request, Duration Deadline,
+             StoreCallback<RangeResult> Done) override;
+  void txn(const Txn &Request, Duration Deadline,
+           StoreCallback<TxnResult> Done) override;
+  void grantLease(seconds Ttl, Duration Deadline,
+                  StoreCallback<Lease> Done) override;
+  void keepLeaseAlive(std::int64_t Id, Duration Deadline,
+                      StoreCallback<Lease> Done) override;
+  void revokeLease(std::int64_t Id, Duration Deadline,
+                   StoreCallback<bool> Done) override;
+  std::unique_ptr<WatchHandle>
+  watch(const std::string &Key, std::int64_t FromRevision,
+        std::function<void(const KeyValue &)> Changed,
+        std::function<void(const Error &)> Failed) override;
 
-  /// Time until a call is answered; a call to a store that is down fails then.
-  Duration latency() const {
-    return Mode_ == StoreMode::Slow ? Duration(seconds(4)) : milliseconds(3);
-  }
+  TimePoint now() const { return Now_; }
+  /// Moves the clock, runs answers that are due and expires leases.
+  void advance(Duration Span);
+  /// Moves to the next answer.
+  void pump();
+  /// Applies all Late calls that are still under way.
+  void settle();
+  /// Breaks every watch.
+  void breakWatches();
+  /// Forgets hooks and faults, numbers calls from 1 again.
+  void resetFaults();
 
-  AcceptedTicket accept(const Ticket &Change, std::int64_t UnixUs,
-                        const AcceptanceRequest &Template = {}) {
-    TicketRecord Record;
-    Record.Ticket_ = Change;
-    Record.Filer_ = "ana";
-    AcceptanceRequest Request = Template;
-    Request.Approver_ = "bo";
-    Request.AcceptanceId_ = "id-" + std::to_string(Change.Number_);
-    Request.NowUnixUs_ = UnixUs;
-    AcceptancePlan Plan =
-        planAcceptance(Head_, Current_, Record, Request).value();
-    if (Plan.Snapshot_)
-      Base_ = Current_;
-    Head_ = Plan.Head_;
-    Current_ = applyTicket(Current_, Plan.Accepted_).value();
-    return Plan.Accepted_;
-  }
+  std::size_t calls() const { return Calls_; }
+  const std::map<std::string, KeyValue> &values() const { return Values_; }
+  /// Writes a value past all faults.
+  void force(const std::string &Key, const std::string &Value);
 
-  const Snapshot *base() const {
-    return Head_.BaseNumber_ == 0 ? nullptr : &Base_;
-  }
+  /// Sessions over this store and its clock.
+  StoreSession session();
+  DeskSession desk(StoreSession &Session, Random &Rng,
+                   Duration Deadline = seconds(10));
 
 private:
-  Snapshot Base_;
-  std::map<std::int64_t, std::uint64_t> PerSecond_;
-};
+  struct Watch;
+  class Handle;
+  struct HeldLease {
+    seconds Ttl_{0};
+    TimePoint End_;
+  };
 
-/// Adds a target to one service; Padding bytes make the ticket larger.
-inline Ticket makeChange(std::uint64_t Number, std::size_t Padding = 0) {
-  Ticket Out;
-  Out.Number_ = Number;
-  Out.Author_ = "ana";
-  Out.Title_ = "change " + std::to_string(Number);
-  Out.Services_["shelfview"] = Service{};
-  Out.Targets_["t" + std::to_string(Number)] =
-      TargetSpec{"shelfview", "dalseo", 6};
-  for (std::size_t I = 0; I * 100 < Padding; ++I) {
-    Route Extra;
-    Extra.Service_ = "shelfview";
-    Extra.PathPrefix_ =
-        "/" + sha256Hex(std::to_string(Number) + "/" + std::to_string(I))
-                  .substr(0, 16);
-    Out.Routes_["route-" + std::to_string(I)] = Extra;
-  }
-  return Out;
-}
+  template <typename T>
+  void call(Duration Deadline, StoreCallback<T> Done,
+            std::function<Result<T>()> Apply);
+  template <typename T>
+  void answer(Duration Deadline, const StoreCallback<T> &Done,
+              Result<T> Outcome);
+  void runHook(const std::function<void(std::size_t)> &Hook);
+  void applyLate();
+  TxnResult applyTxn(const Txn &Request);
+  RangeResult applyRange(const RangeRequest &Request) const;
+  void put(const Put &Write);
+  void erase(const std::string &Key);
+  void expireLeases();
+
+  struct LateCall {
+    std::size_t BeforeCall_;
+    std::function<void()> Apply_;
+  };
+
+  std::map<std::string, KeyValue> Values_;
+  std::int64_t Revision_ = 1;
+  std::vector<KeyValue> History_;
+  std::map<std::int64_t, HeldLease> Leases_;
+  std::int64_t NextLease_ = 1;
+  std::set<Watch *> Watches_;
+  std::vector<LateCall> Late_;
+  std::multimap<TimePoint, std::function<void()>> Events_;
+  TimePoint Now_{seconds(1000)};
+  std::size_t Calls_ = 0;
+  bool InHook_ = false;
+};
 
-} // namespace sycamore::test
+} // namespace sycamore
--- a/test/support/FleetSim.h
+++ b/test/support/FleetSim.h
@@ -2,7 +2,7 @@
 // determines a whole run.
 #pragma once
 
-#include "FakeStore.h"
+#include "SimStore.h"
 #include "sycamore/Bootstrap.h"
 #include "sycamore/Dissemination.h"
 
@@ -87,7 +87,7 @@
 
   FleetOptions Options_;
   std::vector<SimDaemon> Daemons_;
-  FakeStore Store_;
+  SimStore Store_;
   /// Whether the network drops everything from one daemon to another.
   std::function<bool(std::size_t From, std::size_t To)> Cut_;
   /// Called for every delivered message before it is handled.
