--- a/src/AdminApi.h
+++ b/src/AdminApi.h
@@ -21,7 +21,7 @@
   Quarantine &Marks_;
   SpanBuffer &Spans_;
   const PeerTransport &Peers_;
-  const Store &Store_;
+  const StoreCounters &StoreCounters_;
 };
 
 class AdminApi {
--- a/src/Daemon.cpp
+++ b/src/Daemon.cpp
@@ -85,10 +85,9 @@
   if (!Client)
     return tl::unexpected<Error>(Client.error());
   Client_ = std::move(*Client);
-  auto Platform = makeEtcdStore(Base_, storeConfig(Settings_.Store_));
-  if (!Platform)
-    return tl::unexpected<Error>(Platform.error());
-  Store_ = std::move(*Platform);
+  EtcdStoreConfig Platform = storeConfig(Settings_.Store_);
+  Platform.Counters_ = StoreCounters_;
+  Store_ = makeEtcdStore(Base_, Platform);
   LocalEvent_ = event_new(Base_, -1, 0, onLocal, this);
   return startPeers().and_then([this] { return startHttp(); }).map([this] {
     startTicking();
@@ -161,7 +160,7 @@
   }
   Admin_ = std::make_unique<AdminApi>(
       AdminSubjects{Settings_, *Control_, *Targets_, *Entry_, *KeyHolder_,
-                    Marks_, Spans_, *Peers_, *Store_},
+                    Marks_, Spans_, *Peers_, *StoreCounters_},
       std::move(Tokens));
 
   auto Caller =
--- a/src/DaemonImpl.h
+++ b/src/DaemonImpl.h
@@ -65,6 +65,8 @@
   DaemonAddresses Addresses_;
   SpanBuffer Spans_;
   Quarantine Marks_;
+  std::shared_ptr<StoreCounters> StoreCounters_ =
+      std::make_shared<StoreCounters>();
   std::unique_ptr<Store> Store_;
   std::unique_ptr<HttpClient> Client_;
   std::unique_ptr<PeerTransport> Peers_;
--- /dev/null
+++ b/src/DaemonMetrics.cpp
@@ -0,0 +1,321 @@
+// Writes every counter and histogram of the daemon.
+#include "AdminApi.h"
+
+#include "sycamore/Metrics.h"
+
+#include <fstream>
+#include <unistd.h>
+
+namespace sycamore {
+namespace {
+
+/// One row for each counter of an aggregate.
+template <typename T> struct CounterRow {
+  std::string_view Name_;
+  std::string_view Help_;
+  std::uint64_t T::*Member_;
+};
+
+template <typename T, std::size_t N>
+void writeTable(MetricsPage &Page, const T &Counters,
+                const std::array<CounterRow<T>, N> &Rows) {
+  for (const CounterRow<T> &Row : Rows)
+    writeCounter(Page, Row.Name_, Row.Help_, Counters.*Row.Member_);
+}
+
+constexpr std::array<CounterRow<EntryProxyCounters>, 8> EntryRows = {{
+    {"sycamore_requests_total", "Requests of callers.",
+     &EntryProxyCounters::Requests_},
+    {"sycamore_refused_no_floor_total", "Refused before the floor was known.",
+     &EntryProxyCounters::RefusedNoFloor_},
+    {"sycamore_refused_leaving_total", "Refused while leaving.",
+     &EntryProxyCounters::RefusedLeaving_},
+    {"sycamore_refused_limit_total", "Refused by limits.max_calls.",
+     &EntryProxyCounters::RefusedLimit_},
+    {"sycamore_no_route_total", "Requests that match no route.",
+     &EntryProxyCounters::NoRoute_},
+    {"sycamore_refused_quarantine_total", "Refused by quarantine.",
+     &EntryProxyCounters::Quarantined_},
+    {"sycamore_callers_gone_total", "Callers that left before their answer.",
+     &EntryProxyCounters::CallersGone_},
+    {"sycamore_link_heartbeats_total", "Heartbeats on links with calls.",
+     &EntryProxyCounters::HeartbeatsSent_},
+}};
+
+constexpr std::array<CounterRow<EntryCallsCounters>, 15> CallRows = {{
+    {"sycamore_calls_begun_total", "Calls begun.", &EntryCallsCounters::Begun_},
+    {"sycamore_attempts_total", "Attempts sent.",
+     &EntryCallsCounters::Attempts_},
+    {"sycamore_retries_total", "Attempts after the first one.",
+     &EntryCallsCounters::Retries_},
+    {"sycamore_hedges_total", "Hedged attempts.", &EntryCallsCounters::Hedges_},
+    {"sycamore_call_queries_total", "Questions about silent calls.",
+     &EntryCallsCounters::Queries_},
+    {"sycamore_cancels_total", "Cancellations sent.",
+     &EntryCallsCounters::Cancels_},
+    {"sycamore_calls_done_total", "Calls that ran.",
+     &EntryCallsCounters::Done_},
+    {"sycamore_calls_not_run_total", "Calls that did not run.",
+     &EntryCallsCounters::NotRun_},
+    {"sycamore_calls_unknown_total", "Calls of unknown outcome.",
+     &EntryCallsCounters::Unknown_},
+    {"sycamore_deadlines_passed_total", "Calls past their deadline.",
+     &EntryCallsCounters::DeadlinePassed_},
+    {"sycamore_answers_late_total", "Answers to calls that had ended.",
+     &EntryCallsCounters::LateAnswers_},
+    {"sycamore_answers_duplicate_total", "Answers that came twice.",
+     &EntryCallsCounters::DuplicateAnswers_},
+    {"sycamore_answers_mismatched_total", "Answers that were not asked for.",
+     &EntryCallsCounters::MismatchedAnswers_},
+    {"sycamore_answers_damaged_total", "Answers that arrived incomplete.",
+     &EntryCallsCounters::DamagedAnswers_},
+    {"sycamore_links_silent_total", "Links found silent.",
+     &EntryCallsCounters::SilentLinks_},
+}};
+
+constexpr std::array<CounterRow<TargetProxyCounters>, 10> TargetRows = {{
+    {"sycamore_announcements_total", "Announcements of local targets.",
+     &TargetProxyCounters::Announcements_},
+    {"sycamore_announcements_missed_total", "Targets that went silent.",
+     &TargetProxyCounters::MissedAnnouncements_},
+    {"sycamore_target_requests_total", "Attempts received.",
+     &TargetProxyCounters::Requests_},
+    {"sycamore_target_unknown_total", "Attempts for targets not here.",
+     &TargetProxyCounters::UnknownTargets_},
+    {"sycamore_bodies_damaged_total", "Request bodies that arrived damaged.",
+     &TargetProxyCounters::DamagedBodies_},
+    {"sycamore_target_done_total", "Attempts that ran.",
+     &TargetProxyCounters::Done_},
+    {"sycamore_target_not_run_total", "Attempts that did not run.",
+     &TargetProxyCounters::NotRun_},
+    {"sycamore_target_outcome_unknown_total", "Attempts of unknown outcome.",
+     &TargetProxyCounters::Unknown_},
+    {"sycamore_targets_lost_total", "Targets lost while they ran a request.",
+     &TargetProxyCounters::TargetsLost_},
+    {"sycamore_target_quarantine_refusals_total",
+     "Attempts refused by quarantine beside the target.",
+     &TargetProxyCounters::QuarantineRefusals_},
+}};
+
+constexpr std::array<CounterRow<PeerTransportCounters>, 13> PeerRows = {{
+    {"sycamore_peer_messages_sent_total", "Messages to peers.",
+     &PeerTransportCounters::MessagesSent_},
+    {"sycamore_peer_bytes_sent_total", "Bytes to peers.",
+     &PeerTransportCounters::BytesSent_},
+    {"sycamore_peer_messages_received_total", "Messages from peers.",
+     &PeerTransportCounters::MessagesReceived_},
+    {"sycamore_peer_bytes_received_total", "Bytes from peers.",
+     &PeerTransportCounters::BytesReceived_},
+    {"sycamore_control_bytes_sent_total", "Bytes to peers without calls.",
+     &PeerTransportCounters::ControlBytesSent_},
+    {"sycamore_control_bytes_received_total", "Bytes from peers without calls.",
+     &PeerTransportCounters::ControlBytesReceived_},
+    {"sycamore_peer_unroutable_total", "Messages dropped for want of a link.",
+     &PeerTransportCounters::DroppedUnroutable_},
+    {"sycamore_peer_malformed_total", "Messages that do not parse.",
+     &PeerTransportCounters::DroppedMalformed_},
+    {"sycamore_peer_impostors_total",
+     "Messages whose sender does not match its key.",
+     &PeerTransportCounters::DroppedImpostor_},
+    {"sycamore_links_opened_total", "Links dialled.",
+     &PeerTransportCounters::LinksOpened_},
+    {"sycamore_links_closed_total", "Links closed.",
+     &PeerTransportCounters::LinksClosed_},
+    {"sycamore_links_evicted_total", "Links closed by limits.peer_links.",
+     &PeerTransportCounters::LinksEvicted_},
+    {"sycamore_handshakes_refused_total", "Handshakes that peers refused.",
+     &PeerTransportCounters::HandshakesRefused_},
+}};
+
+constexpr std::array<CounterRow<MembershipCounters>, 8> MembershipRows = {{
+    {"sycamore_probes_sent_total", "Probes sent.",
+     &MembershipCounters::ProbesSent_},
+    {"sycamore_probe_rounds_failed_total", "Probe rounds without an answer.",
+     &MembershipCounters::ProbeRoundsFailed_},
+    {"sycamore_suspicions_total", "Servers suspected by this daemon.",
+     &MembershipCounters::Suspicions_},
+    {"sycamore_refutations_total", "Suspicions of this server refuted.",
+     &MembershipCounters::Refutations_},
+    {"sycamore_deaths_total", "Servers declared dead by this daemon.",
+     &MembershipCounters::Deaths_},
+    {"sycamore_freezes_total", "Pauses of this process.",
+     &MembershipCounters::Freezes_},
+    {"sycamore_gossip_records_sent_total", "Records sent by gossip.",
+     &MembershipCounters::RecordsSent_},
+    {"sycamore_gossip_repairs_total", "Table comparisons that differed.",
+     &MembershipCounters::Repairs_},
+}};
+
+constexpr std::array<CounterRow<DisseminationCounters>, 7> SpreadRows = {{
+    {"sycamore_ticket_offers_sent_total", "Tickets offered to peers.",
+     &DisseminationCounters::OffersSent_},
+    {"sycamore_ticket_pulls_sent_total", "Tickets asked of peers.",
+     &DisseminationCounters::PullsSent_},
+    {"sycamore_ticket_pull_timeouts_total", "Pulls without an answer.",
+     &DisseminationCounters::PullTimeouts_},
+    {"sycamore_ticket_pulls_served_total", "Tickets sent to peers.",
+     &DisseminationCounters::PullsServed_},
+    {"sycamore_ticket_busy_sent_total", "Pulls refused as busy.",
+     &DisseminationCounters::BusySent_},
+    {"sycamore_ticket_snapshots_sent_total", "Snapshots sent to peers.",
+     &DisseminationCounters::SnapshotsSent_},
+    {"sycamore_ticket_bodies_rejected_total", "Tickets from peers refused.",
+     &DisseminationCounters::BodiesRejected_},
+}};
+
+constexpr std::array<CounterRow<ControlPlaneCounters>, 6> ControlRows = {{
+    {"sycamore_head_reads_total", "Reads of the head.",
+     &ControlPlaneCounters::HeadReads_},
+    {"sycamore_snapshot_reads_total", "Reads of a base snapshot.",
+     &ControlPlaneCounters::SnapshotReads_},
+    {"sycamore_seed_writes_total", "Writes of the seeds.",
+     &ControlPlaneCounters::SeedWrites_},
+    {"sycamore_watches_started_total", "Watches of the head.",
+     &ControlPlaneCounters::WatchesStarted_},
+    {"sycamore_watch_events_total", "New heads by watch.",
+     &ControlPlaneCounters::WatchEvents_},
+    {"sycamore_store_failures_total", "Reads of the head that failed.",
+     &ControlPlaneCounters::StoreFailures_},
+}};
+
+constexpr std::array<CounterRow<KeyedCallsCounters>, 10> KeyRows = {{
+    {"sycamore_keys_run_total", "Keys run here.", &KeyedCallsCounters::Run_},
+    {"sycamore_keys_joined_total", "Keys that waited for an earlier sending.",
+     &KeyedCallsCounters::Joined_},
+    {"sycamore_keys_replayed_total", "Keys answered from memory.",
+     &KeyedCallsCounters::Replayed_},
+    {"sycamore_keys_mismatched_total", "Keys used for another request.",
+     &KeyedCallsCounters::Mismatched_},
+    {"sycamore_keys_lease_lapsed_total", "Keys refused without a lease.",
+     &KeyedCallsCounters::LeaseLapsed_},
+    {"sycamore_keys_unknown_takeover_total", "Keys of an earlier holder.",
+     &KeyedCallsCounters::UnknownAfterTakeover_},
+    {"sycamore_buckets_acquired_total", "Buckets taken.",
+     &KeyedCallsCounters::Acquired_},
+    {"sycamore_lease_keep_alives_total", "Leases renewed.",
+     &KeyedCallsCounters::KeepAlives_},
+    {"sycamore_lease_keep_alive_failures_total", "Renewals that failed.",
+     &KeyedCallsCounters::KeepAliveFailures_},
+    {"sycamore_bucket_handovers_total", "Buckets handed over.",
+     &KeyedCallsCounters::HandoversSent_},
+}};
+
+constexpr std::array<CounterRow<PlacementCounters>, 6> PlacementRows = {{
+    {"sycamore_placements_total", "Targets chosen.",
+     &PlacementCounters::Chosen_},
+    {"sycamore_placements_far_total", "Targets in another data centre.",
+     &PlacementCounters::ChosenFar_},
+    {"sycamore_placements_none_total", "Calls without a target.",
+     &PlacementCounters::NoCandidate_},
+    {"sycamore_outliers_total", "Targets found slow.",
+     &PlacementCounters::OutliersFound_},
+    {"sycamore_panics_total", "Choices with too many slow targets.",
+     &PlacementCounters::Panics_},
+    {"sycamore_ejections_total", "Targets that refused connections.",
+     &PlacementCounters::Ejections_},
+}};
+
+void writeStoreCalls(MetricsPage &Page, const StoreCounters &Counters) {
+  for (const auto &[Kind, Outcomes] : Counters.Calls_)
+    for (const auto &[Outcome, Count] : Outcomes)
+      writeCounter(Page, "sycamore_store_calls_total", "Calls of the store.",
+                   Count, {{"kind", Kind}, {"outcome", Outcome}});
+}
+
+void writeAdmission(MetricsPage &Page, const TargetProxy &Targets) {
+  for (const auto &[Name, Target] : Targets.targets()) {
+    MetricLabels Labels = {{"target", Name}};
+    AdmissionLoad Load = load(Target.Admission_);
+    const AdmissionCounters &Counters = Target.Admission_.Counters_;
+    writeGauge(Page, "sycamore_slots", "Slots of the target.", Load.Slots_,
+               Labels);
+    writeGauge(Page, "sycamore_slots_running", "Requests that run.",
+               Load.Running_, Labels);
+    writeGauge(Page, "sycamore_queue_length", "Requests that wait.",
+               Load.Queued_, Labels);
+    writeCounter(Page, "sycamore_admitted_total", "Requests given a slot.",
+                 Counters.Admitted_, Labels);
+    writeCounter(Page, "sycamore_refused_queue_full_total",
+                 "Refused for a full queue.", Counters.RefusedQueueFull_,
+                 Labels);
+    writeCounter(Page, "sycamore_refused_too_late_total",
+                 "Refused for their deadline.", Counters.RefusedTooLate_,
+                 Labels);
+  }
+}
+
+/// Resident memory in bytes, from the second field of statm.
+double residentBytes() {
+  std::ifstream File("/proc/self/statm");
+  double Total = 0;
+  double Resident = 0;
+  File >> Total >> Resident;
+  return Resident * static_cast<double>(sysconf(_SC_PAGESIZE));
+}
+
+double processorSeconds() {
+  timespec Used{};
+  clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &Used);
+  return static_cast<double>(Used.tv_sec) +
+         static_cast<double>(Used.tv_nsec) * 1e-9;
+}
+
+void writeGauges(MetricsPage &Page, const AdminSubjects &Subjects) {
+  const ControlPlane &Control = Subjects.Control_;
+  writeGauge(Page, "sycamore_ticket", "Number of the ticket in force.",
+             static_cast<double>(Control.snapshot()->Number_));
+  writeGauge(Page, "sycamore_serving", "1 when the floor is known.",
+             Control.mayServe() ? 1 : 0);
+  writeGauge(Page, "sycamore_rejected_ticket", "Last ticket refused; 0: none.",
+             Control.replica().Rejection_
+                 ? static_cast<double>(Control.replica().Rejection_->Number_)
+                 : 0);
+  writeGauge(Page, "sycamore_servers_known", "Rows of the server table.",
+             static_cast<double>(Control.members().Servers_.size()));
+  writeGauge(Page, "sycamore_targets_known", "Rows of the target table.",
+             static_cast<double>(Control.members().Targets_.size()));
+  writeGauge(Page, "sycamore_calls_in_flight", "Calls of callers.",
+             static_cast<double>(Subjects.Entry_.inFlight()));
+  writeGauge(Page, "sycamore_links", "Links dialled.",
+             static_cast<double>(Subjects.Peers_.linkCount()));
+  writeGauge(Page, "sycamore_buckets_held", "Buckets of keys held.",
+             static_cast<double>(heldBuckets(Subjects.Keys_.buckets()).size()));
+  writeGauge(Page, "process_resident_memory_bytes", "Resident memory.",
+             residentBytes());
+  writeGauge(Page, "process_cpu_seconds_total", "Processor time.",
+             processorSeconds());
+}
+
+} // namespace
+
+std::string metricsText(const AdminSubjects &Subjects) {
+  MetricsPage Page;
+  writeGauges(Page, Subjects);
+  writeTable(Page, Subjects.Entry_.counters(), EntryRows);
+  writeTable(Page, Subjects.Entry_.calls().Counters_, CallRows);
+  writeTable(Page, Subjects.Targets_.counters(), TargetRows);
+  writeTable(Page, Subjects.Peers_.counters(), PeerRows);
+  writeTable(Page, Subjects.Control_.members().Counters_, MembershipRows);
+  writeTable(Page, Subjects.Control_.dissemination().Counters_, SpreadRows);
+  writeTable(Page, Subjects.Control_.counters(), ControlRows);
+  writeTable(Page, Subjects.Keys_.buckets().Counters_, KeyRows);
+  writeTable(Page, Subjects.Entry_.placement().Counters_, PlacementRows);
+  writeStoreCalls(Page, Subjects.StoreCounters_);
+  writeAdmission(Page, Subjects.Targets_);
+  for (wire::RunOutcome Run :
+       {wire::RUN_NOT_RUN, wire::RUN_DONE, wire::RUN_UNKNOWN})
+    writeHistogram(Page, "sycamore_call_seconds", "Time of a caller's request.",
+                   Subjects.Entry_.callTimes(Run),
+                   {{"run", std::string(runName(Run))}});
+  writeHistogram(Page, "sycamore_added_seconds",
+                 "Time of an attempt without its time in the target.",
+                 Subjects.Entry_.addedTimes());
+  writeHistogram(Page, "sycamore_target_seconds",
+                 "Time that the target took to answer.",
+                 Subjects.Targets_.serviceTimes());
+  writeHistogram(Page, "sycamore_queue_seconds", "Time in the queue.",
+                 Subjects.Targets_.queueTimes());
+  return Page.Text_;
+}
+
+} // namespace sycamore
--- a/src/KeyBuckets.cpp
+++ b/src/KeyBuckets.cpp
@@ -32,8 +32,8 @@
 
 /// The time at which a lease ends by this daemon's clock.
 TimePoint leaseEnd(const BucketTable &Table, const LeaseAnswer &Lease, Now At) {
-  TimePoint From = mutated(CallMutation::LeaseFromAnswer) ? At.Monotonic_
-                                                          : Lease.SentAt_;
+  TimePoint From =
+      mutated(CallMutation::LeaseFromAnswer) ? At.Monotonic_ : Lease.SentAt_;
   return From + Lease.Ttl_ - Table.Limits_.LeaseGuard_;
 }
 
@@ -99,10 +99,9 @@
   if (Table.LeaseValid_ && !Valid)
     Table.Events_.emplace_back(LeaseLapsed{Table.LeaseId_});
   Table.LeaseValid_ = Valid;
-  bool Used = std::any_of(Table.Buckets_.begin(), Table.Buckets_.end(),
-                          [](const KeyBucket &In) {
-                            return In.State_ != BucketState::Free;
-                          });
+  bool Used = std::any_of(
+      Table.Buckets_.begin(), Table.Buckets_.end(),
+      [](const KeyBucket &In) { return In.State_ != BucketState::Free; });
   if (!Used) {
     // Nothing is bound to the lease, so it may end.
     if (!Valid)
@@ -117,11 +116,10 @@
 }
 
 bool isGranting(const BucketTable &Table) {
-  return std::any_of(Table.Buckets_.begin(), Table.Buckets_.end(),
-                     [](const KeyBucket &In) {
-                       return In.State_ == BucketState::Acquiring &&
-                              In.AcquireLease_ == 0;
-                     });
+  return std::any_of(
+      Table.Buckets_.begin(), Table.Buckets_.end(), [](const KeyBucket &In) {
+        return In.State_ == BucketState::Acquiring && In.AcquireLease_ == 0;
+      });
 }
 
 void acquire(BucketTable &Table, std::uint32_t Bucket, std::uint64_t Replaces,
@@ -232,8 +230,9 @@
   if (std::find(Servers.begin(), Servers.end(), Server) == Servers.end())
     return Servers.size();
   return static_cast<std::size_t>(std::count_if(
-      Servers.begin(), Servers.end(),
-      [&](const std::string &Other) { return Weight(Other) > Weight(Server); }));
+      Servers.begin(), Servers.end(), [&](const std::string &Other) {
+        return Weight(Other) > Weight(Server);
+      }));
 }
 
 std::string_view rendezvousOwner(std::uint32_t Bucket,
--- a/src/KeyHolder.cpp
+++ b/src/KeyHolder.cpp
@@ -12,6 +12,11 @@
 /// so that its record can answer the next sending.
 constexpr Duration OutcomeWait = seconds(30);
 
+/// Copying the records of 690 servers at every tick would take about 1% of a
+/// core; claims travel by gossip, which is slower than this.
+constexpr Duration RecordsInterval = milliseconds(200);
+constexpr Duration BucketTickInterval = milliseconds(200);
+
 KeyedLimits limitsOf(const KeySettings &Config) {
   KeyedLimits Out;
   Out.BucketCount_ = static_cast<std::uint32_t>(Config.Buckets_);
@@ -27,7 +32,7 @@
   Finish Out;
   Out.Run_ = Answer.run();
   // A refusal of this sending must not be read as a refusal of the request.
-  if (Answer.run() == wire::RUN_NOT_RUN && Answer.earlier_sends_unknown())
+  if (Answer.run() == wire::RUN_NOT_RUN && !Answer.no_sending_ran())
     Out.Run_ = wire::RUN_UNKNOWN;
   Out.Status_ = Answer.status();
   Out.RetryAfter_ = milliseconds(Answer.retry_after_ms());
@@ -59,7 +64,6 @@
                    "send the request again with the same key after the time in "
                    "Retry-After"},
                   RetryAfter);
-  Out.set_earlier_sends_unknown(true);
   return Out;
 }
 
@@ -87,7 +91,7 @@
   }
   Request.Key_ = *Key;
   std::uint32_t Bucket = bucketOf(*Key, Buckets_.Limits_.BucketCount_);
-  auto Holder = holderOf(Bucket, Control_.serverRecords());
+  auto Holder = holderOf(Bucket, serverRecords(Time));
   if (holdsBucket(Buckets_, Bucket, Time.Monotonic_)) {
     Sending Own;
     Own.Key_ = Request.Key_;
@@ -126,7 +130,7 @@
       std::move(Call), Shared->Span_,
       [this, Shared, Exchange](Finish Outcome) {
         if (Outcome.Run_ == wire::RUN_NOT_RUN &&
-            Outcome.Answer_.earlier_sends_unknown())
+            !Outcome.Answer_.no_sending_ran())
           Outcome.Run_ = wire::RUN_UNKNOWN;
         Entry_.reply(Exchange, *Shared, Outcome);
       },
@@ -193,6 +197,8 @@
       [this, Shared](Finish Outcome) {
         Now Later = readClocks();
         wire::CallAnswer Answer = toAnswer(Outcome);
+        // The key had no record, so no earlier sending has run either.
+        Answer.set_no_sending_ran(Answer.run() == wire::RUN_NOT_RUN);
         carryOut(
             completeKey(Buckets_, Shared->Key_, Answer, Outcome.Body_, Later),
             Later);
@@ -366,7 +372,7 @@
 
 void KeyHolder::receiveHandover(const wire::BucketHandover &Handover,
                                 Now Time) {
-  carryOut(onHandover(Buckets_, Handover, Time), Time);
+  onHandover(Buckets_, Handover, Time);
 }
 
 void KeyHolder::startLeaving(Now Time) {
--- a/src/KeyHolder.h
+++ b/src/KeyHolder.h
@@ -68,6 +68,8 @@
   void keepAlive(const KeepLeaseAlive &Action, Now Time);
   void release(const ReleaseBucket &Action);
   void handOver(const SendHandover &Action);
+  /// Records of all servers, at most a moment old.
+  const std::vector<wire::ServerRecord> &serverRecords(Now Time);
   void publishClaims();
   void logEvent(const BucketEvent &Event) const;
 
@@ -80,7 +82,10 @@
   OutboxSender Send_;
   BucketTable Buckets_;
   std::deque<Sending> Waiters_; ///< For the outcome of an earlier sending.
-  bool Settled_ = false;        ///< A key that is waited for has an outcome.
+  std::vector<wire::ServerRecord> Records_;
+  TimePoint NextRecords_;
+  TimePoint NextBucketTick_;
+  bool Settled_ = false; ///< A key that is waited for has an outcome.
   std::vector<wire::HeldBucket> Published_;
   KeyHolderCounters Counters_;
 };
--- /dev/null
+++ b/test/correctness/WholePathTest.cpp
@@ -0,0 +1,121 @@
+// Guards against a break anywhere on the way from an operator's ticket to a
+// caller's answer, with real processes in three data centres.
+#include "Cluster.h"
+
+#include <gtest/gtest.h>
+
+using namespace sycamore;
+using namespace sycamore::test;
+
+namespace {
+
+class WholePath : public testing::Test {
+protected:
+  void SetUp() override {
+    Running_.startStore();
+    Running_.addServer("shelfview", "dalseo");
+    Running_.addServer("shelfview", "suseong");
+    Running_.addServer("reservedesk", "buk");
+    Number_ = Running_.acceptTicket();
+    ASSERT_NE(Number_, 0U);
+    ASSERT_TRUE(Running_.waitForTicket(Number_));
+    ASSERT_TRUE(Running_.waitForTargets());
+  }
+
+  Cluster Running_;
+  std::uint64_t Number_ = 0;
+};
+
+std::string patternOf(std::size_t Bytes) {
+  std::string Out(Bytes, '\0');
+  std::uint32_t State = 12345;
+  for (char &Byte : Out) {
+    State = State * 1664525U + 1013904223U;
+    Byte = static_cast<char>(State >> 24U);
+  }
+  return Out;
+}
+
+} // namespace
+
+TEST_F(WholePath, CarriesBodiesByteForByte) {
+  for (std::size_t Bytes : {std::size_t{0}, std::size_t{1}, std::size_t{65536},
+                            std::size_t{3} << 20U}) {
+    std::string Body = patternOf(Bytes);
+    Answer Found = Running_.call(
+        Running_.Servers_[0]->Caller_, "POST", "/reservedesk/echo?raw=1&a=%20b",
+        Body, {{"content-type", "application/octet-stream"}});
+    EXPECT_EQ(Found.Status_, 200);
+    EXPECT_EQ(Found.Run_, "done");
+    EXPECT_TRUE(Found.Body_ == Body)
+        << Bytes << " bytes sent, " << Found.Body_.size() << " back";
+  }
+}
+
+TEST_F(WholePath, RefusesWhatNoRouteMatches) {
+  Answer Found =
+      Running_.call(Running_.Servers_[1]->Caller_, "GET", "/nowhere");
+  EXPECT_EQ(Found.Status_, 404);
+  EXPECT_EQ(Found.Run_, "not-run");
+  auto Document = parseJson(Found.Body_, "answer");
+  ASSERT_TRUE(Document.has_value()) << Found.Body_;
+  EXPECT_EQ((*Document)["error"]["kind"], "not-found");
+  EXPECT_FALSE((*Document)["error"]["remedy"].get<std::string>().empty());
+}
+
+TEST_F(WholePath, RunsAKeyOnceThroughSeveralDaemons) {
+  std::string Key = makeKey();
+  ASSERT_TRUE(Running_.waitUntil([&] {
+    return Running_
+               .call(Running_.Servers_[0]->Caller_, "POST", "/reservedesk/echo",
+                     "lens", {{"idempotency-key", Key}})
+               .Status_ == 200;
+  }));
+  for (const auto &Entry : Running_.Servers_) {
+    Answer Again = Running_.call(Entry->Caller_, "POST", "/reservedesk/echo",
+                                 "lens", {{"idempotency-key", Key}});
+    EXPECT_EQ(Again.Status_, 200) << Again.Body_;
+    EXPECT_EQ(Again.Run_, "done");
+  }
+  EXPECT_EQ(Running_.countLedger(Key, "started"), 1U);
+}
+
+TEST_F(WholePath, ShowsTheTicketOfEveryServer) {
+  std::string Output;
+  ASSERT_TRUE(Running_.waitUntil([&] {
+    Json Fleet = Running_.admin(*Running_.Servers_[0], "/fleet");
+    std::size_t Current = 0;
+    for (const Json &Row : Fleet.value("servers", Json::array()))
+      if (Row["ticket"] == Number_ && Row["state"] == "alive")
+        ++Current;
+    return Current == Running_.Servers_.size();
+  }));
+  EXPECT_EQ(Running_.control({"fleet", "status"}, &Output), 0) << Output;
+  EXPECT_NE(Output.find("reservedesk-3"), std::string::npos) << Output;
+}
+
+TEST_F(WholePath, RefusesABadTicketAndStaysOnTheOldOne) {
+  EXPECT_EQ(Running_.acceptTicket(), Number_ + 1);
+  ASSERT_TRUE(Running_.waitForTicket(Number_ + 1));
+  std::string Output;
+  EXPECT_EQ(
+      Running_.control({"ticket", "approve", std::to_string(Number_)}, &Output),
+      3)
+      << Output;
+  for (const auto &Entry : Running_.Servers_)
+    EXPECT_EQ(Running_.admin(*Entry, "/status")["ticket"], Number_ + 1);
+}
+
+TEST_F(WholePath, PassesOnTheTrace) {
+  const std::string Trace = "0af7651916cd43dd8448eb211c80319c";
+  Answer Found = Running_.call(
+      Running_.Servers_[0]->Caller_, "GET", "/reservedesk/echo", {},
+      {{"traceparent", "00-" + Trace + "-b7ad6b7169203331-01"}});
+  EXPECT_EQ(Found.Status_, 200);
+  EXPECT_NE(Found.Body_.find(Trace), std::string::npos) << Found.Body_;
+  std::string Spans;
+  for (const auto &Entry : Running_.Servers_)
+    Spans += Running_.admin(*Entry, "/traces").dump();
+  EXPECT_NE(Spans.find("attempt reservedesk-3"), std::string::npos);
+  EXPECT_NE(Spans.find("target reservedesk-3"), std::string::npos);
+}
--- a/test/support/CallWorld.cpp
+++ b/test/support/CallWorld.cpp
@@ -124,8 +124,8 @@
 }
 
 Micros World::between(Micros Low, Micros High) {
-  return Low + static_cast<Micros>(randomIndex(
-                   Rng_, static_cast<std::size_t>(High - Low + 1)));
+  return Low + static_cast<Micros>(
+                   randomIndex(Rng_, static_cast<std::size_t>(High - Low + 1)));
 }
 
 sycamore::Now World::clock(const Node &Of) const {
@@ -336,8 +336,7 @@
     if (Lease == 0) {
       ++Store_.Calls_;
       Lease = Store_.NextLease_++;
-      Store_.LeaseEnds_[Lease] =
-          Now_ + Duration(Action.LeaseTtl_).count();
+      Store_.LeaseEnds_[Lease] = Now_ + Duration(Action.LeaseTtl_).count();
       Granted = LeaseAnswer{Lease, Action.LeaseTtl_, Sent.Monotonic_};
     }
     auto End = Store_.LeaseEnds_.find(Lease);
--- a/test/support/CallWorld.h
+++ b/test/support/CallWorld.h
@@ -111,8 +111,7 @@
   /// Runs at a process of a node: dropped if it dies, late if it is frozen.
   void atNode(Node &Where, Micros Delay, std::function<void(Node &)> Act);
   /// A message arrives: whichever process runs then takes it.
-  void arrive(std::size_t Index, Micros Delay,
-              std::function<void(Node &)> Act);
+  void arrive(std::size_t Index, Micros Delay, std::function<void(Node &)> Act);
   bool chance(double Probability);
   Micros between(Micros Low, Micros High);
   sycamore::Now clock(const Node &Of) const;
@@ -176,8 +175,7 @@
       return std::pair(When_, Order_) > std::pair(Other.When_, Other.Order_);
     }
   };
-  std::priority_queue<Scheduled, std::vector<Scheduled>, std::greater<>>
-      Queue_;
+  std::priority_queue<Scheduled, std::vector<Scheduled>, std::greater<>> Queue_;
   std::uint64_t Order_ = 0;
   std::map<std::pair<std::size_t, std::size_t>, Link> Links_;
   std::map<std::string, bool> Answered_; ///< By call.
--- /dev/null
+++ b/test/support/Cluster.h
@@ -0,0 +1,122 @@
+// A small deployment of real processes on loopback for tests: one store
+// stand-in, daemons and target stand-ins. Every process is ended with the
+// deployment and, should the test die, by its own time limit.
+#pragma once
+
+#include "EventLoop.h"
+#include "sycamore/Json.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <sys/types.h>
+#include <vector>
+
+namespace sycamore::test {
+
+/// A process that this test started.
+class Process {
+public:
+  /// Program is looked up in the build's bin folder. Output goes to LogFile.
+  Process(const std::string &Program, std::vector<std::string> Arguments,
+          const std::string &LogFile);
+  ~Process();
+  Process(const Process &) = delete;
+  Process &operator=(const Process &) = delete;
+
+  void signal(int Number) const;
+  void kill();
+  /// Exit status, or nothing when it still runs after Limit; a death by signal
+  /// counts as 128 and the signal's number.
+  std::optional<int> wait(Duration Limit);
+  bool isRunning();
+
+private:
+  pid_t Id_ = -1;
+  std::optional<int> Exit_;
+};
+
+/// A daemon and the target beside it.
+struct Server {
+  std::string Name_;
+  std::string Service_;
+  std::string DataCentre_;
+  std::string Caller_; ///< Address for callers.
+  std::string Admin_;
+  std::string Peer_;
+  std::string Target_; ///< Address of the target.
+  std::string Settings_;
+  std::string Ledger_;
+  std::unique_ptr<Process> Daemon_;
+  std::unique_ptr<Process> TargetProcess_;
+};
+
+struct Answer {
+  int Status_ = 0;  ///< 0 when no answer came.
+  std::string Run_; ///< The sycamore-run header.
+  HttpHeaders Headers_;
+  std::string Body_;
+};
+
+class Cluster {
+public:
+  Cluster();
+  ~Cluster();
+
+  /// Starts the store stand-in.
+  void startStore();
+
+  /// Starts a daemon and a target of the service. Extra fields are merged into
+  /// the daemon's settings. Options go to the target.
+  Server &addServer(const std::string &Service, const std::string &DataCentre,
+                    const std::vector<std::string> &TargetOptions = {},
+                    const Json &ExtraSettings = Json::object());
+
+  /// Starts the daemon again on its former addresses.
+  void restartDaemon(Server &Which);
+  void startTarget(Server &Which, const std::vector<std::string> &Options);
+
+  /// Runs sycamorectl; Output receives what it printed.
+  int control(const std::vector<std::string> &Arguments,
+              std::string *Output = nullptr);
+
+  /// Files and approves a ticket with a route "/SERVICE" for each service and
+  /// all servers as targets. Returns its number, 0 on failure.
+  std::uint64_t acceptTicket(const Json &Extra = Json::object());
+
+  bool waitUntil(const std::function<bool()> &Condition,
+                 Duration Limit = seconds(30));
+  bool waitForTicket(std::uint64_t Number);
+  /// Waits until every daemon serves calls to every service.
+  bool waitForTargets();
+
+  Answer call(const std::string &Address, const std::string &Method,
+              const std::string &Path, const std::string &Body = {},
+              HttpHeaders Headers = {}, Duration Limit = seconds(10));
+  Json admin(const Server &Which, const std::string &Path);
+  void fault(const std::string &Address, const Json &Switches);
+  /// Value of a metric without labels; -1 when absent.
+  double metric(const Server &Which, const std::string &Name);
+
+  /// Lines of all ledgers with this text and event.
+  std::size_t countLedger(const std::string &Text, const std::string &Event);
+
+  const std::string &storeAddress() const { return StoreAddress_; }
+  std::vector<std::unique_ptr<Server>> Servers_;
+  EventLoop Loop_;
+
+private:
+  void startDaemon(Server &Which);
+  std::string readWhenThere(const std::string &Path);
+
+  std::string Folder_;
+  std::string StoreAddress_;
+  std::unique_ptr<Process> Store_;
+  std::unique_ptr<HttpClient> Client_;
+  std::string OperatorSettings_;
+};
+
+/// A key with a creation time, as RFC 9562 describes version 7.
+std::string makeKey();
+
+} // namespace sycamore::test
