Add the store adapter and the stand-in for the store

Cause: the daemon and sycamorectl reach the store by the etcd v3 JSON gateway, and every test of a store outage needs a store whose faults can be switched.

The parts of the stand-ins form a library, so that a test can run one on its own loop.

A watch reports the removal of its key as a value with CreateRevision_ 0.

--- /dev/null
+++ b/src/EtcdCodec.cpp
@@ -0,0 +1,312 @@
+// Requests and answers of the etcd v3 JSON gateway.
+#include "EtcdCodec.h"
+
+#include <charconv>
+#include <openssl/evp.h>
+
+namespace sycamore {
+namespace {
+
+/// A range of every ticket may be far larger than one value.
+constexpr JsonLimits AnswerLimits{64U << 20U, 32};
+
+Result<Json> parseAnswer(std::string_view Text) {
+  auto Root = parseJson(Text, "answer of the store", AnswerLimits);
+  if (Root && !Root->is_object())
+    return fail(ErrorKind::InvalidData, "answer of the store: not an object",
+                "check that the endpoint speaks the etcd v3 JSON protocol");
+  return Root;
+}
+
+/// Reads fields of one object and remembers the first that is malformed.
+class Fields {
+public:
+  Fields(const Json &Object, std::string &Problem)
+      : Object_(Object), Problem_(Problem) {}
+
+  const Json *find(const char *Name) const {
+    if (!Object_.is_object())
+      return nullptr;
+    auto Found = Object_.find(Name);
+    return Found == Object_.end() || Found->is_null() ? nullptr : &*Found;
+  }
+
+  std::int64_t number(const char *Name) const {
+    const Json *Value = find(Name);
+    if (!Value)
+      return 0;
+    if (Value->is_number_integer())
+      return Value->get<std::int64_t>();
+    std::int64_t Out = 0;
+    if (Value->is_string()) {
+      const auto &Text = Value->get_ref<const std::string &>();
+      const char *End = Text.data() + Text.size();
+      auto [Rest, Failure] = std::from_chars(Text.data(), End, Out);
+      if (Failure == std::errc() && Rest == End)
+        return Out;
+    }
+    complain(Name, "a number");
+    return 0;
+  }
+
+  bool flag(const char *Name) const {
+    const Json *Value = find(Name);
+    if (Value && !Value->is_boolean())
+      complain(Name, "true or false");
+    return Value && Value->is_boolean() && Value->get<bool>();
+  }
+
+  std::string text(const char *Name) const {
+    const Json *Value = find(Name);
+    if (Value && !Value->is_string())
+      complain(Name, "a string");
+    return Value && Value->is_string() ? Value->get<std::string>() : "";
+  }
+
+  std::string bytes(const char *Name) const {
+    auto Out = decodeBase64(text(Name));
+    if (!Out)
+      complain(Name, "base64");
+    return Out.value_or("");
+  }
+
+  const Json &array(const char *Name) const {
+    static const Json Empty = Json::array();
+    const Json *Value = find(Name);
+    if (Value && !Value->is_array())
+      complain(Name, "an array");
+    return Value && Value->is_array() ? *Value : Empty;
+  }
+
+  const Json &object(const char *Name) const {
+    static const Json Empty = Json::object();
+    const Json *Value = find(Name);
+    if (Value && Value->is_object())
+      return *Value;
+    complain(Name, "an object");
+    return Empty;
+  }
+
+  void complain(const char *Name, const char *Expected) const {
+    if (Problem_.empty())
+      Problem_ = std::string(Name) + " is not " + Expected;
+  }
+
+private:
+  const Json &Object_;
+  std::string &Problem_;
+};
+
+template <typename T> Result<T> finish(T Value, const std::string &Problem) {
+  if (!Problem.empty())
+    return fail(ErrorKind::InvalidData, "answer of the store: " + Problem,
+                "check that the endpoint speaks the etcd v3 JSON protocol");
+  return Value;
+}
+
+std::int64_t revisionOf(const Fields &Answer, std::string &Problem) {
+  return Fields(Answer.object("header"), Problem).number("revision");
+}
+
+KeyValue readKeyValue(const Json &Value, std::string &Problem) {
+  Fields From(Value, Problem);
+  KeyValue Out;
+  Out.Key_ = From.bytes("key");
+  Out.Value_ = From.bytes("value");
+  Out.CreateRevision_ = From.number("create_revision");
+  Out.ModRevision_ = From.number("mod_revision");
+  Out.Lease_ = From.number("lease");
+  if (Out.Key_.empty())
+    From.complain("key", "present");
+  return Out;
+}
+
+RangeResult readRange(const Json &Value, std::string &Problem) {
+  Fields From(Value, Problem);
+  RangeResult Out;
+  Out.Revision_ = revisionOf(From, Problem);
+  for (const Json &Item : From.array("kvs"))
+    Out.Values_.push_back(readKeyValue(Item, Problem));
+  return Out;
+}
+
+Json encodeOperations(const Txn &Request, bool Writes) {
+  Json Out = Json::array();
+  if (Writes) {
+    for (const Put &Item : Request.Puts_) {
+      Json Body{{"key", encodeBase64(Item.Key_)},
+                {"value", encodeBase64(Item.Value_)}};
+      if (Item.Lease_ != 0)
+        Body["lease"] = std::to_string(Item.Lease_);
+      Out.push_back({{"request_put", std::move(Body)}});
+    }
+    for (const std::string &Key : Request.Deletes_)
+      Out.push_back({{"request_delete_range", {{"key", encodeBase64(Key)}}}});
+  }
+  for (const RangeRequest &Read : Request.Reads_)
+    Out.push_back({{"request_range", encodeRange(Read)}});
+  return Out;
+}
+
+} // namespace
+
+std::string encodeBase64(std::string_view Bytes) {
+  std::string Out((Bytes.size() + 2) / 3 * 4 + 1, '\0');
+  int Length =
+      EVP_EncodeBlock(reinterpret_cast<unsigned char *>(Out.data()),
+                      reinterpret_cast<const unsigned char *>(Bytes.data()),
+                      static_cast<int>(Bytes.size()));
+  Out.resize(static_cast<std::size_t>(Length));
+  return Out;
+}
+
+std::optional<std::string> decodeBase64(std::string_view Text) {
+  if (Text.size() % 4 != 0)
+    return std::nullopt;
+  std::string Out(Text.size() / 4 * 3, '\0');
+  int Length =
+      EVP_DecodeBlock(reinterpret_cast<unsigned char *>(Out.data()),
+                      reinterpret_cast<const unsigned char *>(Text.data()),
+                      static_cast<int>(Text.size()));
+  if (Length != static_cast<int>(Out.size()))
+    return std::nullopt;
+  // The decoder counts padding as zero bytes.
+  std::size_t Padding = 0;
+  while (Padding < 2 && Padding < Text.size() &&
+         Text[Text.size() - 1 - Padding] == '=')
+    ++Padding;
+  Out.resize(Out.size() - Padding);
+  // It also takes white space and misplaced padding.
+  if (encodeBase64(Out) != Text)
+    return std::nullopt;
+  return Out;
+}
+
+Json encodeRange(const RangeRequest &Request) {
+  Json Out{{"key", encodeBase64(Request.Key_)}};
+  if (!Request.RangeEnd_.empty())
+    Out["range_end"] = encodeBase64(Request.RangeEnd_);
+  if (Request.Limit_ > 0)
+    Out["limit"] = std::to_string(Request.Limit_);
+  if (Request.Descending_) {
+    Out["sort_order"] = "DESCEND";
+    Out["sort_target"] = "KEY";
+  }
+  if (Request.KeysOnly_)
+    Out["keys_only"] = true;
+  return Out;
+}
+
+Json encodeTxn(const Txn &Request) {
+  Json Compares = Json::array();
+  for (const Compare &Item : Request.Compares_)
+    Compares.push_back({{"key", encodeBase64(Item.Key_)},
+                        {"target", "MOD"},
+                        {"result", "EQUAL"},
+                        {"mod_revision", std::to_string(Item.Revision_)}});
+  return {{"compare", std::move(Compares)},
+          {"success", encodeOperations(Request, true)},
+          {"failure", encodeOperations(Request, false)}};
+}
+
+Json encodeWatch(const std::string &Key, std::int64_t FromRevision) {
+  Json Create{{"key", encodeBase64(Key)}, {"progress_notify", true}};
+  if (FromRevision > 0)
+    Create["start_revision"] = std::to_string(FromRevision);
+  return {{"create_request", std::move(Create)}};
+}
+
+Result<RangeResult> parseRangeAnswer(std::string_view Text) {
+  auto Root = parseAnswer(Text);
+  if (!Root)
+    return tl::unexpected(Root.error());
+  std::string Problem;
+  RangeResult Out = readRange(*Root, Problem);
+  return finish(std::move(Out), Problem);
+}
+
+Result<TxnResult> parseTxnAnswer(std::string_view Text, std::size_t Reads) {
+  auto Root = parseAnswer(Text);
+  if (!Root)
+    return tl::unexpected(Root.error());
+  std::string Problem;
+  Fields From(*Root, Problem);
+  TxnResult Out;
+  Out.Succeeded_ = From.flag("succeeded");
+  Out.Revision_ = revisionOf(From, Problem);
+  for (const Json &Item : From.array("responses"))
+    if (Fields Response(Item, Problem); Response.find("response_range"))
+      Out.Reads_.push_back(
+          readRange(Response.object("response_range"), Problem));
+  if (Out.Reads_.size() != Reads)
+    From.complain("responses", "as long as the reads of the request");
+  return finish(std::move(Out), Problem);
+}
+
+Result<Lease> parseLeaseGrantAnswer(std::string_view Text) {
+  auto Root = parseAnswer(Text);
+  if (!Root)
+    return tl::unexpected(Root.error());
+  std::string Problem;
+  Fields From(*Root, Problem);
+  Lease Out{From.number("ID"), seconds(From.number("TTL"))};
+  if (Out.Id_ == 0 || Out.Ttl_ <= seconds(0))
+    From.complain("ID or TTL", "positive");
+  return finish(Out, Problem);
+}
+
+Result<Lease> parseKeepAliveAnswer(std::string_view Text) {
+  auto Root = parseAnswer(Text);
+  if (!Root)
+    return tl::unexpected(Root.error());
+  std::string Problem;
+  Fields From(Fields(*Root, Problem).object("result"), Problem);
+  Lease Out{From.number("ID"), seconds(From.number("TTL"))};
+  if (Out.Id_ == 0 || Out.Ttl_ < seconds(0))
+    From.complain("ID or TTL", "valid");
+  return finish(Out, Problem);
+}
+
+Result<WatchNotice> parseWatchLine(std::string_view Text) {
+  auto Root = parseAnswer(Text);
+  if (!Root)
+    return tl::unexpected(Root.error());
+  std::string Problem;
+  WatchNotice Out;
+  if (Root->contains("error")) {
+    Out.Cancelled_ = true;
+    Out.CancelReason_ = "the store answered an error";
+    return Out;
+  }
+  Fields From(Fields(*Root, Problem).object("result"), Problem);
+  Out.Revision_ = revisionOf(From, Problem);
+  Out.Created_ = From.flag("created");
+  Out.Cancelled_ = From.flag("canceled");
+  Out.CancelReason_ = From.text("cancel_reason");
+  if (From.number("compact_revision") != 0)
+    Out.CancelReason_ = "the revision asked for was compacted";
+  for (const Json &Item : From.array("events")) {
+    Fields Event(Item, Problem);
+    KeyValue Change = readKeyValue(Event.object("kv"), Problem);
+    if (Event.text("type") == "DELETE")
+      Change.CreateRevision_ = 0;
+    Out.Changes_.push_back(std::move(Change));
+  }
+  return finish(std::move(Out), Problem);
+}
+
+GatewayError parseErrorAnswer(std::string_view Text) {
+  GatewayError Out;
+  auto Root = parseAnswer(Text);
+  if (!Root)
+    return Out;
+  std::string Ignored;
+  Fields From(*Root, Ignored);
+  Out.Code_ = From.number("code");
+  Out.Message_ = From.text("message");
+  if (Out.Message_.empty())
+    Out.Message_ = From.text("error");
+  return Out;
+}
+
+} // namespace sycamore
--- /dev/null
+++ b/src/EtcdWatch.cpp
@@ -0,0 +1,133 @@
+// A watch over the etcd v3 JSON gateway.
+#include "EtcdWatch.h"
+
+#include "EtcdCodec.h"
+#include "HttpSupport.h"
+
+#include <utility>
+
+namespace sycamore {
+namespace {
+
+/// One value of the largest size in base64, twice for good measure.
+constexpr std::size_t MaxLineBytes = 4 * MaxStoreValueBytes;
+
+/// A stream has no deadline; the silence timer guards it.
+constexpr Duration NoDeadline = std::chrono::hours(24 * 365);
+
+Error watchError(std::string Message) {
+  return {ErrorKind::Unavailable, "watch: " + std::move(Message),
+          "watch again, and read the key meanwhile"};
+}
+
+} // namespace
+
+EtcdWatch::EtcdWatch(event_base *Base, Duration Silence,
+                     EtcdWatchCallbacks Callbacks)
+    : Callbacks_(std::move(Callbacks)), Silence_(Silence),
+      Timer_(evtimer_new(Base, onTimer, this)) {}
+
+EtcdWatch::~EtcdWatch() { event_free(Timer_); }
+
+void EtcdWatch::start(HttpClient &Client, const std::string &Endpoint,
+                      std::string Request) {
+  HttpClientRequest Out;
+  Out.Method_ = "POST";
+  Out.Path_ = "/v3/watch";
+  Out.Headers_ = {{"Content-Type", "application/json"}};
+  Out.Body_ = std::move(Request);
+  Out.Deadline_ = NoDeadline;
+  std::weak_ptr<EtcdWatch> Weak = weak_from_this();
+  Out.OnPart_ = [Weak](std::string_view Part) {
+    if (auto This = Weak.lock())
+      This->onPart(Part);
+  };
+  armTimer(Silence_);
+  Call_ =
+      Client.send(Endpoint, std::move(Out), [Weak](const HttpAnswer &Answer) {
+        if (auto This = Weak.lock())
+          This->onEnd(Answer);
+      });
+}
+
+void EtcdWatch::armTimer(Duration Wait) {
+  timeval Value = toTimeval(Wait);
+  evtimer_add(Timer_, &Value);
+}
+
+void EtcdWatch::failSoon(Error Failure) {
+  SoonFailure_ = std::make_unique<Error>(std::move(Failure));
+  armTimer(Duration(0));
+}
+
+void EtcdWatch::stop() {
+  Stopped_ = true;
+  evtimer_del(Timer_);
+  if (auto Call = std::exchange(Call_, nullptr))
+    Call->cancel();
+}
+
+void EtcdWatch::failWith(const Error &Failure) {
+  if (Stopped_)
+    return;
+  std::shared_ptr<EtcdWatch> KeepSelf = shared_from_this();
+  stop();
+  Callbacks_.Failed_(Failure);
+}
+
+void EtcdWatch::onTimer(evutil_socket_t /*Socket*/, short /*Events*/,
+                        void *Self) {
+  auto This = static_cast<EtcdWatch *>(Self)->shared_from_this();
+  if (This->SoonFailure_)
+    This->failWith(*This->SoonFailure_);
+  else
+    This->failWith(watchError("nothing arrived for " +
+                              std::to_string(toMilliseconds(This->Silence_)) +
+                              " ms"));
+}
+
+void EtcdWatch::onEnd(const HttpAnswer &Answer) {
+  Call_ = nullptr;
+  std::string Reason =
+      Answer.Outcome_ == HttpOutcome::Answered
+          ? "the store ended it with status " + std::to_string(Answer.Status_)
+          : Answer.Reason_;
+  failWith(watchError(std::move(Reason)));
+}
+
+void EtcdWatch::onPart(std::string_view Part) {
+  if (Stopped_)
+    return;
+  armTimer(Silence_);
+  Pending_ += Part;
+  std::string Lines = std::exchange(Pending_, {});
+  std::size_t Start = 0;
+  for (std::size_t End = 0;
+       !Stopped_ && (End = Lines.find('\n', Start)) != std::string::npos;
+       Start = End + 1)
+    onLine(std::string_view(Lines).substr(Start, End - Start));
+  if (Stopped_)
+    return;
+  Pending_ = Lines.substr(Start);
+  if (Pending_.size() > MaxLineBytes)
+    failWith(watchError("a line is over the size limit"));
+}
+
+void EtcdWatch::onLine(std::string_view Line) {
+  if (Line.find_first_not_of(" \t\r") == std::string_view::npos)
+    return;
+  auto Notice = parseWatchLine(Line);
+  if (!Notice) {
+    failWith(watchError(Notice.error().Message_));
+    return;
+  }
+  for (const KeyValue &Change : Notice->Changes_) {
+    if (Stopped_)
+      return;
+    Callbacks_.Changed_(Change);
+  }
+  if (Notice->Cancelled_)
+    failWith(watchError("cancelled by the store: " + Notice->CancelReason_));
+}
+
+} // namespace sycamore
--- /dev/null
+++ b/src/EtcdWatch.h
@@ -0,0 +1,61 @@
+// A watch over the etcd v3 JSON gateway: one long answer, one JSON document a
+// line.
+#pragma once
+
+#include "sycamore/HttpClient.h"
+#include "sycamore/Store.h"
+
+#include <event2/event.h>
+
+namespace sycamore {
+
+struct EtcdWatchCallbacks {
+  std::function<void(const KeyValue &)> Changed_;
+  std::function<void(const Error &)> Failed_;
+};
+
+class EtcdWatch : public std::enable_shared_from_this<EtcdWatch> {
+public:
+  EtcdWatch(event_base *Base, Duration Silence, EtcdWatchCallbacks Callbacks);
+  EtcdWatch(const EtcdWatch &) = delete;
+  EtcdWatch &operator=(const EtcdWatch &) = delete;
+  ~EtcdWatch();
+
+  void start(HttpClient &Client, const std::string &Endpoint,
+             std::string Request);
+  /// Fails once the loop runs again.
+  void failSoon(Error Failure);
+  /// Ends the watch; no callback runs after this.
+  void stop();
+
+private:
+  void onPart(std::string_view Part);
+  void onLine(std::string_view Line);
+  void onEnd(const HttpAnswer &Answer);
+  void failWith(const Error &Failure);
+  void armTimer(Duration Wait);
+  static void onTimer(evutil_socket_t Socket, short Events, void *Self);
+
+  EtcdWatchCallbacks Callbacks_;
+  Duration Silence_;
+  event *Timer_;
+  std::shared_ptr<HttpCall> Call_;
+  std::string Pending_; ///< An incomplete line.
+  std::unique_ptr<Error> SoonFailure_;
+  bool Stopped_ = false;
+};
+
+/// Stops the watch when destroyed.
+class EtcdWatchHandle : public WatchHandle {
+public:
+  explicit EtcdWatchHandle(std::shared_ptr<EtcdWatch> Watch)
+      : Watch_(std::move(Watch)) {}
+  EtcdWatchHandle(const EtcdWatchHandle &) = delete;
+  EtcdWatchHandle &operator=(const EtcdWatchHandle &) = delete;
+  ~EtcdWatchHandle() override { Watch_->stop(); }
+
+private:
+  std::shared_ptr<EtcdWatch> Watch_;
+};
+
+} // namespace sycamore
--- /dev/null
+++ b/standin/CallCounters.h
@@ -0,0 +1,50 @@
+// Calls that a stand-in received, in total and by second.
+#pragma once
+
+#include "sycamore/Json.h"
+#include "sycamore/Time.h"
+
+#include <algorithm>
+#include <map>
+
+namespace sycamore::standin {
+
+class RateCounter {
+public:
+  void add(TimePoint Now) {
+    roll(Now);
+    ++Total_;
+    Highest_ = std::max(Highest_, ++Current_);
+  }
+
+  /// Calls in the second that runs.
+  std::uint64_t current(TimePoint Now) {
+    roll(Now);
+    return Current_;
+  }
+
+  Json toJson(TimePoint Now) {
+    roll(Now);
+    return {{"total", Total_},
+            {"last_second", Previous_},
+            {"highest_second", Highest_}};
+  }
+
+private:
+  void roll(TimePoint Now) {
+    auto Second = std::chrono::floor<seconds>(Now.time_since_epoch()).count();
+    if (Second == Second_)
+      return;
+    Previous_ = Second == Second_ + 1 ? Current_ : 0;
+    Current_ = 0;
+    Second_ = Second;
+  }
+
+  std::uint64_t Total_ = 0;
+  std::uint64_t Current_ = 0;
+  std::uint64_t Previous_ = 0;
+  std::uint64_t Highest_ = 0;
+  std::int64_t Second_ = 0;
+};
+
+} // namespace sycamore::standin
--- /dev/null
+++ b/standin/StandinStore.h
@@ -0,0 +1,104 @@
+// Stand-in for the configuration store: a subset of the etcd v3 JSON gateway,
+// with switches for faults and counters of calls.
+//
+// POST /faults sets the fields given:
+//   down            calls are cut off unrun; with an admin listener of its own,
+//                   the gateway's port refuses connections
+//   silent          calls and watches get no answer, and connections stay open
+//   slow_ms         delay of each answer and watch event
+//   lose_answers    number of writes (true for all) that take effect and whose
+//                   connection is then closed instead of an answer
+//   refuse          number of writes (true for all) that are cut off unrun
+//   fault_reads     lose_answers and refuse apply to reads as well
+//   reads_per_second, writes_per_second   status 429 above it; 0 for no limit
+// GET /counters shows calls by kind; POST /counters/reset clears them.
+#pragma once
+
+#include "CallCounters.h"
+#include "StoreCodec.h"
+#include "sycamore/HttpServer.h"
+
+#include <list>
+
+struct event;
+
+namespace sycamore::standin {
+
+struct StandinStoreConfig {
+  std::string Listen_ = "127.0.0.1:0";
+  std::string AdminListen_;        ///< Empty to serve the switches on Listen_.
+  Duration Progress_ = seconds(5); ///< Between progress notices of watches.
+};
+
+struct StoreFaults {
+  static constexpr std::uint64_t All = UINT64_MAX;
+  bool Down_ = false;
+  bool Silent_ = false;
+  std::uint64_t SlowMs_ = 0;
+  std::uint64_t LoseAnswers_ = 0;
+  std::uint64_t Refuse_ = 0;
+  bool FaultReads_ = false;
+  std::uint64_t ReadsPerSecond_ = 0;
+  std::uint64_t WritesPerSecond_ = 0;
+};
+
+class StandinStore {
+public:
+  static Result<std::unique_ptr<StandinStore>>
+  create(event_base *Base, const StandinStoreConfig &Config);
+  StandinStore(const StandinStore &) = delete;
+  StandinStore &operator=(const StandinStore &) = delete;
+  ~StandinStore();
+
+  const std::string &address() const { return Address_; }
+  const std::string &adminAddress() const { return AdminAddress_; }
+  StoreModel &model() { return Model_; }
+  std::optional<Error> setFaults(const Json &Document);
+  Json counters();
+
+private:
+  struct OpenWatch {
+    HttpExchangePointer Exchange_;
+    WatchRequest Request_;
+    std::int64_t NextRevision_ = 0;
+    TimePoint ProgressAt_;
+  };
+
+  StandinStore(event_base *Base, StandinStoreConfig Config);
+  Result<void> openGateway(const std::string &Address);
+  void handle(const HttpExchangePointer &Exchange);
+  void handleAdmin(const HttpExchangePointer &Exchange);
+  void handleCall(const HttpExchangePointer &Exchange);
+  void runCall(const HttpExchangePointer &Exchange, const std::string &Kind,
+               const Json &Body);
+  Json execute(const std::string &Kind, const Json &Body);
+  bool overRate(bool Read);
+  /// Uses up one of a fault's calls.
+  bool takes(std::uint64_t &Count, bool Read) const;
+  void openWatch(const HttpExchangePointer &Exchange, const Json &Body);
+  void feedWatches();
+  bool feed(OpenWatch &Watch);
+  void send(const HttpExchangePointer &Exchange, int Status,
+            const Json &Document);
+  void later(std::function<void()> Work);
+  static void onTick(int Socket, short Events, void *Self);
+
+  event_base *Base_;
+  StandinStoreConfig Config_;
+  std::string Address_;
+  std::string AdminAddress_;
+  std::unique_ptr<HttpServer> Gateway_;
+  std::unique_ptr<HttpServer> Admin_;
+  StoreModel Model_;
+  StoreFaults Faults_;
+  std::list<OpenWatch> Watches_;
+  std::map<std::string, RateCounter> Counters_;
+  RateCounter All_;
+  RateCounter Reads_;
+  RateCounter Writes_;
+  std::uint64_t RefusedByRate_ = 0;
+  std::vector<std::pair<TimePoint, std::function<void()>>> Delayed_;
+  event *Tick_;
+};
+
+} // namespace sycamore::standin
--- /dev/null
+++ b/standin/StoreCodec.cpp
@@ -0,0 +1,297 @@
+// The store's side of the etcd v3 JSON gateway.
+#include "StoreCodec.h"
+
+#include "sycamore/Store.h"
+
+#include "EtcdCodec.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace sycamore::standin {
+namespace {
+
+constexpr int BadRequest = 400;
+constexpr int CodeInvalid = 3;
+
+[[noreturn]] void invalid(const std::string &Message) {
+  throw GatewayFailure(BadRequest, CodeInvalid, "etcdserver: " + Message);
+}
+
+const Json &member(const Json &From, const char *Name) {
+  static const Json None;
+  if (!From.is_object())
+    return None;
+  auto Found = From.find(Name);
+  return Found == From.end() ? None : *Found;
+}
+
+std::int64_t number(const Json &From, const char *Name) {
+  const Json &Value = member(From, Name);
+  if (Value.is_null())
+    return 0;
+  if (Value.is_number_integer())
+    return Value.get<std::int64_t>();
+  std::int64_t Out = 0;
+  std::string Text = Value.is_string() ? Value.get<std::string>() : "";
+  const char *End = Text.data() + Text.size();
+  auto [Rest, Failure] = std::from_chars(Text.data(), End, Out);
+  if (Failure != std::errc() || Rest != End)
+    invalid(std::string(Name) + " is not a number");
+  return Out;
+}
+
+std::string text(const Json &From, const char *Name) {
+  const Json &Value = member(From, Name);
+  return Value.is_string() ? Value.get<std::string>() : "";
+}
+
+std::string bytes(const Json &From, const char *Name) {
+  auto Out = decodeBase64(text(From, Name));
+  if (!Out)
+    invalid(std::string(Name) + " is not base64");
+  return *Out;
+}
+
+bool flag(const Json &From, const char *Name) {
+  const Json &Value = member(From, Name);
+  return Value.is_boolean() && Value.get<bool>();
+}
+
+std::string keyOf(const Json &From) {
+  std::string Key = bytes(From, "key");
+  if (Key.empty())
+    invalid("key is not provided");
+  return Key;
+}
+
+Json header(std::int64_t Revision) {
+  return {{"cluster_id", "1"},
+          {"member_id", "1"},
+          {"revision", std::to_string(Revision)},
+          {"raft_term", "1"}};
+}
+
+Json encodeItem(const std::string &Key, const StoredItem &Item, bool KeyOnly) {
+  Json Out{{"key", encodeBase64(Key)},
+           {"create_revision", std::to_string(Item.CreateRevision_)},
+           {"mod_revision", std::to_string(Item.ModRevision_)},
+           {"version", std::to_string(Item.Version_)}};
+  if (!KeyOnly && !Item.Value_.empty())
+    Out["value"] = encodeBase64(Item.Value_);
+  if (Item.Lease_ != 0)
+    Out["lease"] = std::to_string(Item.Lease_);
+  return Out;
+}
+
+bool inRange(const std::string &Key, const std::string &Start,
+             const std::string &End) {
+  if (End.empty())
+    return Key == Start;
+  return Key >= Start && (End == std::string(1, '\0') || Key < End);
+}
+
+std::int64_t compared(const StoredItem *Item, const Json &Compare,
+                      std::int64_t &Expected) {
+  std::string Target = text(Compare, "target");
+  StoredItem None;
+  const StoredItem &Value = Item ? *Item : None;
+  if (Target == "MOD") {
+    Expected = number(Compare, "mod_revision");
+    return Value.ModRevision_;
+  }
+  if (Target == "CREATE") {
+    Expected = number(Compare, "create_revision");
+    return Value.CreateRevision_;
+  }
+  if (Target == "VERSION" || Target.empty()) {
+    Expected = number(Compare, "version");
+    return Value.Version_;
+  }
+  invalid("compare target " + Target + " is not supported");
+}
+
+bool holds(const StoreModel &Model, const Json &Compare) {
+  std::int64_t Expected = 0;
+  std::int64_t Actual = compared(Model.find(keyOf(Compare)), Compare, Expected);
+  std::string How = text(Compare, "result");
+  if (How == "GREATER")
+    return Actual > Expected;
+  if (How == "LESS")
+    return Actual < Expected;
+  if (How == "NOT_EQUAL")
+    return Actual != Expected;
+  return Actual == Expected;
+}
+
+StoreWrite readPut(const StoreModel &Model, const Json &Body) {
+  StoreWrite Out{keyOf(Body), bytes(Body, "value"), number(Body, "lease")};
+  if (Out.Value_->size() > MaxStoreValueBytes)
+    invalid("request is too large");
+  if (Out.Lease_ != 0 && !Model.hasLease(Out.Lease_))
+    throw GatewayFailure(404, 5, "etcdserver: requested lease not found");
+  return Out;
+}
+
+std::vector<StoreWrite> readWrites(const StoreModel &Model,
+                                   const Json &Operations) {
+  std::vector<StoreWrite> Out;
+  std::set<std::string> Keys;
+  for (const Json &Item : Operations) {
+    if (Item.contains("request_put"))
+      Out.push_back(readPut(Model, Item["request_put"]));
+    else if (Item.contains("request_delete_range"))
+      Out.push_back({keyOf(Item["request_delete_range"]), std::nullopt, 0});
+    else
+      continue;
+    if (!Keys.insert(Out.back().Key_).second)
+      invalid("duplicate key given in txn request");
+  }
+  return Out;
+}
+
+Json respond(const StoreModel &Model, const Json &Operations) {
+  Json Out = Json::array();
+  for (const Json &Item : Operations) {
+    if (Item.contains("request_range"))
+      Out.push_back(
+          {{"response_range", runRange(Model, Item["request_range"])}});
+    else if (Item.contains("request_put"))
+      Out.push_back({{"response_put", {{"header", header(Model.revision())}}}});
+    else
+      Out.push_back(
+          {{"response_delete_range", {{"header", header(Model.revision())}}}});
+  }
+  return Out;
+}
+
+const Json &operations(const Json &Body, const char *Name) {
+  static const Json None = Json::array();
+  const Json &Out = member(Body, Name);
+  if (Out.is_null())
+    return None;
+  if (!Out.is_array() ||
+      !std::all_of(Out.begin(), Out.end(),
+                   [](const Json &Item) { return Item.is_object(); }))
+    invalid(std::string(Name) + " is not an array of operations");
+  return Out;
+}
+
+} // namespace
+
+Json errorDocument(int Code, const std::string &Message) {
+  return {{"error", Message}, {"code", Code}, {"message", Message}};
+}
+
+bool isReadOnlyTxn(const Json &Body) {
+  for (const char *Branch : {"success", "failure"})
+    for (const Json &Item : operations(Body, Branch))
+      if (!Item.contains("request_range"))
+        return false;
+  return true;
+}
+
+Json runRange(const StoreModel &Model, const Json &Body) {
+  std::string Start = keyOf(Body);
+  std::string End = bytes(Body, "range_end");
+  Json Found = Json::array();
+  for (const auto &[Key, Item] : Model.items())
+    if (inRange(Key, Start, End))
+      Found.push_back(encodeItem(Key, Item, flag(Body, "keys_only")));
+  if (text(Body, "sort_order") == "DESCEND")
+    std::reverse(Found.begin(), Found.end());
+  std::size_t Count = Found.size();
+  auto Limit = static_cast<std::size_t>(number(Body, "limit"));
+  if (Limit > 0 && Found.size() > Limit)
+    Found.erase(Found.begin() + static_cast<std::ptrdiff_t>(Limit),
+                Found.end());
+  Json Out{{"header", header(Model.revision())}};
+  if (Count == 0)
+    return Out;
+  if (Found.size() < Count)
+    Out["more"] = true;
+  Out["kvs"] = std::move(Found);
+  Out["count"] = std::to_string(Count);
+  return Out;
+}
+
+Json runTxn(StoreModel &Model, const Json &Body) {
+  const Json &Compares = operations(Body, "compare");
+  bool Succeeded =
+      std::all_of(Compares.begin(), Compares.end(),
+                  [&](const Json &Item) { return holds(Model, Item); });
+  const Json &Chosen = operations(Body, Succeeded ? "success" : "failure");
+  Model.apply(readWrites(Model, Chosen));
+  Json Out{{"header", header(Model.revision())},
+           {"responses", respond(Model, Chosen)}};
+  if (Succeeded)
+    Out["succeeded"] = true;
+  return Out;
+}
+
+Json runLeaseGrant(StoreModel &Model, const Json &Body, TimePoint Now) {
+  std::int64_t Ttl = number(Body, "TTL");
+  if (Ttl <= 0)
+    invalid("TTL is not positive");
+  std::int64_t Id = Model.grant(seconds(Ttl), Now);
+  return {{"header", header(Model.revision())},
+          {"ID", std::to_string(Id)},
+          {"TTL", std::to_string(Ttl)}};
+}
+
+Json runKeepAlive(StoreModel &Model, const Json &Body, TimePoint Now) {
+  std::int64_t Id = number(Body, "ID");
+  Json Out{{"header", header(Model.revision())}, {"ID", std::to_string(Id)}};
+  if (auto Ttl = Model.keepAlive(Id, Now))
+    Out["TTL"] = std::to_string(Ttl->count());
+  return {{"result", std::move(Out)}};
+}
+
+Json runLeaseRevoke(StoreModel &Model, const Json &Body) {
+  if (!Model.revoke(number(Body, "ID")))
+    throw GatewayFailure(404, 5, "etcdserver: requested lease not found");
+  return {{"header", header(Model.revision())}};
+}
+
+WatchRequest readWatchRequest(const Json &Body) {
+  const Json &Create = member(Body, "create_request");
+  return {keyOf(Create), bytes(Create, "range_end"),
+          number(Create, "start_revision"), flag(Create, "progress_notify")};
+}
+
+bool watches(const WatchRequest &Request, const std::string &Key) {
+  return inRange(Key, Request.Key_, Request.RangeEnd_);
+}
+
+Json watchCreated(std::int64_t Revision) {
+  return {{"result", {{"header", header(Revision)}, {"created", true}}}};
+}
+
+Json watchProgress(std::int64_t Revision) {
+  return {{"result", {{"header", header(Revision)}}}};
+}
+
+Json watchCancelled(std::int64_t Revision, std::int64_t CompactRevision) {
+  return {{"result",
+           {{"header", header(Revision)},
+            {"canceled", true},
+            {"compact_revision", std::to_string(CompactRevision)}}}};
+}
+
+Json watchEvents(const std::vector<StoreEvent> &Events, std::int64_t Revision) {
+  Json List = Json::array();
+  for (const StoreEvent &Event : Events) {
+    if (Event.Item_) {
+      List.push_back({{"kv", encodeItem(Event.Key_, *Event.Item_, false)}});
+      continue;
+    }
+    List.push_back({{"type", "DELETE"},
+                    {"kv",
+                     {{"key", encodeBase64(Event.Key_)},
+                      {"mod_revision", std::to_string(Event.Revision_)}}}});
+  }
+  return {
+      {"result", {{"header", header(Revision)}, {"events", std::move(List)}}}};
+}
+
+} // namespace sycamore::standin
--- /dev/null
+++ b/standin/StoreCodec.h
@@ -0,0 +1,46 @@
+// The store's side of the etcd v3 JSON gateway: reads requests, runs them on
+// the model and writes answers.
+#pragma once
+
+#include "StoreModel.h"
+#include "sycamore/Json.h"
+
+#include <stdexcept>
+
+namespace sycamore::standin {
+
+/// A request that the gateway refuses, with gRPC's code.
+struct GatewayFailure : std::runtime_error {
+  GatewayFailure(int Status, int Code, const std::string &Message)
+      : std::runtime_error(Message), Status_(Status), Code_(Code) {}
+  int Status_;
+  int Code_;
+};
+
+Json errorDocument(int Code, const std::string &Message);
+
+/// Whether the body of a /v3/kv/txn call has no put and no delete.
+bool isReadOnlyTxn(const Json &Body);
+
+Json runRange(const StoreModel &Model, const Json &Body);
+Json runTxn(StoreModel &Model, const Json &Body);
+Json runLeaseGrant(StoreModel &Model, const Json &Body, TimePoint Now);
+Json runKeepAlive(StoreModel &Model, const Json &Body, TimePoint Now);
+Json runLeaseRevoke(StoreModel &Model, const Json &Body);
+
+struct WatchRequest {
+  std::string Key_;
+  std::string RangeEnd_;
+  std::int64_t FromRevision_ = 0;
+  bool Progress_ = false;
+};
+
+WatchRequest readWatchRequest(const Json &Body);
+bool watches(const WatchRequest &Request, const std::string &Key);
+
+Json watchCreated(std::int64_t Revision);
+Json watchProgress(std::int64_t Revision);
+Json watchCancelled(std::int64_t Revision, std::int64_t CompactRevision);
+Json watchEvents(const std::vector<StoreEvent> &Events, std::int64_t Revision);
+
+} // namespace sycamore::standin
--- /dev/null
+++ b/standin/StoreModel.cpp
@@ -0,0 +1,104 @@
+// Keys, revisions and leases of the stand-in store.
+#include "StoreModel.h"
+
+namespace sycamore::standin {
+namespace {
+
+/// Events kept for watches that start in the past.
+constexpr std::size_t MaxEvents = 4096;
+
+} // namespace
+
+const StoredItem *StoreModel::find(const std::string &Key) const {
+  auto Found = Items_.find(Key);
+  return Found == Items_.end() ? nullptr : &Found->second;
+}
+
+void StoreModel::detachLease(const std::string &Key) {
+  const StoredItem *Item = find(Key);
+  if (!Item)
+    return;
+  if (auto Found = Leases_.find(Item->Lease_); Found != Leases_.end())
+    Found->second.Keys_.erase(Key);
+}
+
+void StoreModel::record(StoreEvent Event) {
+  Events_.push_back(std::move(Event));
+  if (Events_.size() <= MaxEvents)
+    return;
+  ForgottenUpTo_ = Events_.front().Revision_;
+  Events_.pop_front();
+}
+
+void StoreModel::apply(const std::vector<StoreWrite> &Writes) {
+  std::int64_t Next = Revision_ + 1;
+  for (const StoreWrite &Write : Writes) {
+    if (!Write.Value_ && !find(Write.Key_))
+      continue;
+    Revision_ = Next;
+    detachLease(Write.Key_);
+    if (!Write.Value_) {
+      Items_.erase(Write.Key_);
+      record({Write.Key_, std::nullopt, Next});
+      continue;
+    }
+    StoredItem &Item = Items_[Write.Key_];
+    Item.Value_ = *Write.Value_;
+    if (Item.CreateRevision_ == 0)
+      Item.CreateRevision_ = Next;
+    Item.ModRevision_ = Next;
+    ++Item.Version_;
+    Item.Lease_ = Write.Lease_;
+    if (Write.Lease_ != 0)
+      Leases_[Write.Lease_].Keys_.insert(Write.Key_);
+    record({Write.Key_, Item, Next});
+  }
+}
+
+std::int64_t StoreModel::grant(seconds Ttl, TimePoint Now) {
+  std::int64_t Id = NextLease_++;
+  Leases_[Id] = {Ttl, Now + Ttl, {}};
+  return Id;
+}
+
+std::optional<seconds> StoreModel::keepAlive(std::int64_t Id, TimePoint Now) {
+  auto Found = Leases_.find(Id);
+  if (Found == Leases_.end())
+    return std::nullopt;
+  Found->second.ExpiresAt_ = Now + Found->second.Ttl_;
+  return Found->second.Ttl_;
+}
+
+bool StoreModel::revoke(std::int64_t Id) {
+  auto Found = Leases_.find(Id);
+  if (Found == Leases_.end())
+    return false;
+  std::vector<StoreWrite> Removals;
+  for (const std::string &Key : Found->second.Keys_)
+    Removals.push_back({Key, std::nullopt, 0});
+  apply(Removals);
+  Leases_.erase(Id);
+  return true;
+}
+
+void StoreModel::expireLeases(TimePoint Now) {
+  std::vector<std::int64_t> Expired;
+  for (const auto &[Id, Lease] : Leases_)
+    if (Lease.ExpiresAt_ <= Now)
+      Expired.push_back(Id);
+  for (std::int64_t Id : Expired)
+    revoke(Id);
+}
+
+std::optional<std::vector<StoreEvent>>
+StoreModel::eventsFrom(std::int64_t From) const {
+  if (From <= ForgottenUpTo_)
+    return std::nullopt;
+  std::vector<StoreEvent> Out;
+  for (const StoreEvent &Event : Events_)
+    if (Event.Revision_ >= From)
+      Out.push_back(Event);
+  return Out;
+}
+
+} // namespace sycamore::standin
--- /dev/null
+++ b/standin/StoreModel.h
@@ -0,0 +1,75 @@
+// Keys, revisions and leases of the stand-in store, in memory and without I/O.
+#pragma once
+
+#include "sycamore/Time.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace sycamore::standin {
+
+struct StoredItem {
+  std::string Value_;
+  std::int64_t CreateRevision_ = 0;
+  std::int64_t ModRevision_ = 0;
+  std::int64_t Version_ = 0;
+  std::int64_t Lease_ = 0;
+};
+
+struct StoreEvent {
+  std::string Key_;
+  std::optional<StoredItem> Item_; ///< Unset for a removal.
+  std::int64_t Revision_ = 0;
+};
+
+struct StoreWrite {
+  std::string Key_;
+  std::optional<std::string> Value_; ///< Unset to remove the key.
+  std::int64_t Lease_ = 0;
+};
+
+class StoreModel {
+public:
+  const std::map<std::string, StoredItem> &items() const { return Items_; }
+  std::int64_t revision() const { return Revision_; }
+  const StoredItem *find(const std::string &Key) const;
+
+  /// Applies all writes under one new revision; removals of absent keys do
+  /// nothing. Every lease named must exist.
+  void apply(const std::vector<StoreWrite> &Writes);
+
+  std::int64_t grant(seconds Ttl, TimePoint Now);
+  /// The lease's time to live, or nothing when it does not exist.
+  std::optional<seconds> keepAlive(std::int64_t Id, TimePoint Now);
+  bool hasLease(std::int64_t Id) const { return Leases_.contains(Id); }
+  /// Removes a lease and its keys; false when it does not exist.
+  bool revoke(std::int64_t Id);
+  void expireLeases(TimePoint Now);
+
+  /// Events from a revision on; nothing when some of them are forgotten.
+  std::optional<std::vector<StoreEvent>> eventsFrom(std::int64_t From) const;
+
+private:
+  struct LeaseState {
+    seconds Ttl_{0};
+    TimePoint ExpiresAt_;
+    std::set<std::string> Keys_;
+  };
+
+  void detachLease(const std::string &Key);
+  void record(StoreEvent Event);
+
+  std::map<std::string, StoredItem> Items_;
+  std::map<std::int64_t, LeaseState> Leases_;
+  std::deque<StoreEvent> Events_;
+  std::int64_t Revision_ = 1;
+  std::int64_t ForgottenUpTo_ = 0;
+  std::int64_t NextLease_ = 7587000000000000001;
+};
+
+} // namespace sycamore::standin
