--- /dev/null
+++ b/test/failure/TicketRaceTest.cpp
@@ -0,0 +1,167 @@
+// Guards against operators who overwrite each other's changes, or who are told
+// something else than what happened, whatever call the other's action falls
+// between.
+#include "DeskFixture.h"
+
+using namespace sycamore;
+
+namespace {
+
+/// More calls than any action below makes.
+constexpr std::size_t MaxCalls = 8;
+
+class TicketRace : public DeskFixture {
+protected:
+  /// Runs Rival before call Step of what the test does next.
+  template <typename Action> void before(std::size_t Step, Action Rival) {
+    Store_.resetFaults();
+    Store_.BeforeCall_ = [Step, Rival](std::size_t Call) {
+      if (Call == Step)
+        Rival();
+    };
+  }
+
+  std::uint64_t filed(const Ticket &Change) {
+    Store_.resetFaults();
+    return std::get<DeskAccepted>(file(Change, "setup")).Number_;
+  }
+};
+
+} // namespace
+
+TEST_F(TicketRace, ApprovalsOfDifferentEntitiesBothSucceed) {
+  for (bool Compaction : {false, true})
+    for (std::size_t Step = 1; Step <= MaxCalls; ++Step) {
+      SCOPED_TRACE(Step);
+      if (Compaction)
+        fillHead();
+      std::uint64_t Low = filed(serviceTicket("a", 1));
+      std::uint64_t High = filed(serviceTicket("b", 2));
+      DeskOutcome Rival = DeskNotAccepted{};
+      before(Step, [&] { Rival = approve(Low, "rival"); });
+      DeskOutcome Own = approve(High);
+      Store_.resetFaults();
+      EXPECT_TRUE(isAccepted(Own)) << textOf(Own);
+      EXPECT_EQ(record(Low)->State_ == TicketState::Accepted,
+                isAccepted(Rival));
+      expectValidChain();
+    }
+}
+
+TEST_F(TicketRace, ApprovalsOfTheSameEntityHaveOneWinner) {
+  std::size_t Conflicts = 0;
+  for (std::size_t Step = 1; Step <= MaxCalls; ++Step) {
+    SCOPED_TRACE(Step);
+    std::uint64_t Low = filed(serviceTicket("a", 10 + 2 * Step));
+    std::uint64_t High = filed(serviceTicket("a", 11 + 2 * Step));
+    before(Step, [&] { approve(Low, "rival"); });
+    DeskOutcome Own = approve(High);
+    bool RivalFirst = record(Low)->State_ == TicketState::Accepted;
+    // Before the first call, the rival is simply earlier, and no race is lost.
+    if (RivalFirst && Step > 1) {
+      EXPECT_EQ(failureOf(Own), ErrorKind::Conflict) << textOf(Own);
+      EXPECT_NE(textOf(Own).find("rival"), std::string::npos);
+      ++Conflicts;
+    } else {
+      EXPECT_TRUE(isAccepted(Own)) << textOf(Own);
+    }
+    expectValidChain();
+  }
+  EXPECT_GE(Conflicts, 1U);
+}
+
+TEST_F(TicketRace, ApprovalsOfTheSameTicketHaveOneWinner) {
+  for (std::size_t Step = 1; Step <= MaxCalls; ++Step) {
+    SCOPED_TRACE(Step);
+    std::uint64_t Number = filed(serviceTicket("a", 10 + Step));
+    DeskOutcome Rival = DeskNotAccepted{};
+    before(Step, [&] { Rival = approve(Number, "rival"); });
+    DeskOutcome Own = approve(Number);
+    EXPECT_NE(isAccepted(Own), isAccepted(Rival));
+    EXPECT_EQ(record(Number)->Approver_, isAccepted(Own) ? "bo" : "rival");
+    EXPECT_TRUE(isAccepted(Own) || failureOf(Own) == ErrorKind::Conflict);
+    expectValidChain();
+  }
+}
+
+TEST_F(TicketRace, WithdrawalAndApprovalHaveOneWinner) {
+  for (bool WithdrawInside : {false, true})
+    for (std::size_t Step = 1; Step <= MaxCalls; ++Step) {
+      SCOPED_TRACE(Step);
+      std::uint64_t Number = filed(serviceTicket("a", 10 + Step));
+      DeskOutcome Inner = DeskNotAccepted{};
+      before(Step, [&] {
+        Inner = WithdrawInside ? withdraw(Number) : approve(Number);
+      });
+      DeskOutcome Outer = WithdrawInside ? approve(Number) : withdraw(Number);
+      EXPECT_NE(isAccepted(Inner), isAccepted(Outer)) << textOf(Outer);
+      bool Withdrawn = isAccepted(Inner) == WithdrawInside;
+      EXPECT_EQ(record(Number)->State_,
+                Withdrawn ? TicketState::Withdrawn : TicketState::Accepted);
+      expectValidChain();
+    }
+}
+
+TEST_F(TicketRace, FilingsOfTheSameNumberNameTheWinner) {
+  for (std::size_t Step = 1; Step <= 2; ++Step) {
+    SCOPED_TRACE(Step);
+    Ticket Change = serviceTicket("a", 1);
+    Change.Number_ = 10 * Step;
+    before(Step, [&] { file(Change, "rival"); });
+    DeskOutcome Own = file(Change);
+    EXPECT_EQ(failureOf(Own), ErrorKind::Conflict);
+    EXPECT_NE(textOf(Own).find("rival"), std::string::npos) << textOf(Own);
+    EXPECT_EQ(record(Change.Number_)->Filer_, "rival");
+  }
+}
+
+TEST_F(TicketRace, FilingsWithoutANumberTakeDifferentOnes) {
+  for (std::size_t Step = 1; Step <= 2; ++Step) {
+    DeskOutcome Rival;
+    before(Step, [&] { Rival = file(serviceTicket("a", 1), "rival"); });
+    DeskOutcome Own = file(serviceTicket("b", 1));
+    ASSERT_TRUE(isAccepted(Own)) << textOf(Own);
+    EXPECT_GT(std::get<DeskAccepted>(Own).Number_,
+              std::get<DeskAccepted>(Rival).Number_);
+  }
+}
+
+TEST_F(TicketRace, FilingIsCheckedAgainstTheHeadItLandsOn) {
+  accept(serviceTicket("a", 1));
+  Ticket Removal;
+  Removal.Author_ = "ana";
+  Removal.Services_["a"] = std::nullopt;
+  Ticket Use = serviceTicket("b", 1);
+  Use.Targets_["a-1"] = TargetSpec{"a", "", 6};
+  before(2, [&] { accept(Removal); });
+  EXPECT_EQ(failureOf(file(Use)), ErrorKind::InvalidTicket);
+}
+
+TEST_F(TicketRace, BaseThatTwoCompactionsRemovedIsReadAgain) {
+  fillHead();
+  accept(serviceTicket("c", 1, 60'000));
+  ASSERT_GT(head().BaseNumber_, 0U);
+  std::uint64_t Base = head().BaseNumber_;
+  before(2, [&] {
+    for (std::uint32_t I = 0; I < 6; ++I)
+      accept(serviceTicket("d", I, 60'000));
+  });
+  auto View = readHead(Desk_);
+  ASSERT_TRUE(View.has_value()) << describe(View.error());
+  EXPECT_EQ(View->Head_, head());
+  EXPECT_FALSE(Store_.values().contains(snapshotKey(Base)));
+}
+
+TEST_F(TicketRace, PreviousBaseStaysForReadersOfTheHeadBefore) {
+  fillHead();
+  accept(serviceTicket("c", 1, 60'000));
+  while (snapshotKeys().size() < 2)
+    accept(serviceTicket("d", 1, 60'000));
+  for (std::uint32_t I = 0; I < 4; ++I) {
+    std::uint64_t Base = head().BaseNumber_;
+    accept(serviceTicket("e", I, 60'000));
+    EXPECT_TRUE(Store_.values().contains(snapshotKey(Base)));
+    EXPECT_LE(snapshotKeys().size(), 2U);
+  }
+  expectValidChain();
+}
--- /dev/null
+++ b/test/failure/TicketRandomTest.cpp
@@ -0,0 +1,106 @@
+// Guards against untruthful outcomes in combinations of races and faults that
+// no other test spells out. SYCAMORE_TEST_SEED=N repeats one run.
+#include "DeskFixture.h"
+
+#include <array>
+
+using namespace sycamore;
+
+namespace {
+
+constexpr std::uint64_t Runs = 1500;
+
+/// More calls than an action makes before its deadline.
+constexpr std::size_t MaxOutageCalls = 200;
+
+class TicketRandom : public DeskFixture {
+public:
+  void TestBody() override {}
+
+  void run(std::uint64_t Seed) {
+    Rng_.seed(Seed);
+    if (chance(0.25))
+      fillHead();
+    for (int I = 0; I < 3; ++I)
+      Filed_.push_back(
+          std::get<DeskAccepted>(file(randomTicket(), "s")).Number_);
+    Store_.resetFaults();
+    Store_.LateCalls_ = 1 + randomIndex(Rng_, 6);
+    for (std::size_t Call = 1; Call <= 12; ++Call)
+      if (chance(0.3))
+        Store_.Faults_[Call] =
+            static_cast<FakeStore::Fault>(1 + randomIndex(Rng_, 4));
+    if (chance(0.3)) // An answer is lost as an outage begins.
+      for (std::size_t Call = 1 + randomIndex(Rng_, 4), First = Call;
+           Call <= MaxOutageCalls; ++Call)
+        Store_.Faults_[Call] =
+            Call == First
+                ? static_cast<FakeStore::Fault>(2 + randomIndex(Rng_, 3))
+                : FakeStore::Fault::Down;
+    std::size_t RivalCall = 1 + randomIndex(Rng_, 8);
+    std::size_t SecondCall = 1 + randomIndex(Rng_, 8);
+    Store_.BeforeCall_ = [&](std::size_t Call) {
+      if (Call == RivalCall || Call == SecondCall)
+        act("rival-" + std::to_string(Call));
+    };
+    act("outer");
+    bool Faultless = Store_.Faults_.empty();
+    Store_.resetFaults();
+    Store_.settle();
+    for (const auto &[By, Wanted, Outcome] : Done_) {
+      expectTruthful(Outcome, By, Wanted);
+      EXPECT_FALSE(Faultless && std::holds_alternative<DeskUnknown>(Outcome));
+    }
+    expectValidChain();
+    for (const auto &[By, Wanted, Outcome] : Done_)
+      ++Verdicts_[Outcome.index()];
+  }
+
+  static inline std::array<std::size_t, 3> Verdicts_{};
+
+private:
+  bool chance(double Probability) { return randomUnit(Rng_) < Probability; }
+
+  Ticket randomTicket() {
+    std::string Service = "s" + std::to_string(randomIndex(Rng_, 3));
+    return serviceTicket(Service,
+                         static_cast<std::uint32_t>(randomIndex(Rng_, 50)),
+                         chance(0.2) ? 60'000 : 10);
+  }
+
+  void act(const std::string &By) {
+    std::uint64_t Number = Filed_[randomIndex(Rng_, Filed_.size())];
+    switch (randomIndex(Rng_, 4)) {
+    case 0:
+      return note(By, TicketState::Filed, file(randomTicket(), By));
+    case 1:
+      return note(By, TicketState::Withdrawn, withdraw(Number, By));
+    default:
+      return note(By, TicketState::Accepted, approve(Number, By));
+    }
+  }
+
+  void note(const std::string &By, TicketState Wanted, DeskOutcome Outcome) {
+    Done_.emplace_back(By, Wanted, std::move(Outcome));
+  }
+
+  std::vector<std::uint64_t> Filed_;
+  std::vector<std::tuple<std::string, TicketState, DeskOutcome>> Done_;
+};
+
+} // namespace
+
+TEST(TicketRandomTest, OutcomesAreTruthful) {
+  std::vector<std::uint64_t> Seeds = testSeeds(Runs);
+  for (std::uint64_t Seed : Seeds) {
+    SCOPED_TRACE("SYCAMORE_TEST_SEED=" + std::to_string(Seed));
+    TicketRandom().run(Seed);
+    if (testing::Test::HasFailure())
+      break;
+  }
+  std::printf("%zu runs: %zu accepted, %zu not accepted, %zu unknown\n",
+              Seeds.size(), TicketRandom::Verdicts_[0],
+              TicketRandom::Verdicts_[1], TicketRandom::Verdicts_[2]);
+  for (std::size_t Count : TicketRandom::Verdicts_)
+    EXPECT_TRUE(Seeds.size() == 1 || Count > Seeds.size() / 50);
+}
--- /dev/null
+++ b/test/support/DeskFixture.cpp
@@ -0,0 +1,190 @@
+// Runs actions over a FakeStore and compares outcomes with its content.
+#include "DeskFixture.h"
+
+#include <algorithm>
+#include <cstdlib>
+
+namespace sycamore {
+
+std::vector<std::uint64_t> testSeeds(std::uint64_t Count) {
+  if (const char *Text = std::getenv("SYCAMORE_TEST_SEED"))
+    return {std::strtoull(Text, nullptr, 10)};
+  std::vector<std::uint64_t> Out(Count);
+  for (std::uint64_t I = 0; I < Count; ++I)
+    Out[I] = I + 1;
+  return Out;
+}
+
+Ticket serviceTicket(const std::string &Service, std::uint32_t QueueLimit,
+                     std::size_t Bytes) {
+  Ticket Out;
+  Out.Author_ = "ana";
+  Out.Title_ = std::string(Bytes, 'x');
+  Out.Services_[Service] = sycamore::Service{};
+  Out.Services_[Service]->QueueLimit_ = QueueLimit;
+  return Out;
+}
+
+DeskOperator operatorNamed(const std::string &Name) {
+  DeskOperator Out;
+  Out.Name_ = Name;
+  return Out;
+}
+
+bool isAccepted(const DeskOutcome &Outcome) {
+  return std::holds_alternative<DeskAccepted>(Outcome);
+}
+
+ErrorKind failureOf(const DeskOutcome &Outcome) {
+  if (const auto *Refused = std::get_if<DeskNotAccepted>(&Outcome))
+    return Refused->Why_.Kind_;
+  if (const auto *Unknown = std::get_if<DeskUnknown>(&Outcome))
+    return Unknown->Why_.Kind_;
+  ADD_FAILURE() << "the action was accepted";
+  return ErrorKind::Internal;
+}
+
+std::string textOf(const DeskOutcome &Outcome) {
+  if (const auto *Refused = std::get_if<DeskNotAccepted>(&Outcome))
+    return "not accepted: " + describe(Refused->Why_);
+  if (const auto *Unknown = std::get_if<DeskUnknown>(&Outcome))
+    return "unknown: " + describe(Unknown->Why_);
+  return "accepted";
+}
+
+DeskFixture::DeskFixture() {
+  Watch_ = Store_.watch(
+      headKey(), 0, [this](const KeyValue &Value) { checkHead(Value); },
+      [](const Error &) {});
+}
+
+DeskOutcome DeskFixture::file(const Ticket &Change, const std::string &By) {
+  return fileTicket(Desk_, operatorNamed(By), Change, Now_);
+}
+
+DeskOutcome DeskFixture::approve(std::uint64_t Number, const std::string &By) {
+  return approveTicket(Desk_, operatorNamed(By), Number, Now_);
+}
+
+DeskOutcome DeskFixture::withdraw(std::uint64_t Number, const std::string &By) {
+  return withdrawTicket(Desk_, operatorNamed(By), Number, Now_);
+}
+
+std::uint64_t DeskFixture::accept(const Ticket &Change) {
+  DeskOutcome Filed = file(Change, "setup");
+  EXPECT_TRUE(isAccepted(Filed)) << textOf(Filed);
+  std::uint64_t Number = std::get<DeskAccepted>(Filed).Number_;
+  DeskOutcome Approved = approve(Number, "setup");
+  EXPECT_TRUE(isAccepted(Approved)) << textOf(Approved);
+  return Number;
+}
+
+void DeskFixture::fillHead() {
+  constexpr std::size_t TitleBytes = 60'000; // Two fit, the third does not.
+  accept(serviceTicket("fill-1", 1, TitleBytes));
+  accept(serviceTicket("fill-2", 1, TitleBytes));
+}
+
+std::optional<TicketRecord> DeskFixture::record(std::uint64_t Number) const {
+  auto Found = Store_.values().find(ticketKey(Number));
+  if (Found == Store_.values().end())
+    return std::nullopt;
+  return *parseTicketRecord(Found->second.Value_, Found->first);
+}
+
+std::vector<TicketRecord> DeskFixture::records() const {
+  std::vector<TicketRecord> Out;
+  for (const auto &[Key, Value] : Store_.values())
+    if (Key.starts_with("/sycamore/tickets/"))
+      Out.push_back(*parseTicketRecord(Value.Value_, Key));
+  return Out;
+}
+
+Head DeskFixture::head() const {
+  auto Found = Store_.values().find(headKey());
+  return Found == Store_.values().end() ? Head{}
+                                        : *parseHead(Found->second.Value_);
+}
+
+std::vector<std::string> DeskFixture::snapshotKeys() const {
+  std::vector<std::string> Out;
+  for (const auto &[Key, Value] : Store_.values())
+    if (Key.starts_with("/sycamore/snapshots/"))
+      Out.push_back(Key);
+  return Out;
+}
+
+Result<Snapshot> DeskFixture::resolve(const Head &Value) const {
+  if (Value.BaseNumber_ == 0)
+    return resolveHead(Value, Snapshot{});
+  std::string Key = snapshotKey(Value.BaseNumber_);
+  auto Found = Store_.values().find(Key);
+  if (Found == Store_.values().end())
+    return fail(ErrorKind::NotFound, Key + " is missing", "");
+  auto Base = parseSnapshot(*parseJson(Found->second.Value_, Key), Key);
+  if (!Base)
+    return Base;
+  return resolveHead(Value, *Base);
+}
+
+void DeskFixture::checkHead(const KeyValue &Value) {
+  auto Parsed = parseHead(Value.Value_);
+  if (!Parsed)
+    return HeadProblems_.push_back(describe(Parsed.error()));
+  if (Parsed->Number_ <= LastHead_)
+    HeadProblems_.push_back("head " + std::to_string(Parsed->Number_) +
+                            " follows " + std::to_string(LastHead_));
+  LastHead_ = Parsed->Number_;
+  if (auto Current = resolve(*Parsed); !Current)
+    HeadProblems_.push_back(describe(Current.error()));
+}
+
+void DeskFixture::expectValidChain() {
+  Store_.settle();
+  for (const std::string &Problem : HeadProblems_)
+    ADD_FAILURE() << Problem;
+  auto Current = resolve(head());
+  ASSERT_TRUE(Current.has_value()) << describe(Current.error());
+  State Folded;
+  std::uint64_t Highest = 0;
+  for (const TicketRecord &Record : records()) {
+    if (Record.State_ != TicketState::Accepted)
+      continue;
+    auto Next = foldTicket(Folded, Record.Ticket_);
+    ASSERT_TRUE(Next.has_value()) << describe(Next.error());
+    Folded = *Next;
+    Highest = Record.Ticket_.Number_;
+  }
+  EXPECT_EQ(Current->Number_, Highest);
+  EXPECT_TRUE(Current->State_ == Folded)
+      << "the head differs from the accepted tickets";
+}
+
+void DeskFixture::expectTruthful(const DeskOutcome &Outcome,
+                                 const std::string &By, TicketState Wanted) {
+  Store_.settle();
+  std::vector<std::uint64_t> Done;
+  for (const TicketRecord &Record : records()) {
+    bool Own = Wanted == TicketState::Filed
+                   ? Record.Filer_ == By
+                   : Record.State_ == Wanted && Record.Approver_ == By;
+    if (Own)
+      Done.push_back(Record.Ticket_.Number_);
+  }
+  if (const auto *Accepted = std::get_if<DeskAccepted>(&Outcome)) {
+    EXPECT_EQ(Done, std::vector<std::uint64_t>{Accepted->Number_})
+        << By << " was told that the change took effect";
+  } else if (std::holds_alternative<DeskNotAccepted>(Outcome)) {
+    EXPECT_TRUE(Done.empty())
+        << By << " was told: " << textOf(Outcome) << "; but ticket "
+        << Done.front() << " took effect";
+  } else {
+    const auto &Unknown = std::get<DeskUnknown>(Outcome);
+    EXPECT_LE(Done.size(), 1U);
+    EXPECT_TRUE(Done.empty() || Done.front() == Unknown.Number_);
+    EXPECT_EQ(Unknown.Command_,
+              "sycamorectl ticket status " + std::to_string(Unknown.Number_));
+  }
+}
+
+} // namespace sycamore
