Name the receiving process in every request that may run once

Change: an entry daemon doesn't send such a request, and a target's daemon refuses it. Ruled out: accepting unnamed requests as TCP does not duplicate; a message can still reach a successor when ZeroMQ reconnects.

--- a/include/sycamore/EntryCalls.h
+++ b/include/sycamore/EntryCalls.h
@@ -73,7 +73,8 @@
   std::string Server_;
   std::string Target_;
   /// Start time of the server's process in microseconds since the epoch, as
-  /// its last message stated it; 0 when none has come. With 0 a CallQuery can
+  /// its last message or record stated it; 0 when none has come. A call that
+  /// is not idempotent is not sent with 0, and for others a CallQuery can then
   /// not prove that the call did not run.
   std::uint64_t Process_ = 0;
 };
@@ -148,6 +149,7 @@
   std::uint64_t MismatchedAnswers_ = 0; ///< Not ours, or from elsewhere.
   std::uint64_t DamagedAnswers_ = 0;    ///< Length or hash differ.
   std::uint64_t ForeignProcesses_ = 0;  ///< Answer of a restarted daemon.
+  std::uint64_t UnnamedProcesses_ = 0;  ///< Not sent; see ChosenTarget.
   std::uint64_t SilentLinks_ = 0;
   std::uint64_t ResolvedByQuery_ = 0;
 };
--- a/include/sycamore/TargetCalls.h
+++ b/include/sycamore/TargetCalls.h
@@ -30,6 +30,7 @@
   RefusedForGood,   ///< A query or cancel came first: not run.
   Expired,          ///< Its time ended before it was read: not run.
   WrongProcess,     ///< Meant for an earlier process of this daemon: unknown.
+  NoProcess,        ///< Not idempotent and names no process: not run.
   Forgotten,        ///< Its record was dropped; it may have run: unknown.
   Full,             ///< No room for a record: not run.
 };
--- a/src/EntryCallsDetail.cpp
+++ b/src/EntryCallsDetail.cpp
@@ -112,7 +112,15 @@
   for (const CallAttempt &Attempt : Call.Attempts_)
     Excluded.push_back(Attempt.Target_);
   auto Chosen = At.Policy_.ChooseTarget_(Call, Excluded);
-  if (!Chosen || !TakeBudget(Call))
+  if (!Chosen)
+    return false;
+  // Without the process named, a second copy of the request could reach a
+  // restarted daemon, which would run it again.
+  if (Chosen->Process_ == 0 && !Call.Idempotent_) {
+    ++At.Calls_.Counters_.UnnamedProcesses_;
+    return false;
+  }
+  if (!TakeBudget(Call))
     return false;
   CallAttempt Attempt;
   Attempt.Number_ = static_cast<std::uint32_t>(Call.Attempts_.size() + 1);
--- a/src/TargetCalls.cpp
+++ b/src/TargetCalls.cpp
@@ -288,6 +288,14 @@
     ++Calls.Counters_.WrongProcess_;
     return refuse(Acceptance::WrongProcess, forgottenAnswer(Calls, Id));
   }
+  // A successor could not tell a second copy of it from a first one.
+  if (Request.process() == 0 && !Request.idempotent()) {
+    ++Calls.Counters_.WrongProcess_;
+    return refuse(Acceptance::NoProcess,
+                  answerFor(Calls, Id, wire::RUN_NOT_RUN, 503,
+                            ErrorKind::InvalidData,
+                            "the request does not name the daemon's process"));
+  }
   if (mayBeForgotten(Calls, Id)) {
     ++Calls.Counters_.Forgotten_;
     return refuse(Acceptance::Forgotten, forgottenAnswer(Calls, Id));
