Share the store's connection settings between daemon and command line

Cause: daemon and command line need the same conversion. Change: StoreConnect. Ruled out: passing StoreSettings to the adapter, which would tie it to the settings. Conclusion: one place reads store.tls.

--- a/src/Daemon.cpp
+++ b/src/Daemon.cpp
@@ -1,6 +1,7 @@
 // Connects the modules to the loop.
 #include "DaemonImpl.h"
 
+#include "StoreConnect.h"
 #include "sycamore/Clock.h"
 #include "sycamore/Log.h"
 
@@ -17,18 +18,6 @@
 
 constexpr Duration TraceWriteInterval = seconds(1);
 
-EtcdStoreConfig storeConfig(const StoreSettings &Config) {
-  EtcdStoreConfig Out;
-  Out.Endpoints_ = Config.Endpoints_;
-  Out.CallsPerSecond_ = static_cast<double>(Config.CallsPerSecond_);
-  if (Config.Tls_) {
-    Out.Tls_.Ca_ = Config.Tls_->Ca_;
-    Out.Tls_.Certificate_ = Config.Tls_->Certificate_;
-    Out.Tls_.Key_ = Config.Tls_->Key_;
-  }
-  return Out;
-}
-
 HttpServerConfig serverConfig(const Settings &Config,
                               const std::optional<ServerTlsSettings> &Tls) {
   HttpServerConfig Out;
@@ -85,7 +74,7 @@
   if (!Client)
     return tl::unexpected<Error>(Client.error());
   Client_ = std::move(*Client);
-  EtcdStoreConfig Platform = storeConfig(Settings_.Store_);
+  EtcdStoreConfig Platform = etcdStoreConfig(Settings_.Store_);
   Platform.Counters_ = StoreCounters_;
   Store_ = makeEtcdStore(Base_, Platform);
   LocalEvent_ = event_new(Base_, -1, 0, onLocal, this);
