Add sycamorectl, the settings page and their tests

Cause: operators need the command line of the design, and settings need a page that cannot drift from the parsers.

Change: commands, help pages, bash completion and exit codes from one table; outcomes as text or JSON; control characters of stored texts are replaced before they reach a terminal. docs/settings.md is checked against the parsers: fields, defaults and ranges. Properties run every parser on arbitrary and on mutated documents. Errors of nested documents now name where they are, which a property showed to be missing.

Ruled out: a default settings path, because operators act on several meshes and a forgotten file would send a change to the wrong one.

--- a/include/sycamore/Ticket.h
+++ b/include/sycamore/Ticket.h
@@ -77,6 +77,10 @@
 /// MaxTicketBytes.
 Result<Ticket> parseTicketText(std::string_view Text, std::string_view Source);
 
+/// Problems that the ticket has whatever state it is applied to: references to
+/// what it removes itself, and targets that it gives to another service.
+std::vector<std::string> lintTicket(const Ticket &Value);
+
 Json toJson(const Ticket &Value);
 Json toJson(const Route &Value);
 Json toJson(const Service &Value);
--- /dev/null
+++ b/src/Cli.h
@@ -0,0 +1,103 @@
+// The operators' command line: commands, options and what they need from the
+// outside.
+#pragma once
+
+#include "CliConnect.h"
+
+#include <iosfwd>
+#include <span>
+
+namespace sycamore {
+
+/// Exit codes of sycamorectl; every help page lists them.
+enum class ExitCode {
+  Done = 0,        ///< Done or accepted.
+  Fault = 1,       ///< Damaged data in the store or a fault of the program.
+  BadInput = 2,    ///< Command line, ticket, settings or key file.
+  NotAccepted = 3, ///< Conflict or refusal; nothing took effect.
+  Unknown = 4, ///< May have taken effect; a command that finds out is named.
+  Unavailable = 5, ///< The store or daemon gave no answer; no effect.
+};
+
+/// Options as given. Every option has a default, so that commands read only
+/// those that they know.
+struct CliOptions {
+  std::string Settings_;
+  bool Json_ = false;
+  Duration Timeout_ = seconds(10);
+  bool Operator_ = false;
+  bool Signing_ = false;
+  bool Curve_ = false;
+  std::uint64_t Limit_ = 20;
+  std::uint64_t Before_ = 0;
+  bool Help_ = false;
+  bool Version_ = false;
+  std::vector<std::string> Words_; ///< Command and operands.
+  std::vector<std::string> Given_; ///< Long names of the options present.
+};
+
+/// One run of the command line.
+struct CliRun {
+  const CliEnvironment &Outside_;
+  CliOptions Options_;
+  std::vector<std::string> Operands_;
+};
+
+struct CliExample {
+  std::string_view Command_;
+  std::string_view Effect_;
+};
+
+struct CliCommand {
+  std::string_view Group_; ///< Empty for a command of one word.
+  std::string_view Name_;
+  std::string_view Operands_; ///< For the synopsis.
+  std::size_t MinOperands_;
+  std::size_t MaxOperands_;
+  std::string_view Summary_;
+  std::string_view Description_;
+  std::vector<std::string_view> Options_; ///< Long names, beside the global.
+  std::vector<CliExample> Examples_;
+  ExitCode (*Run_)(const CliRun &);
+};
+
+struct CliOptionText {
+  std::string_view Name_;
+  char Letter_; ///< 0 for none.
+  std::string_view Argument_;
+  std::string_view Text_;
+  bool Global_;
+};
+
+std::span<const CliCommand> cliCommands();
+std::span<const CliOptionText> cliOptionTexts();
+
+/// Errors are of kind InvalidArgument.
+Result<CliOptions> parseCliOptions(const std::vector<std::string> &Arguments);
+
+/// Help for the command line (both empty), for a group, or for a command.
+std::string cliHelp(std::string_view Group, std::string_view Name);
+
+/// A completion script for bash.
+std::string bashCompletion();
+
+/// Runs one command line without the program's name.
+int runCli(const std::vector<std::string> &Arguments,
+           const CliEnvironment &Outside);
+
+ExitCode runTicketFile(const CliRun &Run);
+ExitCode runTicketApprove(const CliRun &Run);
+ExitCode runTicketWithdraw(const CliRun &Run);
+ExitCode runTicketShow(const CliRun &Run);
+ExitCode runTicketList(const CliRun &Run);
+ExitCode runTicketStatus(const CliRun &Run);
+ExitCode runTicketDiff(const CliRun &Run);
+ExitCode runTicketLint(const CliRun &Run);
+ExitCode runFleetStatus(const CliRun &Run);
+ExitCode runSettingsCheck(const CliRun &Run);
+ExitCode runQuarantineList(const CliRun &Run);
+ExitCode runQuarantineClear(const CliRun &Run);
+ExitCode runKeyMake(const CliRun &Run);
+ExitCode runCompletion(const CliRun &Run);
+
+} // namespace sycamore
--- /dev/null
+++ b/src/CliCommands.cpp
@@ -0,0 +1,281 @@
+// The table of commands and the choice of one.
+#include "CliOutput.h"
+
+#include <algorithm>
+#include <ostream>
+
+namespace sycamore {
+
+std::span<const CliCommand> cliCommands() {
+  static const std::vector<CliCommand> Commands = {
+      {"ticket",
+       "file",
+       "FILE",
+       1,
+       1,
+       "file a change ticket",
+       "Checks the ticket in FILE (\"-\" for standard input) against the state "
+       "in force and files it. The ticket takes the next free number unless it "
+       "names one. Filing changes nothing on the daemons.",
+       {},
+       {{"sycamorectl ticket file raise-queue.json",
+         "files the ticket and prints its number"}},
+       runTicketFile},
+      {"ticket",
+       "approve",
+       "NUMBER",
+       1,
+       1,
+       "accept a filed ticket",
+       "Puts the ticket in force. It is checked again against the state in "
+       "force. A ticket with a higher number that is already accepted, a "
+       "withdrawal, or another operator's ticket that changes the same "
+       "entities meanwhile makes this end as not accepted.",
+       {},
+       {{"sycamorectl ticket diff 41 && sycamorectl ticket approve 41",
+         "shows what changes and accepts it"}},
+       runTicketApprove},
+      {"ticket",
+       "withdraw",
+       "NUMBER",
+       1,
+       1,
+       "withdraw a filed ticket",
+       "A withdrawn ticket will never be accepted. A ticket that is already "
+       "accepted cannot be withdrawn; file a new ticket with the old content.",
+       {},
+       {{"sycamorectl ticket withdraw 41", "withdraws ticket 41"}},
+       runTicketWithdraw},
+      {"ticket",
+       "show",
+       "NUMBER",
+       1,
+       1,
+       "print a ticket and its record",
+       "Prints who filed and decided the ticket, and its content.",
+       {},
+       {{"sycamorectl --json ticket show 41", "prints the stored record"}},
+       runTicketShow},
+      {"ticket",
+       "list",
+       "",
+       0,
+       0,
+       "list the newest tickets",
+       "Lists tickets of every state, newest first.",
+       {"limit", "before"},
+       {{"sycamorectl ticket list --limit 50", "prints the newest 50 tickets"},
+        {"sycamorectl ticket list --before 300", "continues below ticket 300"}},
+       runTicketList},
+      {"ticket",
+       "status",
+       "NUMBER",
+       1,
+       1,
+       "tell whether a ticket is in force",
+       "Reads head and ticket together. For an accepted ticket it also asks "
+       "the daemon of the settings, if any, how many servers run it. Exits 0 "
+       "for a ticket that was accepted and 3 for any other. This is the "
+       "command "
+       "that finds out after an unknown outcome.",
+       {},
+       {{"sycamorectl ticket status 41", "prints where ticket 41 stands"}},
+       runTicketStatus},
+      {"ticket",
+       "diff",
+       "NUMBER",
+       1,
+       1,
+       "compare a ticket with the state in force",
+       "Prints each entity that the ticket adds (+), removes (-) or changes "
+       "(~). Exits 3 when a filed ticket could not be approved now.",
+       {},
+       {{"sycamorectl ticket diff 41", "prints what ticket 41 would change"}},
+       runTicketDiff},
+      {"ticket",
+       "lint",
+       "FILE",
+       1,
+       1,
+       "check a ticket file",
+       "Checks FILE (\"-\" for standard input) without the store. References "
+       "to entities outside the ticket are checked when it is filed.",
+       {},
+       {{"sycamorectl ticket lint raise-queue.json", "checks the file"}},
+       runTicketLint},
+      {"fleet",
+       "status",
+       "",
+       0,
+       0,
+       "show which server runs which ticket",
+       "Asks the daemon of the settings for its view of the fleet: state, "
+       "ticket in force, last rejected ticket, and the age of the news.",
+       {},
+       {{"sycamorectl fleet status", "prints one row for each server"}},
+       runFleetStatus},
+      {"settings",
+       "check",
+       "FILE",
+       1,
+       1,
+       "check a settings file",
+       "Checks every field of a daemon's settings, or of an operator's with "
+       "--operator, and the permission modes of the key files that it names.",
+       {"operator"},
+       {{"sycamorectl settings check sycamored.json",
+         "checks settings of a daemon"},
+        {"sycamorectl settings check --operator operator.json",
+         "checks settings of an operator"}},
+       runSettingsCheck},
+      {"quarantine",
+       "list",
+       "",
+       0,
+       0,
+       "list refused requests",
+       "Lists the fingerprints of requests that were running when a target was "
+       "lost.",
+       {},
+       {{"sycamorectl quarantine list", "prints one row for each entry"}},
+       runQuarantineList},
+      {"quarantine",
+       "clear",
+       "FINGERPRINT",
+       1,
+       1,
+       "allow a request again",
+       "Clears the entry in the whole fleet.",
+       {},
+       {{"sycamorectl quarantine clear 9a3f0c77d2e41b58", "clears one entry"}},
+       runQuarantineClear},
+      {"key",
+       "make",
+       "FILE",
+       1,
+       1,
+       "make a key pair",
+       "Writes the secret key to FILE and the public key to FILE.pub, both "
+       "readable by the owner alone (mode 0600), and prints the public key. "
+       "Existing files are never overwritten.",
+       {"signing", "curve"},
+       {{"sycamorectl key make --signing ana.key",
+         "makes the key for signing_key_file"},
+        {"sycamorectl key make --curve daemon.key",
+         "makes the key for curve.secret_key_file"}},
+       runKeyMake},
+      {"completion",
+       "bash",
+       "",
+       0,
+       0,
+       "print a completion script",
+       "Prints a script that completes commands and options in bash.",
+       {},
+       {{"source <(sycamorectl completion bash)",
+         "completes in the present shell"}},
+       runCompletion},
+  };
+  return Commands;
+}
+
+namespace {
+
+const CliCommand *findCommand(std::string_view Group, std::string_view Name) {
+  for (const CliCommand &Command : cliCommands())
+    if (Command.Group_ == Group && Command.Name_ == Name)
+      return &Command;
+  return nullptr;
+}
+
+/// The error for words that name no command.
+Error unknownCommand(const std::vector<std::string> &Words) {
+  std::set<std::string, std::less<>> Groups;
+  std::set<std::string, std::less<>> Names;
+  for (const CliCommand &Command : cliCommands()) {
+    Groups.emplace(Command.Group_);
+    if (!Words.empty() && Command.Group_ == Words[0])
+      Names.emplace(Command.Name_);
+  }
+  const auto &Candidates = Names.empty() ? Groups : Names;
+  std::size_t Wrong = Names.empty() ? 0 : 1;
+  if (Words.size() <= Wrong) {
+    std::string Needed;
+    for (const std::string &Name : Candidates)
+      Needed += (Needed.empty() ? "" : ", ") + Name;
+    return {ErrorKind::InvalidArgument, "a command is missing",
+            "give one of: " + Needed};
+  }
+  std::string Message = "\"" + Words[Wrong] + "\" is not a command";
+  if (auto Hint = nearestName(Words[Wrong], Candidates))
+    Message += ", did you mean \"" + *Hint + "\"?";
+  return {ErrorKind::InvalidArgument, Message, "see `sycamorectl --help`"};
+}
+
+/// Problems with operands and options of a command.
+std::optional<Error> checkUse(const CliCommand &Command,
+                              const CliOptions &Options) {
+  std::string Name =
+      std::string(Command.Group_) + " " + std::string(Command.Name_);
+  std::string Remedy = "see `sycamorectl " + Name + " --help`";
+  std::size_t Operands = Options.Words_.size() - 2;
+  if (Operands < Command.MinOperands_ || Operands > Command.MaxOperands_)
+    return Error{
+        ErrorKind::InvalidArgument,
+        Name + ": takes " + std::to_string(Command.MinOperands_) +
+            (Command.MinOperands_ == 1 ? " operand, " : " operands, ") +
+            std::to_string(Operands) + " given",
+        Remedy};
+  for (const std::string &Given : Options.Given_) {
+    bool Known = std::any_of(
+        cliOptionTexts().begin(), cliOptionTexts().end(),
+        [&](const auto &Text) { return Text.Name_ == Given && Text.Global_; });
+    Known = Known || std::find(Command.Options_.begin(), Command.Options_.end(),
+                               Given) != Command.Options_.end();
+    if (!Known)
+      return Error{ErrorKind::InvalidArgument,
+                   Name + ": takes no option --" + Given, Remedy};
+  }
+  return std::nullopt;
+}
+
+ExitCode runParsed(CliRun &Run) {
+  const CliOptions &Options = Run.Options_;
+  std::string Group = Options.Words_.empty() ? "" : Options.Words_[0];
+  std::string Name = Options.Words_.size() < 2 ? "" : Options.Words_[1];
+  if (Options.Version_) {
+    Run.Outside_.Out_ << "sycamorectl " << SYCAMORE_VERSION << '\n';
+    return ExitCode::Done;
+  }
+  if (Options.Help_) {
+    std::string Text = cliHelp(Group, Name);
+    if (Text.empty())
+      return reportError(Run, unknownCommand(Options.Words_));
+    Run.Outside_.Out_ << Text;
+    return ExitCode::Done;
+  }
+  const CliCommand *Command = findCommand(Group, Name);
+  if (!Command)
+    return reportError(Run, unknownCommand(Options.Words_));
+  if (auto Failure = checkUse(*Command, Options))
+    return reportError(Run, *Failure);
+  Run.Operands_.assign(Options.Words_.begin() + 2, Options.Words_.end());
+  return Command->Run_(Run);
+}
+
+} // namespace
+
+int runCli(const std::vector<std::string> &Arguments,
+           const CliEnvironment &Outside) {
+  CliRun Run{Outside, {}, {}};
+  auto Options = parseCliOptions(Arguments);
+  if (!Options) {
+    Run.Options_.Json_ = std::find(Arguments.begin(), Arguments.end(),
+                                   "--json") != Arguments.end();
+    return static_cast<int>(reportError(Run, Options.error()));
+  }
+  Run.Options_ = std::move(*Options);
+  return static_cast<int>(runParsed(Run));
+}
+
+} // namespace sycamore
--- /dev/null
+++ b/src/CliFiles.cpp
@@ -0,0 +1,108 @@
+// Commands that work on local files alone.
+#include "CliOutput.h"
+
+#include "sycamore/Signing.h"
+
+#include <array>
+#include <cerrno>
+#include <cstring>
+#include <fcntl.h>
+#include <ostream>
+#include <unistd.h>
+#include <zmq.h>
+
+namespace sycamore {
+namespace {
+
+tl::unexpected<Error> cannotWrite(const std::string &Path, int Code) {
+  return fail(ErrorKind::InvalidArgument,
+              Path + ": cannot be written: " + std::strerror(Code),
+              Code == EEXIST ? "keys are never overwritten; name another file"
+                             : "check the directory and its permissions");
+}
+
+/// Creates a file of mode 0600 that nothing else has.
+Result<bool> createPrivateFile(const std::string &Path,
+                               const std::string &Text) {
+  int File = open(Path.c_str(), O_WRONLY | O_CREAT | O_EXCL | O_CLOEXEC,
+                  S_IRUSR | S_IWUSR);
+  if (File < 0)
+    return cannotWrite(Path, errno);
+  std::string Line = Text + "\n";
+  ssize_t Written = write(File, Line.data(), Line.size());
+  int Code = Written == static_cast<ssize_t>(Line.size()) ? fsync(File) : -1;
+  int Failure = Code == 0 ? 0 : errno;
+  close(File);
+  if (Failure == 0)
+    return true;
+  unlink(Path.c_str());
+  return cannotWrite(Path, Failure);
+}
+
+Result<SigningKeyPair> makeCurveKeyPair() {
+  constexpr std::size_t KeyBytes = 41; // 40 characters and the final zero.
+  std::array<char, KeyBytes> Public{};
+  std::array<char, KeyBytes> Secret{};
+  if (zmq_curve_keypair(Public.data(), Secret.data()) != 0)
+    return fail(ErrorKind::Internal, "the ZeroMQ library has no CURVE",
+                "install a ZeroMQ library with CURVE");
+  return SigningKeyPair{Public.data(), Secret.data()};
+}
+
+} // namespace
+
+ExitCode runSettingsCheck(const CliRun &Run) {
+  const std::string &Path = Run.Operands_[0];
+  std::optional<Error> Failure;
+  if (Run.Options_.Operator_) {
+    if (auto Loaded = loadOperatorSettings(Path); !Loaded)
+      Failure = Loaded.error();
+  } else if (auto Loaded = loadSettings(Path); !Loaded) {
+    Failure = Loaded.error();
+  }
+  if (Failure)
+    return reportError(Run, *Failure, ExitCode::BadInput);
+  if (Run.Options_.Json_)
+    printJson(Run, {{"valid", true}, {"file", Path}});
+  else
+    Run.Outside_.Out_ << Path << ": valid settings of "
+                      << (Run.Options_.Operator_ ? "an operator" : "a daemon")
+                      << '\n';
+  return ExitCode::Done;
+}
+
+ExitCode runKeyMake(const CliRun &Run) {
+  if (Run.Options_.Signing_ == Run.Options_.Curve_)
+    return reportError(Run, {ErrorKind::InvalidArgument,
+                             "the kind of key is not clear",
+                             "give either --signing or --curve"});
+  const std::string &SecretPath = Run.Operands_[0];
+  std::string PublicPath = SecretPath + ".pub";
+  auto Pair = Run.Options_.Signing_
+                  ? Result<SigningKeyPair>(makeSigningKeyPair())
+                  : makeCurveKeyPair();
+  if (!Pair)
+    return reportError(Run, Pair.error());
+  if (auto Done = createPrivateFile(SecretPath, Pair->SecretKey_); !Done)
+    return reportError(Run, Done.error());
+  if (auto Done = createPrivateFile(PublicPath, Pair->PublicKey_); !Done) {
+    unlink(SecretPath.c_str());
+    return reportError(Run, Done.error());
+  }
+  if (Run.Options_.Json_)
+    printJson(Run, {{"secret_key_file", SecretPath},
+                    {"public_key_file", PublicPath},
+                    {"public_key", Pair->PublicKey_}});
+  else
+    Run.Outside_.Out_ << "secret key: " << SecretPath
+                      << "\npublic key: " << PublicPath << "\n"
+                      << Pair->PublicKey_ << '\n';
+  return ExitCode::Done;
+}
+
+ExitCode runCompletion(const CliRun &Run) {
+  Run.Outside_.Out_ << bashCompletion();
+  return ExitCode::Done;
+}
+
+} // namespace sycamore
--- a/src/Head.cpp
+++ b/src/Head.cpp
@@ -193,7 +193,8 @@
                                      std::string(HeadRemedy)))
     return tl::unexpected<Error>(*Failure);
   for (const Json &Item : *Recent) {
-    auto Accepted = parseAcceptedTicket(Item, "head");
+    auto Accepted = parseAcceptedTicket(
+        Item, "head: recent[" + std::to_string(Out.Recent_.size()) + "]");
     if (!Accepted)
       return tl::unexpected<Error>(Accepted.error());
     Out.Recent_.push_back(std::move(*Accepted));
@@ -267,7 +268,7 @@
   if (auto Failure = problemsToError(ErrorKind::InvalidData, Source, Problems,
                                      "restore the record from a backup"))
     return tl::unexpected<Error>(*Failure);
-  auto Parsed = parseTicket(*Inner, Source);
+  auto Parsed = parseTicket(*Inner, std::string(Source) + ": ticket");
   if (!Parsed)
     return tl::unexpected<Error>(Parsed.error());
   Out.Ticket_ = std::move(*Parsed);
--- a/src/Snapshot.cpp
+++ b/src/Snapshot.cpp
@@ -130,7 +130,7 @@
   if (auto Failure = problemsToError(ErrorKind::InvalidData, Source, Problems,
                                      "fetch the acceptance again"))
     return tl::unexpected<Error>(*Failure);
-  auto Parsed = parseTicket(*Inner, Source);
+  auto Parsed = parseTicket(*Inner, std::string(Source) + ": ticket");
   if (!Parsed)
     return tl::unexpected<Error>(Parsed.error());
   Out.Ticket_ = std::move(*Parsed);
@@ -246,7 +246,7 @@
   if (auto Failure = problemsToError(ErrorKind::InvalidData, Source, Problems,
                                      "fetch the snapshot again"))
     return tl::unexpected<Error>(*Failure);
-  auto Accepted = parseAcceptedTicket(*Last, Source);
+  auto Accepted = parseAcceptedTicket(*Last, std::string(Source) + ": last");
   if (!Accepted)
     return tl::unexpected<Error>(Accepted.error());
   if (chainDigest(*Accepted) != Accepted->Digest_ ||
--- a/src/Ticket.cpp
+++ b/src/Ticket.cpp
@@ -163,6 +163,36 @@
   });
 }
 
+std::vector<std::string> lintTicket(const Ticket &Value) {
+  std::vector<std::string> Problems;
+  auto CheckService = [&](const std::string &Path, const std::string &Service) {
+    auto Found = Value.Services_.find(Service);
+    if (Found != Value.Services_.end() && !Found->second)
+      Problems.push_back(Path + ".service: \"" + Service +
+                         "\" is removed by this ticket");
+  };
+  for (const auto &[Name, Entity] : Value.Targets_)
+    if (Entity)
+      CheckService("targets." + Name, Entity->Service_);
+  for (const auto &[Name, Entity] : Value.Routes_) {
+    if (!Entity)
+      continue;
+    CheckService("routes." + Name, Entity->Service_);
+    for (const std::string &Target : Entity->Targets_) {
+      auto Found = Value.Targets_.find(Target);
+      if (Found == Value.Targets_.end())
+        continue;
+      std::string Path = "routes." + Name + ".targets: \"" + Target + "\" ";
+      if (!Found->second)
+        Problems.push_back(Path + "is removed by this ticket");
+      else if (Found->second->Service_ != Entity->Service_)
+        Problems.push_back(Path + "belongs to service \"" +
+                           Found->second->Service_ + "\"");
+    }
+  }
+  return Problems;
+}
+
 Json toJson(const Route &Value) {
   Json Out = {{"path_prefix", Value.PathPrefix_}, {"service", Value.Service_}};
   if (!Value.Host_.empty())
--- a/tools/sycamorectl.cpp
+++ b/tools/sycamorectl.cpp
@@ -1,7 +1,10 @@
 // The operators' command line; thin over the library.
-#include <cstdio>
+#include "Cli.h"
 
-int main() {
-  std::puts("sycamorectl " SYCAMORE_VERSION);
-  return 0;
+#include <iostream>
+
+int main(int Count, char **Arguments) {
+  std::vector<std::string> Words(Arguments + 1, Arguments + Count);
+  return sycamore::runCli(Words,
+                          sycamore::networkEnvironment(std::cout, std::cerr));
 }
