--- a/src/KeyHolder.cpp
+++ b/src/KeyHolder.cpp
@@ -252,12 +252,20 @@
                        {{"lease", Resumed->LeaseId_}});
 }
 
+const std::vector<wire::ServerRecord> &KeyHolder::serverRecords(Now Time) {
+  if (Time.Monotonic_ >= NextRecords_) {
+    NextRecords_ = Time.Monotonic_ + RecordsInterval;
+    Records_ = Control_.serverRecords();
+  }
+  return Records_;
+}
+
 void KeyHolder::tick(Now Time) {
-  if (Control_.mayServe()) {
+  if (Control_.mayServe() && Time.Monotonic_ >= NextBucketTick_) {
+    NextBucketTick_ = Time.Monotonic_ + BucketTickInterval;
     std::vector<std::string> Servers = aliveServers(Control_.members());
-    carryOut(
-        tickBuckets(Buckets_, Servers, Control_.serverRecords(), Time, Rng_),
-        Time);
+    carryOut(tickBuckets(Buckets_, Servers, serverRecords(Time), Time, Rng_),
+             Time);
   }
   retryWaiters(Time);
   publishClaims();
