--- /dev/null
+++ b/bench/DecisionRun.cpp
@@ -0,0 +1,161 @@
+// Sites, policies and the set-up of a run.
+#include "Simulation.h"
+
+#include <algorithm>
+
+namespace sycamore::bench {
+
+Site daegu() {
+  return {"Daegu",
+          {{"shelfview", 5}, {"reservedesk", 5}, {"issuedesk", 3}},
+          6,
+          microseconds(500)};
+}
+
+Site ashworth() {
+  return {"Ashworth",
+          {{"catalog", 6}, {"cutting-room", 4}, {"order-desk", 3}},
+          12,
+          microseconds(1400)};
+}
+
+Policy product() { return {}; }
+
+Policy baseline() {
+  Policy Out;
+  Out.Placement_ = false;
+  Out.Admission_ = false;
+  Out.Retries_ = false;
+  Out.Hedging_ = false;
+  Out.AdmissionOptions_.LongShare_ = 1;
+  Out.AdmissionOptions_.ReserveByDepth_ = false;
+  Out.AdmissionOptions_.ConflictWait_ = std::chrono::hours(1);
+  return Out;
+}
+
+Simulation::Simulation(const RunConfig &Config)
+    : Config_(Config), Rng_(Config.Seed_) {
+  const Site &Where = Config.Site_;
+  for (std::size_t Service = 0; Service < Where.Services_.size(); ++Service) {
+    HostsOf_.emplace_back();
+    for (std::size_t Each = 0; Each < Where.Services_[Service].second; ++Each) {
+      Host New;
+      New.Name_ =
+          Where.Services_[Service].first + "-" + std::to_string(Each + 1);
+      New.DataCentre_ = "dc-" + std::to_string(Hosts_.size() % 3);
+      New.Service_ = Service;
+      New.Placement_.Options_ = Config.Policy_.PlacementOptions_;
+      New.Hedges_.Options_ = Config.Policy_.HedgeOptions_;
+      New.Admission_.Options_ = Config.Policy_.AdmissionOptions_;
+      setSlots(New.Admission_, Where.Slots_);
+      if (!Config.Policy_.Admission_)
+        setQueueLimit(New.Admission_, UINT32_MAX);
+      HostsOf_[Service].push_back(Hosts_.size());
+      Hosts_.push_back(std::move(New));
+    }
+  }
+  // The views in candidates need the final place of the hosts.
+  for (const auto &Ids : HostsOf_) {
+    CandidatesOf_.emplace_back();
+    for (std::size_t Id : Ids)
+      CandidatesOf_.back().push_back({Hosts_[Id].Name_, Hosts_[Id].Name_,
+                                      Hosts_[Id].DataCentre_, Where.Slots_});
+  }
+}
+
+RunResult Simulation::run() {
+  for (const Slowdown &Each : Config_.Slowdowns_) {
+    std::size_t Id = HostsOf_[Each.Service_][Each.Server_];
+    Agenda_.after(Each.From_, [this, Id, Factor = Each.Factor_] {
+      Hosts_[Id].Slowness_ = Factor;
+    });
+    Agenda_.after(Each.To_, [this, Id] { Hosts_[Id].Slowness_ = 1; });
+  }
+  scheduleArrivals();
+  tick();
+  TimePoint End{Config_.Length_};
+  while (!Agenda_.Events_.empty() && Agenda_.Events_.top().At_ <= End) {
+    Event Next = Agenda_.Events_.top();
+    Agenda_.Events_.pop();
+    Agenda_.Now_ = Next.At_;
+    Next.Action_();
+  }
+  for (const Host &Each : Hosts_)
+    Result_.ConflictRefusals_ +=
+        Each.Admission_.Counters_.RefusedDepthConflict_;
+  return std::move(Result_);
+}
+
+RunResult run(const RunConfig &Config) { return Simulation(Config).run(); }
+
+double Simulation::demandAt(TimePoint Time) const {
+  const Demand &Curve = Config_.Demand_;
+  Duration At = Time.time_since_epoch();
+  if (At < Curve.RiseFrom_ || At >= Curve.FallAt_)
+    return Curve.Before_;
+  if (At >= Curve.RiseTo_)
+    return Curve.Peak_;
+  double Share = static_cast<double>((At - Curve.RiseFrom_).count()) /
+                 static_cast<double>((Curve.RiseTo_ - Curve.RiseFrom_).count());
+  return Curve.Before_ + (Curve.Peak_ - Curve.Before_) * Share;
+}
+
+void Simulation::scheduleArrivals() {
+  for (std::size_t Each = 0; Each < Config_.Workloads_.size(); ++Each)
+    if (Config_.Workloads_[Each].Rate_ > 0)
+      Agenda_.after(Duration{0}, [this, Each] { arrive(Each); });
+}
+
+/// A Poisson process with the rate of this moment.
+void Simulation::arrive(std::size_t Workload) {
+  const struct Workload &Kind = Config_.Workloads_[Workload];
+  double Rate = Kind.Rate_ * demandAt(Agenda_.Now_);
+  std::exponential_distribution<double> Gap(Rate / 1e6);
+  Agenda_.after(Duration(static_cast<std::int64_t>(Gap(Rng_)) + 1),
+                [this, Workload] { arrive(Workload); });
+  Sample New;
+  New.Sent_ = Agenda_.Now_;
+  New.Workload_ = Workload;
+  // Both random values are drawn in every run, so that runs with and without
+  // long requests have the same arrivals.
+  New.Long_ = randomUnit(Rng_) < Kind.LongShare_;
+  // Log-normal with mean 1: the 99th percentile is 3.4 times the mean.
+  std::lognormal_distribution<double> Spread(-0.18, 0.6);
+  double WorkFactor = Spread(Rng_) * (New.Long_ ? Kind.LongFactor_ : 1);
+  Result_.Samples_.push_back(New);
+  sendCustomer(Result_.Samples_.size() - 1, 0, New.Long_, WorkFactor);
+}
+
+void Simulation::sendCustomer(std::size_t Sample, std::uint32_t Sends,
+                              bool Long, double WorkFactor) {
+  Call New;
+  New.Workload_ = Result_.Samples_[Sample].Workload_;
+  New.Entry_ = randomIndex(Rng_, Hosts_.size());
+  New.Sample_ = Sample;
+  New.Sends_ = Sends;
+  New.SentByCustomer_ = Agenda_.Now_;
+  New.Long_ = Long;
+  New.WorkFactor_ = WorkFactor;
+  // The daemon leaves time for its answer to travel.
+  New.Deadline_ = Agenda_.Now_ + Config_.Timeout_ - Config_.ClientDelay_;
+  std::size_t Id = newCall(New);
+  Agenda_.after(Config_.ClientDelay_, [this, Id] { begin(Id); });
+}
+
+void Simulation::endCustomer(std::size_t Id, bool Ok, Duration RetryAfter) {
+  const Call &Value = Calls_[Id];
+  Sample &Record = Result_.Samples_[Value.Sample_];
+  Record.Ended_ = Agenda_.Now_;
+  Record.Latency_ = Agenda_.Now_ - Value.SentByCustomer_;
+  Record.Answered_ = Ok && Record.Latency_ <= Config_.Timeout_;
+  if (Record.Answered_ || Value.Sends_ >= Config_.Resends_)
+    return;
+  Duration Wait = backoffDelay({milliseconds(50), seconds(1)}, Value.Sends_,
+                               RetryAfter, Rng_);
+  Agenda_.after(Wait, [this, Id] {
+    const Call &Old = Calls_[Id];
+    sendCustomer(Old.Sample_, Old.Sends_ + 1, Old.Long_, Old.WorkFactor_);
+  });
+}
+
+} // namespace sycamore::bench
--- /dev/null
+++ b/bench/DecisionScenarios.h
@@ -0,0 +1,60 @@
+// The measures of design.md that load policy decides, taken with runs of the
+// tables (DecisionRun.h).
+#pragma once
+
+#include "DecisionRun.h"
+
+#include <functional>
+#include <span>
+
+namespace sycamore::bench {
+
+/// One figure, product beside baseline.
+struct Measure {
+  std::string Name_;
+  std::string Site_;
+  std::string Unit_;
+  double Product_ = 0;
+  double Baseline_ = 0;
+  bool AtLeast_ = false;        ///< Bound_ is the least value, not the largest.
+  std::optional<double> Bound_; ///< From design.md; unset for mere figures.
+};
+
+/// Product divided by baseline; 0 when the baseline is 0.
+double ratioOf(const Measure &Value);
+bool isMet(const Measure &Value);
+
+struct ScenarioOptions {
+  std::uint64_t Seed_ = 1;
+  bool Quick_ = false; ///< Shorter runs.
+  Policy Product_ = product();
+  Policy Baseline_ = baseline();
+};
+
+/// Demand at 4 times capacity reached within 1 s, with stragglers and resends
+/// by customers, on the first service of the site.
+std::vector<Measure> crest(const Site &Where, const ScenarioOptions &Options);
+
+/// The same crest on the two services that call each other.
+std::vector<Measure> nestedCrest(const Site &Where,
+                                 const ScenarioOptions &Options);
+
+/// 2% of requests 50 times longer; Known when they have their own route.
+std::vector<Measure> headOfLine(const Site &Where, bool Known,
+                                const ScenarioOptions &Options);
+
+/// One target in 5 ten times slower; Brief when another one every second.
+std::vector<Measure> tail(const Site &Where, bool Brief,
+                          const ScenarioOptions &Options);
+
+/// Two saturated services that call each other, down to depth Deepest.
+std::vector<Measure> nested(const Site &Where, std::uint32_t Deepest,
+                            const ScenarioOptions &Options);
+
+/// All of them at both sites.
+std::vector<Measure> allMeasures(const ScenarioOptions &Options);
+
+/// Quantile of values; 0 when there are none.
+double quantileOf(std::vector<double> Values, double Share);
+
+} // namespace sycamore::bench
--- a/include/sycamore/Admission.h
+++ b/include/sycamore/Admission.h
@@ -1,10 +1,10 @@
 // Slots and queue of the local target.
 //
 // A request runs when a slot is free and open to it. Three rules close slots:
-// long requests hold at most a share of them; calls of depth d and less hold
-// together at most depthCap(d), which leaves one slot for every deeper level
-// that was seen lately; and at most one suspect runs at a time. Others wait in
-// a short queue ordered by depth (deeper first), then deadline.
+// long requests of depth 0 hold at most a share of them; calls of depth d and
+// less hold together at most depthCap(d), which leaves one slot for every
+// deeper level that was seen lately; and at most one suspect runs at a time.
+// Others wait in a short queue ordered by depth (deeper first), then deadline.
 #pragma once
 
 #include "sycamore/Time.h"
@@ -46,7 +46,7 @@
 };
 
 struct AdmissionOptions {
-  /// Share of slots that long requests may hold (at least one slot).
+  /// Share of slots that long requests of depth 0 may hold (at least one).
   double LongShare_ = 0.34;
   /// A running request that exceeds its expected time by this factor counts
   /// as long from then on.
--- a/include/sycamore/Quarantine.h
+++ b/include/sycamore/Quarantine.h
@@ -51,6 +51,7 @@
   std::uint64_t Version_ = 0; ///< Unix us; a clear hides marks below it.
   std::string Sample_;
   std::optional<WallTime> AloneSince_; ///< Local; not part of the gossip.
+  std::size_t Bytes_ = 0;              ///< Share of Quarantine::Bytes_.
   std::uint32_t RoundsSent_ = 0;       ///< Gossip rounds since the change.
 };
 
@@ -74,6 +75,7 @@
   Quarantined,
   ClearedBySuccess,
   ClearedByOperator,
+  ClearedByPeer, ///< A success or an operator's command elsewhere.
   Expired,
 };
 
--- /dev/null
+++ b/src/Admission.cpp
@@ -0,0 +1,265 @@
+// Slots and queue of the local target.
+#include "sycamore/Admission.h"
+
+#include "AdmissionSlots.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace sycamore {
+namespace {
+
+void addEvent(Admission &Table, AdmissionEventKind Kind, std::uint64_t Value) {
+  // Events that nobody takes must not grow without bound.
+  constexpr std::size_t MaxEvents = 1024;
+  if (Table.Events_.size() < MaxEvents)
+    Table.Events_.push_back({Kind, Value});
+}
+
+std::uint64_t &refusalCounter(AdmissionCounters &Counters,
+                              RefusalReason Reason) {
+  switch (Reason) {
+  case RefusalReason::QueueFull:
+    return Counters.RefusedQueueFull_;
+  case RefusalReason::TooLate:
+    return Counters.RefusedTooLate_;
+  case RefusalReason::Leaving:
+    return Counters.RefusedLeaving_;
+  case RefusalReason::NoSlots:
+    return Counters.RefusedNoSlots_;
+  case RefusalReason::DepthConflict:
+    return Counters.RefusedDepthConflict_;
+  case RefusalReason::None:
+  case RefusalReason::Duplicate:
+    break;
+  }
+  return Counters.RefusedDuplicate_;
+}
+
+void noteRefusal(Admission &Table, RefusalReason Reason) {
+  ++refusalCounter(Table.Counters_, Reason);
+  if (Reason != RefusalReason::QueueFull && Reason != RefusalReason::TooLate)
+    return;
+  ++Table.RefusedInOverload_;
+  if (!std::exchange(Table.Overloaded_, true))
+    addEvent(Table, AdmissionEventKind::OverloadBegan, Table.Queue_.size());
+}
+
+AdmissionVerdict refuse(Admission &Table, RefusalReason Reason) {
+  noteRefusal(Table, Reason);
+  return {AdmissionDecision::Refused, Reason, retryAfter(Table)};
+}
+
+bool isKnown(const Admission &Table, std::uint64_t Id) {
+  auto HasId = [Id](const auto &Each) { return Each.Request_.Id_ == Id; };
+  return std::any_of(Table.Running_.begin(), Table.Running_.end(), HasId) ||
+         std::any_of(Table.Queue_.begin(), Table.Queue_.end(), HasId);
+}
+
+void start(Admission &Table, const AdmissionRequest &Request, TimePoint Now) {
+  Table.Running_.push_back({Request, Now});
+  ++Table.Counters_.Admitted_;
+}
+
+/// Whether a request that starts after Wait would miss its deadline.
+bool isTooLate(const Admission &Table, const AdmissionRequest &Request,
+               Duration Wait, TimePoint Now) {
+  auto Needed = static_cast<double>(costOf(Table, Request).count()) *
+                Table.Options_.DeadlineMargin_;
+  return Now + Wait + Duration(std::llround(Needed)) > Request.Deadline_;
+}
+
+/// Whether the queue has room, after the last request made way for a deeper
+/// one if need be.
+bool makeRoom(Admission &Table, const AdmissionRequest &Request) {
+  if (isLimitedAsLong(Request)) {
+    // Long requests wait longer, so they would fill the queue in the end.
+    auto Longs = static_cast<std::size_t>(
+        std::count_if(Table.Queue_.begin(), Table.Queue_.end(),
+                      [](const QueuedRequest &Each) {
+                        return isLimitedAsLong(Each.Request_);
+                      }));
+    if (static_cast<double>(Longs) >=
+        std::max(1.0, Table.QueueLimit_ * Table.Options_.LongShare_))
+      return false;
+  }
+  if (Table.Queue_.size() < Table.QueueLimit_)
+    return true;
+  if (Table.Queue_.empty() ||
+      Table.Queue_.back().Request_.Depth_ >= Request.Depth_)
+    return false;
+  Table.Displaced_.push_back(Table.Queue_.back().Request_.Id_);
+  Table.Queue_.pop_back();
+  ++Table.Counters_.Displaced_;
+  return true;
+}
+
+AdmissionVerdict enqueue(Admission &Table, const AdmissionRequest &Request,
+                         TimePoint Now) {
+  if (!makeRoom(Table, Request))
+    return refuse(Table, RefusalReason::QueueFull);
+  auto Place = std::upper_bound(
+      Table.Queue_.begin(), Table.Queue_.end(), Request,
+      [](const AdmissionRequest &New, const QueuedRequest &Each) {
+        return runsBefore(New, Each.Request_);
+      });
+  Table.Queue_.insert(Place, QueuedRequest{Request, Now});
+  ++Table.Counters_.Queued_;
+  return {AdmissionDecision::Queued, RefusalReason::None, Duration{0}};
+}
+
+} // namespace
+
+AdmissionVerdict admit(Admission &Table, const AdmissionRequest &Request,
+                       TimePoint Now) {
+  if (isKnown(Table, Request.Id_))
+    return refuse(Table, RefusalReason::Duplicate);
+  if (!Table.Admitting_)
+    return refuse(Table, RefusalReason::Leaving);
+  if (Table.Slots_ == 0)
+    return refuse(Table, RefusalReason::NoSlots);
+  DepthLevel &Level = Table.Levels_[levelOf(Request)];
+  Level.LastSeen_ = Now;
+  Level.Seen_ = true;
+  SlotView View = slotView(Table, Now);
+  if (isTooLate(Table, Request, expectedWait(Table, View, Request), Now))
+    return refuse(Table, RefusalReason::TooLate);
+  if (!mayRun(View, Request))
+    return enqueue(Table, Request, Now);
+  start(Table, Request, Now);
+  return {AdmissionDecision::Run, RefusalReason::None, Duration{0}};
+}
+
+void finish(Admission &Table, std::uint64_t Id, Duration ServiceTime,
+            TimePoint Now) {
+  auto Found =
+      std::find_if(Table.Running_.begin(), Table.Running_.end(),
+                   [Id](const auto &Each) { return Each.Request_.Id_ == Id; });
+  if (Found == Table.Running_.end()) {
+    ++Table.Counters_.UnknownFinish_;
+    return;
+  }
+  Table.Levels_[levelOf(Found->Request_)].LastFinish_ = Now;
+  Table.Running_.erase(Found);
+  ++Table.Counters_.Finished_;
+  double Gain =
+      std::max(0.05, 1.0 / static_cast<double>(Table.Counters_.Finished_));
+  Table.MeanServiceUs_ +=
+      (static_cast<double>(ServiceTime.count()) - Table.MeanServiceUs_) * Gain;
+}
+
+bool cancel(Admission &Table, std::uint64_t Id) {
+  auto Found =
+      std::find_if(Table.Queue_.begin(), Table.Queue_.end(),
+                   [Id](const auto &Each) { return Each.Request_.Id_ == Id; });
+  if (Found == Table.Queue_.end())
+    return false;
+  Table.Queue_.erase(Found);
+  ++Table.Counters_.Cancelled_;
+  return true;
+}
+
+namespace {
+
+/// Why a waiting request is to be refused, or None.
+RefusalReason refusalOf(const Admission &Table, const SlotView &View,
+                        const QueuedRequest &Waiting, TimePoint Now) {
+  if (!Table.Admitting_)
+    return RefusalReason::Leaving;
+  if (Table.Slots_ == 0)
+    return RefusalReason::NoSlots;
+  if (isTooLate(Table, Waiting.Request_, Duration{0}, Now))
+    return RefusalReason::TooLate;
+  if (!mayRun(View, Waiting.Request_) &&
+      isInConflict(Table, View, Waiting, Now))
+    return RefusalReason::DepthConflict;
+  return RefusalReason::None;
+}
+
+void refuseWaiting(Admission &Table, const QueuedRequest &Waiting,
+                   RefusalReason Reason, std::vector<std::uint64_t> &Refused) {
+  Refused.push_back(Waiting.Request_.Id_);
+  noteRefusal(Table, Reason);
+  if (Reason == RefusalReason::DepthConflict)
+    addEvent(Table, AdmissionEventKind::DepthConflict, Waiting.Request_.Depth_);
+}
+
+void endOverload(Admission &Table) {
+  if (!Table.Overloaded_ || !Table.Queue_.empty())
+    return;
+  Table.Overloaded_ = false;
+  addEvent(Table, AdmissionEventKind::OverloadEnded,
+           std::exchange(Table.RefusedInOverload_, 0));
+}
+
+} // namespace
+
+void takeRunnable(Admission &Table, TimePoint Now,
+                  std::vector<std::uint64_t> &Run,
+                  std::vector<std::uint64_t> &Refused) {
+  for (std::uint64_t Id : std::exchange(Table.Displaced_, {})) {
+    Refused.push_back(Id);
+    noteRefusal(Table, RefusalReason::QueueFull);
+  }
+  SlotView View = slotView(Table, Now);
+  std::vector<QueuedRequest> Waiting;
+  Waiting.reserve(Table.Queue_.size());
+  for (const QueuedRequest &Each : std::exchange(Table.Queue_, {})) {
+    RefusalReason Reason = refusalOf(Table, View, Each, Now);
+    if (Reason != RefusalReason::None) {
+      refuseWaiting(Table, Each, Reason, Refused);
+    } else if (mayRun(View, Each.Request_)) {
+      start(Table, Each.Request_, Now);
+      countRunning(View, Each.Request_);
+      Run.push_back(Each.Request_.Id_);
+    } else {
+      Waiting.push_back(Each);
+    }
+  }
+  Table.Queue_ = std::move(Waiting);
+  endOverload(Table);
+}
+
+std::uint32_t depthCap(const Admission &Table, std::uint32_t Depth,
+                       TimePoint Now) {
+  return slotView(Table, Now).Cap_[std::min(Depth, MaxAdmissionDepth)];
+}
+
+void setSlots(Admission &Table, std::uint32_t Slots) {
+  if (Table.Slots_ == Slots)
+    return;
+  Table.Slots_ = Slots;
+  addEvent(Table, AdmissionEventKind::SlotsChanged, Slots);
+}
+
+void setQueueLimit(Admission &Table, std::uint32_t Limit) {
+  Table.QueueLimit_ = Limit;
+}
+
+void stopAdmitting(Admission &Table) {
+  if (std::exchange(Table.Admitting_, false))
+    addEvent(Table, AdmissionEventKind::StoppedAdmitting, Table.Queue_.size());
+}
+
+AdmissionLoad load(const Admission &Table) {
+  return {static_cast<std::uint32_t>(Table.Running_.size()),
+          static_cast<std::uint32_t>(Table.Queue_.size()), Table.Slots_};
+}
+
+Duration retryAfter(const Admission &Table) {
+  Duration Work{0};
+  for (const RunningRequest &Each : Table.Running_)
+    Work += costOf(Table, Each.Request_) / 2;
+  for (const QueuedRequest &Each : Table.Queue_)
+    Work += costOf(Table, Each.Request_);
+  Duration Span = Work / std::max<std::uint32_t>(Table.Slots_, 1);
+  // A caller that tries again sooner than this only meets the same queue.
+  return std::max<Duration>(Span, milliseconds(1));
+}
+
+std::vector<AdmissionEvent> takeEvents(Admission &Table) {
+  return std::exchange(Table.Events_, {});
+}
+
+} // namespace sycamore
--- /dev/null
+++ b/src/AdmissionSlots.cpp
@@ -0,0 +1,151 @@
+// Which slots of the local target are open to which requests.
+#include "AdmissionSlots.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace sycamore {
+namespace {
+
+bool isSeen(const Admission &Table, std::uint32_t Level, TimePoint Now) {
+  const DepthLevel &Each = Table.Levels_[Level];
+  return Each.Seen_ && Now - Each.LastSeen_ < Table.Options_.DepthMemory_;
+}
+
+/// Caps by level. Every level seen lately keeps one slot from all shallower
+/// ones. With fewer slots than levels, the levels share the slots evenly, and
+/// isInConflict() ends the waits that can then be circular.
+DepthCounts depthCaps(const Admission &Table, TimePoint Now) {
+  DepthCounts Caps;
+  Caps.fill(Table.Slots_);
+  if (!Table.Options_.ReserveByDepth_ || Table.Slots_ == 0)
+    return Caps;
+  std::uint32_t Levels = 0;
+  for (std::uint32_t Level = 0; Level <= MaxAdmissionDepth; ++Level)
+    Levels += isSeen(Table, Level, Now) ? 1 : 0;
+  std::uint32_t Deeper = 0;
+  for (std::uint32_t Level = MaxAdmissionDepth + 1; Level-- > 0;) {
+    std::uint32_t Rank = Levels - std::min(Levels, Deeper); // 1 is shallowest.
+    if (Levels <= Table.Slots_)
+      Caps[Level] = Table.Slots_ - std::min(Deeper, Table.Slots_ - 1);
+    else
+      Caps[Level] = std::max<std::uint32_t>(
+          1, (Rank * Table.Slots_ + Levels - 1) / Levels);
+    Deeper += isSeen(Table, Level, Now) ? 1 : 0;
+  }
+  return Caps;
+}
+
+bool countsAsLong(const Admission &Table, const RunningRequest &Each,
+                  TimePoint Now) {
+  if (Each.Request_.Long_)
+    return true;
+  auto Expected = static_cast<double>(costOf(Table, Each.Request_).count());
+  return Expected > 0 && static_cast<double>((Now - Each.Started_).count()) >
+                             Expected * Table.Options_.OverdueFactor_;
+}
+
+} // namespace
+
+std::uint32_t levelOf(const AdmissionRequest &Request) {
+  return std::min(Request.Depth_, MaxAdmissionDepth);
+}
+
+SlotView slotView(const Admission &Table, TimePoint Now) {
+  SlotView View;
+  View.Slots_ = Table.Slots_;
+  View.Cap_ = depthCaps(Table, Now);
+  View.LongCap_ = std::max<std::uint32_t>(
+      1, static_cast<std::uint32_t>(
+             std::floor(Table.Slots_ * Table.Options_.LongShare_)));
+  for (const RunningRequest &Each : Table.Running_) {
+    AdmissionRequest Counted = Each.Request_;
+    Counted.Long_ = countsAsLong(Table, Each, Now);
+    countRunning(View, Counted);
+  }
+  return View;
+}
+
+bool isLimitedAsLong(const AdmissionRequest &Request) {
+  return Request.Long_ && levelOf(Request) == 0;
+}
+
+bool mayRun(const SlotView &View, const AdmissionRequest &Request) {
+  if (View.Running_ >= View.Slots_)
+    return false;
+  if (isLimitedAsLong(Request) && View.Long_ >= View.LongCap_)
+    return false;
+  if (Request.Suspect_ && View.Suspects_ > 0)
+    return false;
+  for (std::uint32_t Level = levelOf(Request); Level <= MaxAdmissionDepth;
+       ++Level)
+    if (View.HeldUpTo_[Level] >= View.Cap_[Level])
+      return false;
+  return true;
+}
+
+void countRunning(SlotView &View, const AdmissionRequest &Request) {
+  ++View.Running_;
+  View.Long_ += Request.Long_ ? 1 : 0;
+  View.Suspects_ += Request.Suspect_ ? 1 : 0;
+  for (std::uint32_t Level = levelOf(Request); Level <= MaxAdmissionDepth;
+       ++Level)
+    ++View.HeldUpTo_[Level];
+}
+
+Duration costOf(const Admission &Table, const AdmissionRequest &Request) {
+  if (Request.Expected_ > Duration{0})
+    return Request.Expected_;
+  return Duration(std::llround(Table.MeanServiceUs_));
+}
+
+Duration expectedWait(const Admission &Table, const SlotView &View,
+                      const AdmissionRequest &Request) {
+  if (mayRun(View, Request))
+    return Duration{0};
+  bool IsLimited = isLimitedAsLong(Request);
+  Duration Work{0};
+  for (const RunningRequest &Each : Table.Running_) {
+    Duration Cost = costOf(Table, Each.Request_);
+    // Memoryless: half the expected time is still to come, however long the
+    // request has run already.
+    if (isLimitedAsLong(Each.Request_) == IsLimited)
+      Work += Cost / 2;
+  }
+  for (const QueuedRequest &Each : Table.Queue_)
+    if (isLimitedAsLong(Each.Request_) == IsLimited &&
+        runsBefore(Each.Request_, Request))
+      Work += costOf(Table, Each.Request_);
+  std::uint32_t Open = View.Cap_[levelOf(Request)];
+  Open = IsLimited ? std::min(Open, View.LongCap_)
+                   : Open - std::min(Open - 1, View.Long_);
+  return Work / std::max<std::uint32_t>(Open, 1);
+}
+
+bool isInConflict(const Admission &Table, const SlotView &View,
+                  const QueuedRequest &Waiting, TimePoint Now) {
+  std::uint32_t Level = levelOf(Waiting.Request_);
+  Duration Limit = Table.Options_.ConflictWait_;
+  if (Level == 0 || Now - Waiting.Queued_ < Limit)
+    return false;
+  // The shallowest full level holds it up, or any running request when every
+  // slot is taken or a suspect runs.
+  std::uint32_t Blocked = Level;
+  while (Blocked < MaxAdmissionDepth &&
+         View.HeldUpTo_[Blocked] < View.Cap_[Blocked])
+    ++Blocked;
+  if (View.Running_ >= View.Slots_)
+    Blocked = MaxAdmissionDepth;
+  TimePoint Last{};
+  for (std::uint32_t Each = 0; Each <= Blocked; ++Each)
+    Last = std::max(Last, Table.Levels_[Each].LastFinish_);
+  return Now - Last >= Limit;
+}
+
+bool runsBefore(const AdmissionRequest &Left, const AdmissionRequest &Right) {
+  if (Left.Depth_ != Right.Depth_)
+    return Left.Depth_ > Right.Depth_;
+  return Left.Deadline_ < Right.Deadline_;
+}
+
+} // namespace sycamore
--- /dev/null
+++ b/src/Placement.cpp
@@ -0,0 +1,347 @@
+// Chooses the target of a call among the eligible ones.
+#include "sycamore/Placement.h"
+
+#include "Rendezvous.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace sycamore {
+namespace {
+
+/// A candidate together with what is known of it, for one choice.
+struct Option {
+  std::size_t Index_ = 0;
+  TargetStats *Stats_ = nullptr;
+  double Cost_ = 0;
+};
+
+double inUnits(Duration Span) { return static_cast<double>(Span.count()); }
+
+/// Load of others, halved every LoadHalfLife_ since the report.
+double othersLoad(const PlacementOptions &Options, const TargetStats &Stats,
+                  TimePoint Now) {
+  double Age = std::max(0.0, inUnits(Now - Stats.ReportedAt_));
+  return Stats.OthersLoad_ * std::exp2(-Age / inUnits(Options.LoadHalfLife_));
+}
+
+double rampWeight(const PlacementOptions &Options, const TargetStats &Stats,
+                  TimePoint Now) {
+  double Share = inUnits(Now - Stats.FirstSeen_) / inUnits(Options.RampTime_);
+  return std::clamp(Share, Options.RampFloor_, 1.0);
+}
+
+/// How much slower than the others the target is: 1 unless it is an outlier.
+double slowness(const Placement &Table, const TargetStats &Stats,
+                double Baseline, TimePoint Now) {
+  if (!Stats.Outlier_ || Baseline <= 0)
+    return 1;
+  bool MayTest = Stats.InFlight_ == 0 &&
+                 Now - Stats.LastSample_ >= Table.Options_.OutlierTestInterval_;
+  if (MayTest)
+    return 1;
+  return std::max(Table.Options_.OutlierRatio_,
+                  valueOf(Stats.Latency_) / Baseline);
+}
+
+double costOf(const Placement &Table, const Candidate &Target,
+              const TargetStats &Stats, double Baseline, TimePoint Now) {
+  double Slots = std::max<std::uint32_t>(Target.Slots_, 1);
+  double Load = Stats.InFlight_ + othersLoad(Table.Options_, Stats, Now) + 1.0;
+  return Load / Slots * slowness(Table, Stats, Baseline, Now) /
+         rampWeight(Table.Options_, Stats, Now);
+}
+
+void forgetOne(Placement &Table) {
+  auto Oldest = Table.Targets_.end();
+  for (auto It = Table.Targets_.begin(); It != Table.Targets_.end(); ++It)
+    if (Oldest == Table.Targets_.end() ||
+        It->second.LastSeen_ < Oldest->second.LastSeen_)
+      Oldest = It;
+  if (Oldest == Table.Targets_.end())
+    return;
+  Table.Targets_.erase(Oldest);
+  ++Table.Counters_.Forgotten_;
+}
+
+TargetStats &statsOf(Placement &Table, std::string_view Name, TimePoint Now) {
+  auto Found = Table.Targets_.find(Name);
+  if (Found != Table.Targets_.end())
+    return Found->second;
+  if (Table.Targets_.size() >= Table.Options_.MaxTargets_)
+    forgetOne(Table);
+  TargetStats &Stats = Table.Targets_[std::string(Name)];
+  Stats.FirstSeen_ = Now;
+  Stats.LastSeen_ = Now;
+  return Stats;
+}
+
+/// Median of the candidates' median latencies, 0 while fewer than two are
+/// known.
+double baselineLatency(const std::vector<Option> &Options,
+                       std::uint64_t MinSamples) {
+  std::vector<double> Medians;
+  Medians.reserve(Options.size());
+  for (const Option &Each : Options)
+    if (Each.Stats_->Latency_.Count_ >= MinSamples)
+      Medians.push_back(valueOf(Each.Stats_->Latency_));
+  if (Medians.size() < 2)
+    return 0;
+  // The lower middle, so that of two targets the faster one is the baseline.
+  auto Middle =
+      Medians.begin() + static_cast<std::ptrdiff_t>((Medians.size() - 1) / 2);
+  std::nth_element(Medians.begin(), Middle, Medians.end());
+  return *Middle;
+}
+
+void addEvent(Placement &Table, PlacementEventKind Kind, std::string_view Name,
+              Duration Span) {
+  // Events that nobody takes must not grow without bound.
+  constexpr std::size_t MaxEvents = 1024;
+  if (Table.Events_.size() < MaxEvents)
+    Table.Events_.push_back({Kind, std::string(Name), Span});
+}
+
+bool isOutlier(const Placement &Table, const TargetStats &Stats,
+               double Baseline) {
+  if (Baseline <= 0 ||
+      Stats.Latency_.Count_ < Table.Options_.OutlierMinSamples_)
+    return false;
+  double Median = valueOf(Stats.Latency_);
+  // An outlier recovers only at half the ratio, so that a target at the
+  // threshold does not change state with every answer.
+  double Ratio = Stats.Outlier_ ? Table.Options_.OutlierRatio_ / 2
+                                : Table.Options_.OutlierRatio_;
+  return Median > Baseline * Ratio &&
+         Median - Baseline > inUnits(Table.Options_.OutlierMargin_) / 2 *
+                                 (Stats.Outlier_ ? 1 : 2);
+}
+
+/// Updates the outlier marks; returns the baseline, or 0 when so many are
+/// outliers that none is to be treated as one.
+double judgeOutliers(Placement &Table, std::span<const Candidate> Candidates,
+                     const std::vector<Option> &Options) {
+  double Baseline = baselineLatency(Options, Table.Options_.OutlierMinSamples_);
+  std::size_t Outliers = 0;
+  for (const Option &Each : Options) {
+    bool Slow = isOutlier(Table, *Each.Stats_, Baseline);
+    if (Slow != Each.Stats_->Outlier_) {
+      Each.Stats_->Outlier_ = Slow;
+      Table.Counters_.OutliersFound_ += Slow ? 1 : 0;
+      auto Median = Duration(std::llround(valueOf(Each.Stats_->Latency_)));
+      addEvent(Table,
+               Slow ? PlacementEventKind::OutlierFound
+                    : PlacementEventKind::OutlierRecovered,
+               Candidates[Each.Index_].Name_, Median);
+    }
+    Outliers += Slow ? 1 : 0;
+  }
+  double Share = Options.empty() ? 0
+                                 : static_cast<double>(Outliers) /
+                                       static_cast<double>(Options.size());
+  if (Share <= Table.Options_.PanicShare_)
+    return Baseline;
+  ++Table.Counters_.Panics_;
+  return 0;
+}
+
+/// Candidates that are not excluded, with their statistics.
+std::vector<Option> gather(Placement &Table,
+                           std::span<const Candidate> Candidates,
+                           std::span<const std::string> Excluded,
+                           TimePoint Now) {
+  // Looked up after all insertions, which may move or forget entries.
+  for (const Candidate &Each : Candidates)
+    statsOf(Table, Each.Name_, Now).LastSeen_ = Now;
+  std::vector<Option> Options;
+  Options.reserve(Candidates.size());
+  for (std::size_t Index = 0; Index < Candidates.size(); ++Index) {
+    std::string_view Name = Candidates[Index].Name_;
+    auto Found = Table.Targets_.find(Name);
+    bool Skip =
+        std::find(Excluded.begin(), Excluded.end(), Name) != Excluded.end();
+    if (!Skip && Found != Table.Targets_.end())
+      Options.push_back({Index, &Found->second, 0});
+  }
+  return Options;
+}
+
+/// Drops ejected targets unless all are ejected.
+void dropEjected(Placement &Table, std::vector<Option> &Options,
+                 TimePoint Now) {
+  auto IsEjected = [&](const Option &Each) {
+    return Each.Stats_->EjectedUntil_ > Now;
+  };
+  if (std::all_of(Options.begin(), Options.end(), IsEjected)) {
+    ++Table.Counters_.EjectionsIgnored_;
+    return;
+  }
+  Options.erase(std::remove_if(Options.begin(), Options.end(), IsEjected),
+                Options.end());
+}
+
+/// The cheaper of two random options.
+const Option *bestOfTwo(std::span<const Option> Options, Random &Rng) {
+  if (Options.empty())
+    return nullptr;
+  std::size_t First = randomIndex(Rng, Options.size());
+  if (Options.size() == 1)
+    return &Options[First];
+  std::size_t Second = randomIndex(Rng, Options.size() - 1);
+  if (Second >= First)
+    ++Second;
+  return Options[Second].Cost_ < Options[First].Cost_ ? &Options[Second]
+                                                      : &Options[First];
+}
+
+/// A near target unless it is loaded and a far one is cheaper.
+const Option *chooseByCost(const PlacementOptions &Settings,
+                           std::span<const Option> Near,
+                           std::span<const Option> Far, Random &Rng) {
+  const Option *Best = bestOfTwo(Near, Rng);
+  if (Best != nullptr && (Best->Cost_ <= Settings.SpillCost_ || Far.empty()))
+    return Best;
+  const Option *Other = bestOfTwo(Far, Rng);
+  if (Best == nullptr || Other->Cost_ < Best->Cost_)
+    return Other;
+  return Best;
+}
+
+} // namespace
+
+std::optional<std::size_t> chooseTarget(Placement &Table,
+                                        std::span<const Candidate> Candidates,
+                                        std::string_view OwnDataCentre,
+                                        std::span<const std::string> Excluded,
+                                        TimePoint Now, Random &Rng) {
+  std::vector<Option> Options = gather(Table, Candidates, Excluded, Now);
+  if (Options.empty()) {
+    ++Table.Counters_.NoCandidate_;
+    return std::nullopt;
+  }
+  double Baseline = judgeOutliers(Table, Candidates, Options);
+  dropEjected(Table, Options, Now);
+  for (Option &Each : Options)
+    Each.Cost_ =
+        costOf(Table, Candidates[Each.Index_], *Each.Stats_, Baseline, Now);
+  auto FarBegin =
+      std::partition(Options.begin(), Options.end(), [&](const Option &Each) {
+        return Candidates[Each.Index_].DataCentre_ == OwnDataCentre;
+      });
+  const Option *Best = chooseByCost(Table.Options_, {Options.begin(), FarBegin},
+                                    {FarBegin, Options.end()}, Rng);
+  ++Table.Counters_.Chosen_;
+  if (Candidates[Best->Index_].DataCentre_ != OwnDataCentre)
+    ++Table.Counters_.ChosenFar_;
+  if (Baseline > 0 && Best->Stats_->Outlier_)
+    ++Table.Counters_.OutlierTests_;
+  return Best->Index_;
+}
+
+std::optional<std::size_t>
+chooseSuspectTarget(std::uint64_t Fingerprint,
+                    std::span<const Candidate> Candidates) {
+  std::optional<std::size_t> Best;
+  std::uint64_t BestRank = 0;
+  for (std::size_t Index = 0; Index < Candidates.size(); ++Index) {
+    std::uint64_t Rank = rendezvousRank(Candidates[Index].Name_, Fingerprint);
+    if (Best && Rank <= BestRank)
+      continue;
+    Best = Index;
+    BestRank = Rank;
+  }
+  return Best;
+}
+
+void noteDispatched(Placement &Table, std::string_view Name, TimePoint Now) {
+  TargetStats &Stats = statsOf(Table, Name, Now);
+  if (Stats.InFlight_++ == 0)
+    Stats.WaitingSince_ = Now;
+}
+
+namespace {
+
+void noteRefusedConnection(Placement &Table, std::string_view Name,
+                           TargetStats &Stats, TimePoint Now) {
+  // Calls that were in flight together fail together; they count once.
+  if (Stats.EjectedUntil_ > Now)
+    return;
+  std::uint32_t Doublings = std::min<std::uint32_t>(Stats.Refusals_, 16);
+  Duration Span = std::min(Table.Options_.EjectionBase_ * (1U << Doublings),
+                           Table.Options_.EjectionLimit_);
+  ++Stats.Refusals_;
+  Stats.EjectedUntil_ = Now + Span;
+  ++Table.Counters_.Ejections_;
+  addEvent(Table, PlacementEventKind::Ejected, Name, Span);
+}
+
+void noteReadmitted(Placement &Table, std::string_view Name, TargetStats &Stats,
+                    TimePoint Now) {
+  if (Stats.Refusals_ == 0)
+    return;
+  Stats.Refusals_ = 0;
+  Stats.EjectedUntil_ = TimePoint{};
+  // It refused connections, so it is a new process that starts cold.
+  Stats.FirstSeen_ = Now;
+  addEvent(Table, PlacementEventKind::Readmitted, Name, Duration{0});
+}
+
+bool isLatencySample(const TargetStats &Stats, Duration Latency,
+                     AttemptOutcome Outcome) {
+  if (Outcome == AttemptOutcome::Done || Outcome == AttemptOutcome::TimedOut)
+    return true;
+  // A cancelled call shows only that it would have taken longer.
+  return Outcome == AttemptOutcome::Cancelled &&
+         inUnits(Latency) > valueOf(Stats.Latency_);
+}
+
+} // namespace
+
+void noteAnswered(Placement &Table, std::string_view Name,
+                  const TargetLoad &Load, Duration Latency,
+                  AttemptOutcome Outcome, TimePoint Now) {
+  auto Found = Table.Targets_.find(Name);
+  if (Found == Table.Targets_.end())
+    return;
+  TargetStats &Stats = Found->second;
+  if (Stats.InFlight_ > 0)
+    --Stats.InFlight_;
+  Stats.WaitingSince_ = Now;
+  if (isLatencySample(Stats, Latency, Outcome)) {
+    noteValue(Stats.Latency_, inUnits(Latency));
+    Stats.LastSample_ = Now;
+  }
+  if (Load.Slots_ > 0) {
+    double Reported = static_cast<double>(Load.Running_) + Load.Queued_;
+    Stats.OthersLoad_ = std::max(0.0, Reported - Stats.InFlight_);
+    Stats.ReportedAt_ = Now;
+  }
+  if (Outcome == AttemptOutcome::ConnectionRefused ||
+      Outcome == AttemptOutcome::Lost)
+    noteRefusedConnection(Table, Name, Stats, Now);
+  else if (Outcome == AttemptOutcome::Done)
+    noteReadmitted(Table, Name, Stats, Now);
+}
+
+void forgetTarget(Placement &Table, std::string_view Name) {
+  auto Found = Table.Targets_.find(Name);
+  if (Found == Table.Targets_.end())
+    return;
+  Table.Targets_.erase(Found);
+  ++Table.Counters_.Forgotten_;
+}
+
+void expireTargets(Placement &Table, TimePoint Now) {
+  Table.Counters_.Forgotten_ +=
+      std::erase_if(Table.Targets_, [&](const auto &Entry) {
+        return Entry.second.InFlight_ == 0 &&
+               Now - Entry.second.LastSeen_ >= Table.Options_.ForgetAfter_;
+      });
+}
+
+std::vector<PlacementEvent> takeEvents(Placement &Table) {
+  return std::exchange(Table.Events_, {});
+}
+
+} // namespace sycamore
--- /dev/null
+++ b/src/Quarantine.cpp
@@ -0,0 +1,169 @@
+// Fingerprints of requests that were running when a target was lost.
+#include "sycamore/Quarantine.h"
+
+#include "QuarantineTable.h"
+
+#include <algorithm>
+#include <memory>
+#include <xxhash.h>
+
+namespace sycamore {
+namespace {
+
+/// Refused, suspect or unmarked at this time, without regard to alone runs.
+QuarantineDecision stateOf(const QuarantineOptions &Options,
+                           const QuarantineEntry &Entry, WallTime Now) {
+  if (Entry.Cleared_ || Now - Entry.LastLoss_ >= Options.RememberFor_)
+    return QuarantineDecision::Allow;
+  if (Entry.LossCount_ >= Options.LossLimit_ &&
+      Now - Entry.LastLoss_ < Options.RefuseFor_)
+    return QuarantineDecision::Refuse;
+  return QuarantineDecision::AllowAlone;
+}
+
+struct HashStateDeleter {
+  void operator()(XXH3_state_t *State) const { XXH3_freeState(State); }
+};
+
+void hashPart(XXH3_state_t &State, std::string_view Part) {
+  std::uint64_t Size = Part.size();
+  XXH3_64bits_update(&State, &Size, sizeof Size);
+  XXH3_64bits_update(&State, Part.data(), Part.size());
+}
+
+/// Adds one loss. Returns whether it is a new one and not another report of a
+/// known one.
+bool addLoss(const QuarantineOptions &Options, QuarantineEntry &Entry,
+             std::string_view Server, WallTime Now) {
+  auto Known = std::find_if(
+      Entry.Losses_.begin(), Entry.Losses_.end(),
+      [&](const QuarantineLoss &Each) { return Each.Server_ == Server; });
+  if (Known != Entry.Losses_.end()) {
+    bool IsNew = Now - Known->At_ >= Options.SameLossWindow_;
+    Known->At_ = std::max(Known->At_, Now);
+    Entry.LossCount_ += IsNew ? 1 : 0;
+    return IsNew;
+  }
+  if (Entry.Losses_.size() < Options.MaxServers_)
+    Entry.Losses_.push_back({std::string(Server), Now});
+  ++Entry.LossCount_;
+  return true;
+}
+
+void startAfresh(QuarantineEntry &Entry) {
+  Entry.Losses_.clear();
+  Entry.LossCount_ = 0;
+  Entry.Cleared_ = false;
+}
+
+void hideMarks(Quarantine &Table, std::uint64_t Fingerprint,
+               QuarantineEntry &Entry, WallTime Now) {
+  startAfresh(Entry);
+  Entry.Cleared_ = true;
+  Entry.LastLoss_ = Now;
+  Entry.Version_ = std::max(Entry.Version_ + 1, unixMicroseconds(Now));
+  Entry.RoundsSent_ = 0;
+  updateSize(Table, Fingerprint);
+}
+
+} // namespace
+
+std::uint64_t fingerprintOf(std::string_view Service, std::string_view Method,
+                            std::string_view Path, std::string_view Body) {
+  std::unique_ptr<XXH3_state_t, HashStateDeleter> State(XXH3_createState());
+  XXH3_64bits_reset(State.get());
+  for (std::string_view Part : {Service, Method, Path, Body})
+    hashPart(*State, Part);
+  return XXH3_64bits_digest(State.get());
+}
+
+Duration noteLoss(Quarantine &Table, std::uint64_t Fingerprint,
+                  std::string_view Server, std::string_view Sample,
+                  WallTime Now) {
+  QuarantineEntry &Entry = entryFor(Table, Fingerprint);
+  if (Entry.Cleared_)
+    startAfresh(Entry);
+  std::uint32_t Before = Entry.LossCount_;
+  bool IsNew = addLoss(Table.Options_, Entry, Server, Now);
+  if (Entry.Sample_.empty())
+    Entry.Sample_ = Sample.substr(0, Table.Options_.MaxSampleBytes_);
+  Entry.LastLoss_ = std::max(Entry.LastLoss_, Now);
+  Entry.Version_ = std::max(Entry.Version_ + 1, unixMicroseconds(Now));
+  Entry.RoundsSent_ = 0;
+  Table.Counters_.Losses_ += IsNew ? 1 : 0;
+  noteStateChange(Table, Fingerprint, Entry, Before);
+  updateSize(Table, Fingerprint);
+  return Table.Options_.SpreadTime_;
+}
+
+void noteSuccess(Quarantine &Table, std::uint64_t Fingerprint, WallTime Now) {
+  auto Found = Table.Entries_.find(Fingerprint);
+  if (Found == Table.Entries_.end() || Found->second.Cleared_)
+    return;
+  addEvent(Table, QuarantineEventKind::ClearedBySuccess, Fingerprint,
+           Found->second.Sample_);
+  ++Table.Counters_.ClearedBySuccess_;
+  hideMarks(Table, Fingerprint, Found->second, Now);
+}
+
+QuarantineVerdict check(Quarantine &Table, std::uint64_t Fingerprint,
+                        WallTime Now) {
+  auto Found = Table.Entries_.find(Fingerprint);
+  if (Found == Table.Entries_.end())
+    return {};
+  QuarantineEntry &Entry = Found->second;
+  QuarantineDecision State = stateOf(Table.Options_, Entry, Now);
+  if (State == QuarantineDecision::Allow)
+    return {};
+  if (State == QuarantineDecision::Refuse) {
+    ++Table.Counters_.Refused_;
+    Duration Left = Entry.LastLoss_ + Table.Options_.RefuseFor_ - Now;
+    return {State, std::min(Left, Table.Options_.RefuseFor_), false};
+  }
+  if (Entry.AloneSince_ &&
+      Now - *Entry.AloneSince_ < Table.Options_.AloneLimit_) {
+    ++Table.Counters_.RefusedBusy_;
+    return {QuarantineDecision::Refuse, Table.Options_.SpreadTime_, true};
+  }
+  Entry.AloneSince_ = Now;
+  ++Table.Counters_.AllowedAlone_;
+  return {QuarantineDecision::AllowAlone, Duration{0}, false};
+}
+
+QuarantineDecision checkAtTarget(const Quarantine &Table,
+                                 std::uint64_t Fingerprint, WallTime Now) {
+  auto Found = Table.Entries_.find(Fingerprint);
+  return Found == Table.Entries_.end()
+             ? QuarantineDecision::Allow
+             : stateOf(Table.Options_, Found->second, Now);
+}
+
+void noteFinished(Quarantine &Table, std::uint64_t Fingerprint) {
+  auto Found = Table.Entries_.find(Fingerprint);
+  if (Found != Table.Entries_.end())
+    Found->second.AloneSince_.reset();
+}
+
+void clear(Quarantine &Table, std::uint64_t Fingerprint, WallTime Now) {
+  QuarantineEntry &Entry = entryFor(Table, Fingerprint);
+  addEvent(Table, QuarantineEventKind::ClearedByOperator, Fingerprint,
+           Entry.Sample_);
+  ++Table.Counters_.ClearedByOperator_;
+  hideMarks(Table, Fingerprint, Entry, Now);
+}
+
+void expire(Quarantine &Table, WallTime Now) {
+  std::vector<std::uint64_t> Ended;
+  for (const auto &[Fingerprint, Entry] : Table.Entries_)
+    if (Now - Entry.LastLoss_ >= Table.Options_.RememberFor_)
+      Ended.push_back(Fingerprint);
+  for (std::uint64_t Fingerprint : Ended) {
+    const QuarantineEntry &Entry = Table.Entries_.at(Fingerprint);
+    if (!Entry.Cleared_)
+      addEvent(Table, QuarantineEventKind::Expired, Fingerprint, Entry.Sample_);
+    ++Table.Counters_.Expired_;
+    eraseEntry(Table, Fingerprint);
+  }
+}
+
+} // namespace sycamore
--- /dev/null
+++ b/src/QuarantineTable.cpp
@@ -0,0 +1,96 @@
+// Entries of the quarantine table: bounds, sizes and events.
+#include "QuarantineTable.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sycamore {
+namespace {
+
+std::size_t sizeOf(const QuarantineEntry &Entry) {
+  std::size_t Size =
+      sizeof(QuarantineEntry) + sizeof(std::uint64_t) + Entry.Sample_.size();
+  for (const QuarantineLoss &Each : Entry.Losses_)
+    Size += sizeof(QuarantineLoss) + Each.Server_.size();
+  return Size;
+}
+
+/// Drops the entry with the oldest last loss; false when only Keep is left.
+bool dropOldest(Quarantine &Table, std::uint64_t Keep) {
+  auto Oldest = Table.Entries_.end();
+  for (auto It = Table.Entries_.begin(); It != Table.Entries_.end(); ++It)
+    if (It->first != Keep && (Oldest == Table.Entries_.end() ||
+                              It->second.LastLoss_ < Oldest->second.LastLoss_))
+      Oldest = It;
+  if (Oldest == Table.Entries_.end())
+    return false;
+  ++Table.Counters_.Evicted_;
+  eraseEntry(Table, Oldest->first);
+  return true;
+}
+
+} // namespace
+
+std::uint64_t unixMicroseconds(WallTime Time) {
+  return static_cast<std::uint64_t>(
+      std::max<std::int64_t>(Time.time_since_epoch().count(), 0));
+}
+
+QuarantineEntry &entryFor(Quarantine &Table, std::uint64_t Fingerprint) {
+  auto Found = Table.Entries_.find(Fingerprint);
+  if (Found != Table.Entries_.end())
+    return Found->second;
+  while (Table.Entries_.size() >= Table.Options_.MaxRecords_ &&
+         dropOldest(Table, Fingerprint)) {
+  }
+  QuarantineEntry &Entry = Table.Entries_[Fingerprint];
+  Entry.Bytes_ = sizeOf(Entry);
+  Table.Bytes_ += Entry.Bytes_;
+  return Entry;
+}
+
+void eraseEntry(Quarantine &Table, std::uint64_t Fingerprint) {
+  auto Found = Table.Entries_.find(Fingerprint);
+  if (Found == Table.Entries_.end())
+    return;
+  Table.Bytes_ -= Found->second.Bytes_;
+  Table.Entries_.erase(Found);
+}
+
+void updateSize(Quarantine &Table, std::uint64_t Fingerprint) {
+  QuarantineEntry &Entry = Table.Entries_.at(Fingerprint);
+  Table.Bytes_ -= Entry.Bytes_;
+  Entry.Bytes_ = sizeOf(Entry);
+  Table.Bytes_ += Entry.Bytes_;
+  while (Table.Bytes_ > Table.Options_.MaxBytes_ &&
+         dropOldest(Table, Fingerprint)) {
+  }
+}
+
+void addEvent(Quarantine &Table, QuarantineEventKind Kind,
+              std::uint64_t Fingerprint, const std::string &Sample) {
+  // Events that nobody takes must not grow without bound.
+  constexpr std::size_t MaxEvents = 1024;
+  if (Table.Events_.size() < MaxEvents)
+    Table.Events_.push_back({Kind, Fingerprint, Sample});
+}
+
+void noteStateChange(Quarantine &Table, std::uint64_t Fingerprint,
+                     const QuarantineEntry &Entry, std::uint32_t Before) {
+  std::uint32_t Limit = Table.Options_.LossLimit_;
+  if (Before == 0 && Entry.LossCount_ > 0) {
+    ++Table.Counters_.Suspected_;
+    addEvent(Table, QuarantineEventKind::Suspected, Fingerprint, Entry.Sample_);
+  }
+  if (Before < Limit && Entry.LossCount_ >= Limit) {
+    ++Table.Counters_.Quarantined_;
+    addEvent(Table, QuarantineEventKind::Quarantined, Fingerprint,
+             Entry.Sample_);
+  }
+}
+
+std::vector<QuarantineEvent> takeEvents(Quarantine &Table) {
+  return std::exchange(Table.Events_, {});
+}
+
+} // namespace sycamore
--- /dev/null
+++ b/src/Rendezvous.cpp
@@ -0,0 +1,12 @@
+// Rendezvous hash: every holder of the same names ranks them alike.
+#include "Rendezvous.h"
+
+#include <xxhash.h>
+
+namespace sycamore {
+
+std::uint64_t rendezvousRank(std::string_view Name, std::uint64_t Key) {
+  return XXH3_64bits_withSeed(Name.data(), Name.size(), Key);
+}
+
+} // namespace sycamore
--- /dev/null
+++ b/src/RouteCost.cpp
@@ -0,0 +1,61 @@
+// Expected run time of requests, learnt from observed ones.
+#include "sycamore/RouteCost.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace sycamore {
+namespace {
+
+RouteCostEntry &entryOf(RouteCost &Table, const std::string &Key) {
+  auto Found = Table.Routes_.find(Key);
+  if (Found != Table.Routes_.end())
+    return Found->second;
+  if (Table.Routes_.size() >= Table.Options_.MaxRoutes_) {
+    auto Oldest =
+        std::min_element(Table.Routes_.begin(), Table.Routes_.end(),
+                         [](const auto &Left, const auto &Right) {
+                           return Left.second.LastUse_ < Right.second.LastUse_;
+                         });
+    Table.Routes_.erase(Oldest);
+    ++Table.Counters_.Forgotten_;
+  }
+  return Table.Routes_[Key];
+}
+
+/// Mean of the first values, then exponentially weighted.
+void addToMean(double &Mean, double Value, std::uint64_t Count, double Gain) {
+  Mean += (Value - Mean) * std::max(Gain, 1.0 / static_cast<double>(Count));
+}
+
+} // namespace
+
+Duration expectedCost(const RouteCost &Table, const std::string &Key) {
+  auto Found = Table.Routes_.find(Key);
+  if (Found != Table.Routes_.end())
+    return Duration(std::llround(Found->second.MeanUs_));
+  if (Table.Counters_.Observations_ > 0)
+    return Duration(std::llround(Table.AllMeanUs_));
+  return Table.Options_.DefaultCost_;
+}
+
+void noteCost(RouteCost &Table, const std::string &Key, Duration ServiceTime) {
+  auto Value = static_cast<double>(ServiceTime.count());
+  RouteCostEntry &Entry = entryOf(Table, Key);
+  Entry.LastUse_ = ++Table.Clock_;
+  ++Entry.Count_;
+  ++Table.Counters_.Observations_;
+  addToMean(Entry.MeanUs_, Value, Entry.Count_, Table.Options_.Gain_);
+  addToMean(Table.AllMeanUs_, Value, Table.Counters_.Observations_,
+            Table.Options_.Gain_ / 10);
+  noteValue(Table.Typical_, Value);
+}
+
+bool isLong(const RouteCost &Table, const std::string &Key) {
+  auto Found = Table.Routes_.find(Key);
+  return Found != Table.Routes_.end() &&
+         Found->second.MeanUs_ >
+             valueOf(Table.Typical_) * Table.Options_.LongRatio_;
+}
+
+} // namespace sycamore
