--- a/bench/DecisionRun.cpp
+++ b/bench/DecisionRun.cpp
@@ -27,9 +27,6 @@
   Out.Admission_ = false;
   Out.Retries_ = false;
   Out.Hedging_ = false;
-  Out.AdmissionOptions_.LongShare_ = 1;
-  Out.AdmissionOptions_.ReserveByDepth_ = false;
-  Out.AdmissionOptions_.ConflictWait_ = std::chrono::hours(1);
   return Out;
 }
 
@@ -48,8 +45,6 @@
       New.Hedges_.Options_ = Config.Policy_.HedgeOptions_;
       New.Admission_.Options_ = Config.Policy_.AdmissionOptions_;
       setSlots(New.Admission_, Where.Slots_);
-      if (!Config.Policy_.Admission_)
-        setQueueLimit(New.Admission_, UINT32_MAX);
       HostsOf_[Service].push_back(Hosts_.size());
       Hosts_.push_back(std::move(New));
     }
--- a/bench/Simulation.h
+++ b/bench/Simulation.h
@@ -50,7 +50,9 @@
   Admission Admission_;
   RouteCost LocalCosts_; ///< Of the target's daemon.
   double Slowness_ = 1;
-  std::size_t Turn_ = 0; ///< Round robin of the baseline.
+  std::size_t Turn_ = 0;            ///< Round robin of the baseline.
+  std::deque<std::size_t> Waiting_; ///< Attempts queued by the baseline.
+  std::uint32_t Busy_ = 0;          ///< Slots taken in the baseline.
   std::deque<std::pair<TimePoint, AdmissionLoad>> Loads_;
 };
 
@@ -109,6 +111,7 @@
 
   // Target's daemon and target.
   void offered(std::size_t AttemptId);
+  void offeredToBaseline(std::size_t AttemptId);
   void startWork(std::size_t AttemptId);
   void afterFirstHalf(std::size_t AttemptId);
   void childEnded(std::size_t AttemptId, bool Ok);
--- a/bench/SimulationTarget.cpp
+++ b/bench/SimulationTarget.cpp
@@ -8,20 +8,17 @@
 
 /// Ids of admission requests are indices of attempts.
 void Simulation::offered(std::size_t AttemptId) {
+  if (!Config_.Policy_.Admission_)
+    return offeredToBaseline(AttemptId);
   const Attempt &Value = Attempts_[AttemptId];
   const Call &Of = Calls_[Value.Call_];
   Host &Where = Hosts_[Value.Target_];
   AdmissionRequest Request;
   Request.Id_ = AttemptId;
-  if (Config_.Policy_.Admission_) {
-    Request.Depth_ = Of.Depth_;
-    Request.Deadline_ = Of.Deadline_ - delayBetween(Of.Entry_, Value.Target_);
-    Request.Expected_ = expectedCost(Where.LocalCosts_, costKeyOf(Of));
-    Request.Long_ = isLong(Hosts_[Of.Entry_].Costs_, costKeyOf(Of));
-  } else {
-    // Order of arrival, and no deadline.
-    Request.Deadline_ = Agenda_.Now_ + std::chrono::hours(24);
-  }
+  Request.Depth_ = Of.Depth_;
+  Request.Deadline_ = Of.Deadline_ - delayBetween(Of.Entry_, Value.Target_);
+  Request.Expected_ = expectedCost(Where.LocalCosts_, costKeyOf(Of));
+  Request.Long_ = isLong(Hosts_[Of.Entry_].Costs_, costKeyOf(Of));
   AdmissionVerdict Verdict = admit(Where.Admission_, Request, Agenda_.Now_);
   if (Verdict.Decision_ == AdmissionDecision::Run)
     startWork(AttemptId);
@@ -29,6 +26,18 @@
     answer(AttemptId, AttemptOutcome::NotRun, Verdict.RetryAfter_);
 }
 
+/// An unbounded queue in order of arrival, for which Admission would search
+/// its whole queue on every change.
+void Simulation::offeredToBaseline(std::size_t AttemptId) {
+  Host &Where = Hosts_[Attempts_[AttemptId].Target_];
+  if (Where.Busy_ >= Config_.Site_.Slots_) {
+    Where.Waiting_.push_back(AttemptId);
+    return;
+  }
+  ++Where.Busy_;
+  startWork(AttemptId);
+}
+
 Duration Simulation::workOf(const Call &Value, double Share) const {
   const Workload &Kind = Config_.Workloads_[Value.Workload_];
   return Duration(std::llround(static_cast<double>(Kind.Work_.count()) *
@@ -95,7 +104,10 @@
     noteCost(Where.LocalCosts_, costKeyOf(Calls_[Value.Call_]), Held);
   if (Calls_[Value.Call_].Done_ && Calls_[Value.Call_].Attempts_.size() > 1)
     Result_.HedgeSlotSeconds_ += static_cast<double>(Held.count()) / 1e6;
-  finish(Where.Admission_, AttemptId, Held, Agenda_.Now_);
+  if (Config_.Policy_.Admission_)
+    finish(Where.Admission_, AttemptId, Held, Agenda_.Now_);
+  else
+    --Where.Busy_;
   if (Outcome == AttemptOutcome::Cancelled) {
     if (Value.Child_ != None && !Calls_[Value.Child_].Done_)
       settle(Value.Child_, false, Duration{0});
@@ -106,6 +118,13 @@
 }
 
 void Simulation::pump(std::size_t HostId) {
+  Host &Where = Hosts_[HostId];
+  while (!Where.Waiting_.empty() && Where.Busy_ < Config_.Site_.Slots_) {
+    std::size_t Next = Where.Waiting_.front();
+    Where.Waiting_.pop_front();
+    ++Where.Busy_;
+    startWork(Next);
+  }
   std::vector<std::uint64_t> Run;
   std::vector<std::uint64_t> Refused;
   takeRunnable(Hosts_[HostId].Admission_, Agenda_.Now_, Run, Refused);
