Smooth load reports and let one fast answer end an outlier

Cause: with reports 500 ms old every daemon chased the target that had been idle, and an outlier needed three test calls, one a second, to recover, so that a slow target that moved every second left most targets marked and the panic rule ignored all marks.

--- a/include/sycamore/Placement.h
+++ b/include/sycamore/Placement.h
@@ -52,6 +52,9 @@
 struct PlacementOptions {
   /// Time after which a load report counts half.
   Duration LoadHalfLife_ = milliseconds(200);
+  /// Weight of a new load report. Reports may be old: without smoothing, all
+  /// daemons chase the target that was idle a moment ago.
+  double LoadGain_ = 0.2;
   /// A target is an outlier when its median latency is this many times the
   /// median of all candidates ...
   double OutlierRatio_ = 3.0;
@@ -62,7 +65,7 @@
   /// Outliers are ignored when more than this share of candidates are.
   double PanicShare_ = 0.5;
   /// Time between two calls that test whether an outlier has recovered.
-  Duration OutlierTestInterval_ = seconds(1);
+  Duration OutlierTestInterval_ = milliseconds(500);
   /// Cost of the best near target from which others are considered; 1 means
   /// that the call would take the last free slot.
   double SpillCost_ = 0.6;
--- a/src/Placement.cpp
+++ b/src/Placement.cpp
@@ -300,6 +300,20 @@
   addEvent(Table, PlacementEventKind::Readmitted, Name, Duration{0});
 }
 
+void noteSample(const PlacementOptions &Options, TargetStats &Stats,
+                Duration Latency, AttemptOutcome Outcome, TimePoint Now) {
+  Stats.LastSample_ = Now;
+  // An outlier gets few calls. One fast answer shows that it has recovered;
+  // if not, the stall of the next call shows that.
+  bool Recovered =
+      Stats.Outlier_ && Outcome == AttemptOutcome::Done &&
+      inUnits(Latency) * Options.OutlierRatio_ < valueOf(Stats.Latency_);
+  if (Recovered)
+    Stats.Latency_.LogValue_ = std::log(std::max(inUnits(Latency), 1.0));
+  else
+    noteValue(Stats.Latency_, inUnits(Latency));
+}
+
 bool isLatencySample(const TargetStats &Stats, Duration Latency,
                      AttemptOutcome Outcome) {
   if (Outcome == AttemptOutcome::Done || Outcome == AttemptOutcome::TimedOut)
@@ -322,12 +336,13 @@
     --Stats.InFlight_;
   Stats.WaitingSince_ = Now;
   if (isLatencySample(Stats, Latency, Outcome)) {
-    noteValue(Stats.Latency_, inUnits(Latency));
-    Stats.LastSample_ = Now;
+    noteSample(Table.Options_, Stats, Latency, Outcome, Now);
   }
   if (Load.Slots_ > 0) {
     double Reported = static_cast<double>(Load.Running_) + Load.Queued_;
-    Stats.OthersLoad_ = std::max(0.0, Reported - Stats.InFlight_);
+    double Others = std::max(0.0, Reported - Stats.InFlight_);
+    double Before = othersLoad(Table.Options_, Stats, Now);
+    Stats.OthersLoad_ = Before + (Others - Before) * Table.Options_.LoadGain_;
     Stats.ReportedAt_ = Now;
   }
   if (Outcome == AttemptOutcome::ConnectionRefused ||
