--- a/include/sycamore/Placement.h
+++ b/include/sycamore/Placement.h
@@ -52,6 +52,9 @@
 struct PlacementOptions {
   /// Time after which a load report counts half.
   Duration LoadHalfLife_ = milliseconds(200);
+  /// Weight of a new load report. Reports may be old: without smoothing, all
+  /// daemons chase the target that was idle a moment ago.
+  double LoadGain_ = 0.2;
   /// A target is an outlier when its median latency is this many times the
   /// median of all candidates ...
   double OutlierRatio_ = 3.0;
@@ -62,10 +65,14 @@
   /// Outliers are ignored when more than this share of candidates are.
   double PanicShare_ = 0.5;
   /// Time between two calls that test whether an outlier has recovered.
-  Duration OutlierTestInterval_ = seconds(1);
+  Duration OutlierTestInterval_ = milliseconds(500);
   /// Cost of the best near target from which others are considered; 1 means
   /// that the call would take the last free slot.
-  double SpillCost_ = 1.0;
+  double SpillCost_ = 0.6;
+  /// A far target is taken only when it costs less than this share of the near
+  /// one. When all are loaded alike, the way would be wasted, and a nested call
+  /// holds its caller's slot on the way.
+  double SpillRatio_ = 0.6;
   /// Time in which a new target grows from RampFloor_ to its full weight.
   Duration RampTime_ = seconds(5);
   double RampFloor_ = 0.1;
@@ -83,11 +90,11 @@
   std::uint32_t InFlight_ = 0; ///< Own calls dispatched, not answered.
   double OthersLoad_ = 0;      ///< Requests of others at ReportedAt_.
   TimePoint ReportedAt_{};
-  RunningQuantile Latency_{}; ///< Median in microseconds.
-  TimePoint LastSample_{};    ///< Last latency noted.
-  TimePoint WaitingSince_{};  ///< Last answer, or first dispatch after.
-  TimePoint FirstSeen_{};     ///< Start of the ramp.
-  TimePoint LastSeen_{};      ///< Last time it was a candidate.
+  RunningQuantile Latency_{0.5, 0.5}; ///< Median in microseconds.
+  TimePoint LastSample_{};            ///< Last latency noted.
+  TimePoint WaitingSince_{};          ///< Last answer, or first dispatch after.
+  TimePoint FirstSeen_{};             ///< Start of the ramp.
+  TimePoint LastSeen_{};              ///< Last time it was a candidate.
   TimePoint EjectedUntil_{};
   std::uint32_t Refusals_ = 0; ///< Refused connections in a row.
   bool Outlier_ = false;
