--- a/src/KeyBuckets.cpp
+++ b/src/KeyBuckets.cpp
@@ -49,6 +49,18 @@
   Table.KeepAliveInFlight_ = false;
 }
 
+/// The store answers again. Buckets without holder go to the servers that rank
+/// first for them, not to the one that noticed first.
+void noteStoreAnswers(BucketTable &Table, Now At) {
+  if (Table.StoreFailures_ == 0)
+    return;
+  Table.StoreFailures_ = 0;
+  Table.NextAcquire_ = TimePoint{};
+  for (KeyBucket &In : Table.Buckets_)
+    if (In.UnheldSince_)
+      In.UnheldSince_ = At.Monotonic_;
+}
+
 /// Keys that an earlier holder may have accepted. It accepted none created
 /// later than its own clock plus the skew allowed for callers' clocks, and its
 /// clock was at most the skew ahead of this one; its lease had ended by now.
@@ -117,10 +129,9 @@
 }
 
 bool isAcquiring(const BucketTable &Table) {
-  return std::any_of(Table.Buckets_.begin(), Table.Buckets_.end(),
-                     [](const KeyBucket &In) {
-                       return In.State_ == BucketState::Acquiring;
-                     });
+  return std::any_of(
+      Table.Buckets_.begin(), Table.Buckets_.end(),
+      [](const KeyBucket &In) { return In.State_ == BucketState::Acquiring; });
 }
 
 void acquire(BucketTable &Table, std::uint32_t Bucket, std::uint64_t Replaces,
@@ -315,7 +326,7 @@
                 const std::optional<LeaseAnswer> &Granted, Now At) {
   KeyBucket &In = Table.Buckets_[Bucket];
   adoptLease(Table, Granted, At);
-  Table.StoreFailures_ = 0;
+  noteStoreAnswers(Table, At);
   if (In.State_ != BucketState::Acquiring)
     return;
   if (!usedCurrentLease(Table, In, Granted)) {
@@ -332,7 +343,7 @@
                        Random &Rng) {
   KeyBucket &In = Table.Buckets_[Bucket];
   adoptLease(Table, Granted, At);
-  Table.StoreFailures_ = 0;
+  noteStoreAnswers(Table, At);
   if (In.State_ != BucketState::Acquiring)
     return;
   bool Ours = Found.Value_ == bucketClaim(Table.Self_, Table.Process_) &&
@@ -367,8 +378,7 @@
     return;
   }
   Table.KeepAliveInFlight_ = false;
-  Table.StoreFailures_ = 0;
-  Table.NextAcquire_ = TimePoint{};
+  noteStoreAnswers(Table, At);
   Table.LeaseValidUntil_ =
       std::max(Table.LeaseValidUntil_, leaseEnd(Table, Renewed, At));
   Table.NextKeepAlive_ = Renewed.SentAt_ + Table.Limits_.KeepAliveEvery_;
--- /dev/null
+++ b/test/performance/KeyedCostTest.cpp
@@ -0,0 +1,159 @@
+// Guards against a rise of what safety costs in service: keyed calls that are
+// refused during store outages and after a holder's death, and store calls.
+// Prints the figures of docs/decisions/0002-idempotency-keys.md.
+#include "CallWorld.h"
+
+#include <cstdio>
+#include <gtest/gtest.h>
+
+using namespace sycamore;
+using world::Micros;
+
+namespace {
+
+constexpr Micros Second = 1'000'000;
+constexpr Micros FaultAt = 90 * Second;
+
+/// Daegu's 13 servers with 100 new keyed calls a second.
+world::Config fleet(Micros Outage) {
+  world::Config Out;
+  Out.Nodes_ = 13;
+  Out.Faults_ = false;
+  Out.KeyedOnly_ = true;
+  Out.Detection_ = 6 * Second;
+  Out.LoadEnd_ = FaultAt + Outage + 60 * Second;
+  Out.Length_ = Out.LoadEnd_ + 5 * Second;
+  Out.Requests_ = static_cast<std::size_t>(Out.LoadEnd_ / 10'000);
+  return Out;
+}
+
+struct Cost {
+  double Calls_ = 0;
+  std::map<std::string, double> Told_;
+  Micros FirstRefused_ = 0;
+  Micros LastRefused_ = 0;
+  double StoreCallsBefore_ = 0; ///< A second.
+  double StoreCallsAfter_ = 0;
+};
+
+/// What callers were told that sent within Window after the fault.
+void count(const std::vector<history::Event> &Events, Micros Window,
+           Cost &Out) {
+  std::map<std::string, Micros> Sent;
+  for (const history::Event &Each : Events) {
+    bool Counted = Each.At_ >= FaultAt && Each.At_ < FaultAt + Window;
+    if (Each.Kind_ == history::EventKind::Sent && Counted)
+      Sent[Each.Call_] = Each.At_ - FaultAt;
+    auto Found = Each.Kind_ == history::EventKind::Answered
+                     ? Sent.find(Each.Call_)
+                     : Sent.end();
+    if (Found == Sent.end())
+      continue;
+    ++Out.Told_[Each.Run_];
+    if (Each.Run_ == "done")
+      continue;
+    Out.LastRefused_ = Found->second;
+    if (Out.FirstRefused_ == 0)
+      Out.FirstRefused_ = Out.LastRefused_;
+  }
+  Out.Calls_ = static_cast<double>(Sent.size());
+}
+
+Cost measure(const world::Config &Settings, Micros Window,
+             const std::function<void(world::World &)> &Fault) {
+  world::World Run(Settings);
+  Cost Out;
+  std::uint64_t Before = 0;
+  auto Rate = [&](Micros Span) {
+    auto Calls = static_cast<double>(Run.Store_.Calls_ - Before);
+    Before = Run.Store_.Calls_;
+    return Calls * Second / static_cast<double>(Span);
+  };
+  Run.at(FaultAt - 60 * Second, [&] { Before = Run.Store_.Calls_; });
+  Run.at(FaultAt, [&] {
+    Out.StoreCallsBefore_ = Rate(60 * Second);
+    Fault(Run);
+  });
+  Run.at(FaultAt + Window, [&] { Out.StoreCallsAfter_ = Rate(Window); });
+  Run.run();
+  EXPECT_EQ(history::describe(history::check(Run.History_.Events_)), "");
+  count(Run.History_.Events_, Window, Out);
+  return Out;
+}
+
+void print(const char *Name, Cost &Of) {
+  auto Share = [&](double Count) { return 100 * Count / Of.Calls_; };
+  double Lost =
+      Of.Calls_ - Of.Told_["done"] - Of.Told_["not-run"] - Of.Told_["unknown"];
+  std::printf("| %s | %.0f | %.1f%% | %.1f%% | %.1f%% | %.1f s to %.1f s | "
+              "%.1f | %.1f |\n",
+              Name, Of.Calls_, Share(Of.Told_["not-run"]),
+              Share(Of.Told_["unknown"]), Share(Lost),
+              static_cast<double>(Of.FirstRefused_) / Second,
+              static_cast<double>(Of.LastRefused_) / Second,
+              Of.StoreCallsBefore_, Of.StoreCallsAfter_);
+}
+
+/// The store's leases expire during the outage, or its clock for them stops.
+Cost outage(Micros Length, bool LeasesPause) {
+  return measure(fleet(Length), Length + 30 * Second, [&](world::World &Run) {
+    Run.Store_.DownUntil_ = Run.Now_ + Length;
+    if (!LeasesPause)
+      return;
+    for (auto &[Id, End] : Run.Store_.LeaseEnds_)
+      End += Length;
+  });
+}
+
+world::Node &busiest(world::World &Run) {
+  world::Node *Best = &Run.Nodes_[0];
+  for (world::Node &Each : Run.Nodes_)
+    if (heldBuckets(Each.Buckets_).size() > heldBuckets(Best->Buckets_).size())
+      Best = &Each;
+  std::printf("(it holds %zu of 16 buckets)\n",
+              heldBuckets(Best->Buckets_).size());
+  return *Best;
+}
+
+void printHead() {
+  std::puts("| fault | keyed calls | not run | unknown | no answer | refused "
+            "after the fault | store calls/s before | after |");
+  std::puts("| --- | --- | --- | --- | --- | --- | --- | --- |");
+}
+
+} // namespace
+
+TEST(KeyedCost, StoreOutages) {
+  printHead();
+  Cost Ten = outage(10 * Second, false);
+  print("store down 10 s", Ten);
+  EXPECT_EQ(Ten.Told_["done"], Ten.Calls_);
+  Cost Minute = outage(60 * Second, false);
+  print("store down 60 s, leases expire", Minute);
+  // The lease covers at least its length less one keep-alive interval.
+  EXPECT_GE(Minute.FirstRefused_, 19 * Second);
+  // Retry after at most 5 s, border of 2 s and clocks that differ by 1 s.
+  EXPECT_LT(Minute.LastRefused_, 69 * Second);
+  Cost Paused = outage(60 * Second, true);
+  print("store down 60 s, leases pause", Paused);
+  EXPECT_EQ(Paused.Told_["unknown"], 0);
+  Cost Long = outage(600 * Second, false);
+  print("store down 600 s, leases expire", Long);
+  EXPECT_LT(Long.LastRefused_, 609 * Second);
+  EXPECT_LT(Minute.StoreCallsBefore_, 2.0);
+}
+
+TEST(KeyedCost, HolderLeaves) {
+  printHead();
+  Cost Death = measure(fleet(0), 45 * Second, [](world::World &Run) {
+    Run.kill(busiest(Run), 600 * Second);
+  });
+  print("holder dies", Death);
+  // Lease 30 s, retry 2 s, border 2 s and clocks that differ by 1 s.
+  EXPECT_LT(Death.LastRefused_, 35 * Second);
+  Cost Stop = measure(fleet(0), 45 * Second, [](world::World &Run) {
+    Run.stopGracefully(busiest(Run));
+  });
+  print("holder stops as planned", Stop);
+  EXPECT_LT(Stop.LastRefused_, 2 * Second);
+}
--- a/test/support/CallWorld.cpp
+++ b/test/support/CallWorld.cpp
@@ -109,7 +109,7 @@
     // Promises must not rest on callers' clocks: one is far ahead.
     bool Ahead = Config_.Faults_ && (I == 0 || Extreme);
     CallerOffset_.push_back(Ahead ? between(Skew, 4 * Skew)
-                                              : between(-Skew, Skew));
+                                  : between(-Skew, Skew));
   }
 }
 
