--- a/src/KeyBuckets.cpp
+++ b/src/KeyBuckets.cpp
@@ -18,8 +18,9 @@
 
 Duration retryPause(const BucketTable &Table, Random &Rng) {
   Duration Pause = Table.Limits_.RetryPause_;
-  auto Range = static_cast<std::size_t>(Pause.count()) + 1;
-  return Pause + Duration(randomIndex(Rng, Range));
+  auto Jitter = static_cast<std::size_t>(Pause.count()) + 1;
+  std::uint32_t Times = std::clamp(Table.StoreFailures_, 1U, 4U);
+  return Pause * Times + Duration(randomIndex(Rng, Jitter));
 }
 
 void freeBucket(BucketTable &Table, std::uint32_t Bucket) {
@@ -48,6 +49,18 @@
   Table.KeepAliveInFlight_ = false;
 }
 
+/// The store answers again. Buckets without holder go to the servers that rank
+/// first for them, not to the one that noticed first.
+void noteStoreAnswers(BucketTable &Table, Now At) {
+  if (Table.StoreFailures_ == 0)
+    return;
+  Table.StoreFailures_ = 0;
+  Table.NextAcquire_ = TimePoint{};
+  for (KeyBucket &In : Table.Buckets_)
+    if (In.UnheldSince_)
+      In.UnheldSince_ = At.Monotonic_;
+}
+
 /// Keys that an earlier holder may have accepted. It accepted none created
 /// later than its own clock plus the skew allowed for callers' clocks, and its
 /// clock was at most the skew ahead of this one; its lease had ended by now.
@@ -115,17 +128,18 @@
   Out.emplace_back(KeepLeaseAlive{Table.LeaseId_});
 }
 
-bool isGranting(const BucketTable &Table) {
+bool isAcquiring(const BucketTable &Table) {
   return std::any_of(
-      Table.Buckets_.begin(), Table.Buckets_.end(), [](const KeyBucket &In) {
-        return In.State_ == BucketState::Acquiring && In.AcquireLease_ == 0;
-      });
+      Table.Buckets_.begin(), Table.Buckets_.end(),
+      [](const KeyBucket &In) { return In.State_ == BucketState::Acquiring; });
 }
 
 void acquire(BucketTable &Table, std::uint32_t Bucket, std::uint64_t Replaces,
              BucketActions &Out) {
-  // One grant at a time: all buckets share one lease.
-  if (Table.LeaseId_ == 0 && isGranting(Table))
+  // One grant at a time, because all buckets share one lease; and one call at
+  // a time to a store that does not answer.
+  bool Alone = Table.LeaseId_ == 0 || Table.StoreFailures_ > 0;
+  if (Alone && isAcquiring(Table))
     return;
   KeyBucket &In = Table.Buckets_[Bucket];
   In.State_ = BucketState::Acquiring;
@@ -164,7 +178,7 @@
                     BucketActions &Out) {
   KeyBucket &In = Table.Buckets_[Bucket];
   TimePoint Now = Seen.At_.Monotonic_;
-  if (Table.Leaving_ || Now < In.NextTry_)
+  if (Table.Leaving_ || Now < In.NextTry_ || Now < Table.NextAcquire_)
     return;
   if (In.Pending_ && In.Pending_->SeenParts_.size() == In.Pending_->Parts_) {
     acquire(Table, Bucket, In.Pending_->Fence_, Out);
@@ -312,6 +326,7 @@
                 const std::optional<LeaseAnswer> &Granted, Now At) {
   KeyBucket &In = Table.Buckets_[Bucket];
   adoptLease(Table, Granted, At);
+  noteStoreAnswers(Table, At);
   if (In.State_ != BucketState::Acquiring)
     return;
   if (!usedCurrentLease(Table, In, Granted)) {
@@ -328,6 +343,7 @@
                        Random &Rng) {
   KeyBucket &In = Table.Buckets_[Bucket];
   adoptLease(Table, Granted, At);
+  noteStoreAnswers(Table, At);
   if (In.State_ != BucketState::Acquiring)
     return;
   bool Ours = Found.Value_ == bucketClaim(Table.Self_, Table.Process_) &&
@@ -348,8 +364,10 @@
                      Random &Rng) {
   KeyBucket &In = Table.Buckets_[Bucket];
   adoptLease(Table, Granted, At);
+  ++Table.StoreFailures_;
   if (In.State_ == BucketState::Acquiring)
     retryLater(Table, In, At, Rng);
+  Table.NextAcquire_ = In.NextTry_;
 }
 
 void onKeptAlive(BucketTable &Table, const LeaseAnswer &Renewed, Now At) {
@@ -360,6 +378,7 @@
     return;
   }
   Table.KeepAliveInFlight_ = false;
+  noteStoreAnswers(Table, At);
   Table.LeaseValidUntil_ =
       std::max(Table.LeaseValidUntil_, leaseEnd(Table, Renewed, At));
   Table.NextKeepAlive_ = Renewed.SentAt_ + Table.Limits_.KeepAliveEvery_;
@@ -375,6 +394,7 @@
   if (LeaseId != Table.LeaseId_)
     return;
   ++Table.Counters_.KeepAliveFailures_;
+  ++Table.StoreFailures_;
   Table.KeepAliveInFlight_ = false;
   Table.NextKeepAlive_ = At.Monotonic_ + retryPause(Table, Rng);
 }
@@ -383,6 +403,8 @@
   if (LeaseId != Table.LeaseId_ || LeaseId == 0)
     return;
   ++Table.Counters_.LeasesLost_;
+  Table.StoreFailures_ = 0;
+  Table.NextAcquire_ = TimePoint{};
   Table.LeaseId_ = 0;
   Table.LeaseValid_ = false;
   Table.KeepAliveInFlight_ = false;
