Add the stand-in for a target

Cause: tests of the mesh need targets that announce themselves, drain, have cold starts, slow down, lie, fall silent, cut answers and crash, and a ledger that shows what really ran.

Change: StandinTarget with its switches, ledger, nested calls and orderly end, the program standin-target, and tests. Answers are chosen by the last parts of the path, so that they work under any route. Work that arrives during a cold start waits until its end; the target announces itself at once.

Found while testing: when a process dies, the kernel may close its connections a moment before its listening socket. A caller that dials in that moment is still accepted and then cut, so one attempt right after a loss does not show whether a target is gone.

--- /dev/null
+++ b/standin/StandinTarget.cpp
@@ -0,0 +1,245 @@
+// Stand-in for a target: its work on requests.
+#include "StandinTarget.h"
+
+#include "HttpSupport.h"
+#include "TargetAnswers.h"
+#include "sycamore/Clock.h"
+
+#include <charconv>
+#include <cmath>
+#include <event2/event.h>
+#include <unistd.h>
+
+namespace sycamore::standin {
+namespace {
+
+constexpr std::string_view LevelsHeader = "x-nested-levels";
+constexpr std::string_view DeadlineHeader = "sycamore-deadline-ms";
+
+/// Work without a deadline header is given up after this.
+constexpr Duration DefaultDeadline = std::chrono::minutes(10);
+
+/// Time for the half of a cut answer to reach the caller.
+constexpr Duration CutDelay = milliseconds(20);
+
+constexpr int CrashExitStatus = 70;
+
+std::optional<std::int64_t> headerNumber(const HttpRequest &Request,
+                                         std::string_view Name) {
+  const std::string *Text = findHeader(Request.Headers_, Name);
+  if (!Text)
+    return std::nullopt;
+  std::int64_t Out = 0;
+  std::from_chars(Text->data(), Text->data() + Text->size(), Out);
+  return Out;
+}
+
+bool holdsMarker(const HttpRequest &Request, const std::string &Marker) {
+  return !Marker.empty() && (Request.Path_.find(Marker) != std::string::npos ||
+                             Request.Body_.find(Marker) != std::string::npos);
+}
+
+/// Headers that a target passes on to the calls it makes for a request.
+HttpHeaders passedOn(const HttpRequest &Request) {
+  constexpr std::string_view Prefix = "sycamore-";
+  HttpHeaders Out;
+  for (const HttpMessageHeader &Item : Request.Headers_) {
+    std::string_view Start =
+        std::string_view(Item.Name_)
+            .substr(0, std::min(Prefix.size(), Item.Name_.size()));
+    if (equalHeaderNames(Item.Name_, DeadlineHeader))
+      continue;
+    if (equalHeaderNames(Start, Prefix) ||
+        equalHeaderNames(Item.Name_, "traceparent"))
+      Out.push_back(Item);
+  }
+  return Out;
+}
+
+} // namespace
+
+void StandinTarget::handle(const HttpExchangePointer &Exchange) {
+  const HttpRequest &Request = Exchange->request();
+  std::string_view Path = pathOnly(Request.Path_);
+  bool Reports = Request.Method_ == "GET" && !Faults_.Silent_;
+  if (Request.Method_ == "POST" && Path == "/faults")
+    handleFaults(Exchange);
+  else if (Reports && Path == "/health")
+    answerHealth(Exchange);
+  else if (Reports && Path == "/load")
+    answerLoad(Exchange);
+  else
+    handleWork(Exchange);
+}
+
+void StandinTarget::handleWork(const HttpExchangePointer &Exchange) {
+  const HttpRequest &Request = Exchange->request();
+  if (Faults_.Silent_) {
+    Ledger_.write("silent", ++LastSequence_, Request);
+    Held_.push_back(Exchange);
+    return;
+  }
+  auto DeadlineMs = headerNumber(Request, DeadlineHeader);
+  std::string_view Refusal;
+  if (draining())
+    Refusal = "draining";
+  else if (Work_.size() >= Config_.Slots_)
+    Refusal = "all slots are in use";
+  else if (DeadlineMs && *DeadlineMs <= 0)
+    Refusal = "the deadline has passed";
+  if (!Refusal.empty()) {
+    Ledger_.write("refused", ++LastSequence_, Request);
+    refuse(Exchange, Config_.Name_, Refusal);
+    return;
+  }
+  startJob(Exchange);
+}
+
+void StandinTarget::startJob(const HttpExchangePointer &Exchange) {
+  const HttpRequest &Request = Exchange->request();
+  std::uint64_t Sequence = ++LastSequence_;
+  Ledger_.write("started", Sequence, Request);
+  if (holdsMarker(Request, Faults_.CrashMarker_)) {
+    if (!Config_.Crash_)
+      _exit(CrashExitStatus);
+    Config_.Crash_();
+    return;
+  }
+  TimePoint Now = monotonicNow();
+  auto DeadlineMs = headerNumber(Request, DeadlineHeader);
+  Job &Item = Work_[Sequence];
+  Item.Owner_ = this;
+  Item.Sequence_ = Sequence;
+  Item.Exchange_ = Exchange;
+  Item.Timer_ = evtimer_new(Base_, onJobTimer, &Item);
+  Item.FinishAt_ = std::max(Now, WarmAt_) + workTime(Request);
+  Item.DeadlineAt_ = Now + (DeadlineMs ? Duration(milliseconds(*DeadlineMs))
+                                       : DefaultDeadline);
+  Exchange->onClosed([this, Sequence] {
+    if (auto Found = Work_.find(Sequence); Found != Work_.end())
+      end(Found->second, "cancelled");
+  });
+  noteLoad();
+  armTimer(Item);
+}
+
+Duration StandinTarget::workTime(const HttpRequest &Request) {
+  double Span = static_cast<double>(Config_.Work_.count());
+  if (auto Asked = queryValue(Request.Path_, "ms"))
+    Span = std::strtod(Asked->c_str(), nullptr) * 1000;
+  Span *= Config_.SlowFactor_ * Faults_.SlowFactor_;
+  if (randomUnit(Rng_) < Config_.StragglerRatio_)
+    Span *= Config_.StragglerFactor_;
+  return Duration(std::llround(Span));
+}
+
+void StandinTarget::armTimer(Job &Item) const {
+  timeval Wait =
+      toTimeval(std::min(Item.FinishAt_, Item.DeadlineAt_) - monotonicNow());
+  evtimer_add(Item.Timer_, &Wait);
+}
+
+void StandinTarget::onJobTimer(int /*Socket*/, short /*Events*/, void *Self) {
+  Job &Item = *static_cast<Job *>(Self);
+  StandinTarget &Owner = *Item.Owner_;
+  TimePoint Now = monotonicNow();
+  if (Now >= Item.FinishAt_) {
+    Owner.workDone(Item);
+    return;
+  }
+  if (Now < Item.DeadlineAt_) {
+    Owner.armTimer(Item);
+    return;
+  }
+  Owner.end(Item, "expired")
+      ->reply(504,
+              {{"x-target", Owner.Config_.Name_}, {"sycamore-run", "unknown"}},
+              "the deadline passed during the work");
+}
+
+void StandinTarget::workDone(Job &Item) {
+  if (!startNested(Item))
+    finish(Item);
+}
+
+bool StandinTarget::startNested(Job &Item) {
+  const HttpRequest &Request = Item.Exchange_->request();
+  auto Given = headerNumber(Request, LevelsHeader);
+  std::int64_t Levels =
+      Given.value_or(static_cast<std::int64_t>(Config_.NestedLevels_));
+  if (Config_.NestedPath_.empty() || Levels <= 0)
+    return false;
+  Duration Left = Item.DeadlineAt_ - monotonicNow();
+  HttpClientRequest Out;
+  Out.Method_ = Request.Method_;
+  Out.Path_ = Config_.NestedPath_;
+  Out.Headers_ = passedOn(Request);
+  Out.Headers_.push_back(
+      {std::string(LevelsHeader), std::to_string(Levels - 1)});
+  if (findHeader(Request.Headers_, DeadlineHeader))
+    Out.Headers_.push_back(
+        {std::string(DeadlineHeader), std::to_string(toMilliseconds(Left))});
+  Out.Deadline_ = Left;
+  Item.Nested_ = Client_->send(
+      Config_.NestedVia_, std::move(Out),
+      [this, Sequence = Item.Sequence_](const HttpAnswer &Answer) {
+        nestedDone(Sequence, Answer);
+      });
+  return true;
+}
+
+void StandinTarget::nestedDone(std::uint64_t Sequence,
+                               const HttpAnswer &Answer) {
+  auto Found = Work_.find(Sequence);
+  if (Found == Work_.end())
+    return;
+  if (Answer.Outcome_ == HttpOutcome::Answered && Answer.Status_ < 400) {
+    finish(Found->second);
+    return;
+  }
+  Json Body{{"error", "the nested call failed"},
+            {"outcome", httpOutcomeName(Answer.Outcome_)},
+            {"status", Answer.Status_}};
+  end(Found->second, "failed")
+      ->reply(
+          502,
+          {{"x-target", Config_.Name_}, {"Content-Type", "application/json"}},
+          Body.dump());
+}
+
+void StandinTarget::finish(Job &Item) {
+  HttpExchangePointer Exchange = end(Item, "finished");
+  if (Faults_.Cut_ > 0) {
+    if (Faults_.Cut_ != UINT64_MAX)
+      --Faults_.Cut_;
+    cut(Exchange);
+    return;
+  }
+  sendAnswer(Exchange, answerTo(Exchange->request(), Config_.Name_));
+}
+
+HttpExchangePointer StandinTarget::end(Job &Item, std::string_view Event) {
+  HttpExchangePointer Exchange = std::move(Item.Exchange_);
+  Ledger_.write(Event, Item.Sequence_, Exchange->request());
+  event_free(Item.Timer_);
+  if (Item.Nested_)
+    Item.Nested_->cancel();
+  Work_.erase(Item.Sequence_);
+  noteLoad();
+  return Exchange;
+}
+
+void StandinTarget::cut(const HttpExchangePointer &Exchange) {
+  sendHalf(Exchange, answerTo(Exchange->request(), Config_.Name_));
+  timeval Wait = toTimeval(CutDelay);
+  event_base_once(
+      Base_, -1, EV_TIMEOUT,
+      [](evutil_socket_t, short, void *Argument) {
+        std::unique_ptr<HttpExchangePointer> Held(
+            static_cast<HttpExchangePointer *>(Argument));
+        (*Held)->abort();
+      },
+      new HttpExchangePointer(Exchange), &Wait);
+}
+
+} // namespace sycamore::standin
--- /dev/null
+++ b/standin/StandinTarget.h
@@ -0,0 +1,134 @@
+// Stand-in for a target: an HTTP server that works for a while on each request
+// and can be made to misbehave.
+//
+// GET /health   {"status": "ok"}, or status 503 with "starting" or "draining"
+// GET /load     {"running", "slots", "load"}; may lag or lie
+// POST /faults sets the fields given:
+//   slow_factor     multiplies the work time
+//   draining        health answers "draining", new work is refused
+//   crash_marker    a request whose path or body holds this text ends the
+//                   process at once; empty for none
+//   lying_load      load reports show an idle target
+//   load_lag_ms     load reports show the past
+//   silent          requests are accepted and never answered
+//   cut             number of answers (true for all) closed half way through
+// Everything else is work; see TargetAnswers.h for the answers.
+#pragma once
+
+#include "TargetLedger.h"
+#include "sycamore/HttpClient.h"
+#include "sycamore/HttpServer.h"
+#include "sycamore/Random.h"
+
+#include <deque>
+#include <map>
+
+struct event;
+
+namespace sycamore::standin {
+
+struct StandinTargetConfig {
+  std::string Listen_ = "127.0.0.1:0";
+  std::string Name_ = "target-1";
+  std::string Service_ = "service";
+  std::size_t Slots_ = 6;
+  std::string Announce_;  ///< Admin address of the daemon; empty for none.
+  Duration ColdStart_{0}; ///< Work that arrives earlier waits until then.
+  Duration Work_ = milliseconds(1);
+  double StragglerRatio_ = 0; ///< Share of requests that are stragglers.
+  double StragglerFactor_ = 50;
+  double SlowFactor_ = 1;
+  std::string Ledger_;
+  std::string NestedPath_; ///< Called after the work; empty for none.
+  std::string NestedVia_;  ///< Caller address of the daemon.
+  /// Nested calls that a request from outside causes in a row; each request
+  /// passes on what is left in the header x-nested-levels.
+  std::uint64_t NestedLevels_ = 1;
+  std::uint64_t Seed_ = 1;
+  std::function<void()> Crash_; ///< Ends the process when not set.
+};
+
+struct TargetFaults {
+  double SlowFactor_ = 1;
+  bool Draining_ = false;
+  std::string CrashMarker_;
+  bool LyingLoad_ = false;
+  std::uint64_t LoadLagMs_ = 0;
+  bool Silent_ = false;
+  std::uint64_t Cut_ = 0;
+};
+
+class StandinTarget {
+public:
+  static Result<std::unique_ptr<StandinTarget>>
+  create(event_base *Base, const StandinTargetConfig &Config);
+  StandinTarget(const StandinTarget &) = delete;
+  StandinTarget &operator=(const StandinTarget &) = delete;
+  ~StandinTarget();
+
+  const std::string &address() const { return Address_; }
+  std::size_t running() const { return Work_.size(); }
+  std::optional<Error> setFaults(const Json &Document);
+
+  /// Leaves the daemon, refuses new work, finishes what runs, and then calls
+  /// Finished. Further calls have no effect.
+  void drain(std::function<void()> Finished);
+
+private:
+  struct Job {
+    StandinTarget *Owner_ = nullptr;
+    std::uint64_t Sequence_ = 0;
+    HttpExchangePointer Exchange_;
+    event *Timer_ = nullptr;
+    TimePoint FinishAt_;
+    TimePoint DeadlineAt_;
+    std::shared_ptr<HttpCall> Nested_;
+  };
+
+  StandinTarget(event_base *Base, const StandinTargetConfig &Config);
+  void handle(const HttpExchangePointer &Exchange);
+  void handleFaults(const HttpExchangePointer &Exchange);
+  void answerHealth(const HttpExchangePointer &Exchange) const;
+  void answerLoad(const HttpExchangePointer &Exchange) const;
+  void handleWork(const HttpExchangePointer &Exchange);
+  void startJob(const HttpExchangePointer &Exchange);
+  Duration workTime(const HttpRequest &Request);
+  void armTimer(Job &Item) const;
+  void workDone(Job &Item);
+  bool startNested(Job &Item);
+  void nestedDone(std::uint64_t Sequence, const HttpAnswer &Answer);
+  void finish(Job &Item);
+  /// Removes the job and writes its end into the ledger.
+  HttpExchangePointer end(Job &Item, std::string_view Event);
+  void cut(const HttpExchangePointer &Exchange);
+  void noteLoad();
+  void announce();
+  void sendLeave();
+  void checkDrained();
+  bool draining() const { return Faults_.Draining_ || Leaving_; }
+  static void onJobTimer(int Socket, short Events, void *Self);
+  static void onAnnounceTimer(int Socket, short Events, void *Self);
+  static void onDrainTimer(int Socket, short Events, void *Self);
+
+  event_base *Base_;
+  StandinTargetConfig Config_;
+  TargetFaults Faults_;
+  TargetLedger Ledger_;
+  Random Rng_;
+  std::string Address_;
+  std::unique_ptr<HttpServer> Server_;
+  std::unique_ptr<HttpClient> Client_;
+  event *AnnounceTimer_;
+  event *DrainTimer_;
+  TimePoint WarmAt_;
+  std::uint64_t LastSequence_ = 0;
+  std::map<std::uint64_t, Job> Work_;
+  std::vector<HttpExchangePointer> Held_; ///< Silent or cut ones.
+  std::deque<std::pair<TimePoint, std::size_t>> LoadHistory_;
+  bool Leaving_ = false;
+  bool LeaveAnswered_ = false;
+  TimePoint LeftAt_;
+  std::function<void()> Finished_;
+};
+
+} // namespace sycamore::standin
--- /dev/null
+++ b/standin/standin-target.cpp
@@ -0,0 +1,113 @@
+// Stand-in for a target; see StandinTarget.h.
+#include "Program.h"
+#include "StandinTarget.h"
+
+#include <event2/event.h>
+
+using namespace sycamore;
+using namespace sycamore::standin;
+
+namespace {
+
+struct Arguments {
+  const char *Listen_ = "127.0.0.1:0";
+  const char *PortFile_ = "";
+  const char *Name_ = "target-1";
+  const char *Service_ = "service";
+  const char *Announce_ = "";
+  const char *Ledger_ = "";
+  const char *NestedPath_ = "";
+  const char *NestedVia_ = "";
+  int Slots_ = 6;
+  int ColdStartMs_ = 0;
+  double ServiceMs_ = 1;
+  double StragglerRatio_ = 0;
+  double StragglerFactor_ = 50;
+  double SlowFactor_ = 1;
+  int NestedLevels_ = 1;
+  int Seed_ = 1;
+  int ExitAfterS_ = 600;
+};
+
+bool read(int Count, const char **Values, Arguments &Out) {
+  constexpr unsigned Text = POPT_ARG_STRING;
+  constexpr unsigned Whole = POPT_ARG_INT | POPT_ARGFLAG_SHOW_DEFAULT;
+  constexpr unsigned Real = POPT_ARG_DOUBLE | POPT_ARGFLAG_SHOW_DEFAULT;
+  const poptOption Options[] = {
+      {"listen", 'l', Text | POPT_ARGFLAG_SHOW_DEFAULT, &Out.Listen_, 0,
+       "address to listen on", "IP:PORT"},
+      {"port-file", 'p', Text, &Out.PortFile_, 0,
+       "file that receives the bound address", "FILE"},
+      {"name", 'n', Text, &Out.Name_, 0, "name of this target", "NAME"},
+      {"service", 's', Text, &Out.Service_, 0, "service it belongs to", "NAME"},
+      {"slots", 0, Whole, &Out.Slots_, 0, "requests that run at a time", "N"},
+      {"announce", 'a', Text, &Out.Announce_, 0,
+       "admin address of the daemon beside it", "IP:PORT"},
+      {"cold-start-ms", 0, Whole, &Out.ColdStartMs_, 0,
+       "work that arrives earlier waits until then", "MS"},
+      {"service-ms", 0, Real, &Out.ServiceMs_, 0, "work time", "MS"},
+      {"straggler-ratio", 0, Real, &Out.StragglerRatio_, 0,
+       "share of requests that take longer", "0..1"},
+      {"straggler-factor", 0, Real, &Out.StragglerFactor_, 0,
+       "how many times longer", "FACTOR"},
+      {"slow-factor", 0, Real, &Out.SlowFactor_, 0,
+       "multiplies every work time", "FACTOR"},
+      {"ledger", 0, Text, &Out.Ledger_, 0,
+       "file that receives a JSON line for each request", "FILE"},
+      {"nested", 0, Text, &Out.NestedPath_, 0,
+       "path that is called after the work", "PATH"},
+      {"nested-via", 0, Text, &Out.NestedVia_, 0,
+       "caller address of the daemon beside it", "IP:PORT"},
+      {"nested-levels", 0, Whole, &Out.NestedLevels_, 0,
+       "nested calls in a row", "N"},
+      {"seed", 0, Whole, &Out.Seed_, 0, "seed of the random choices", "N"},
+      {"exit-after-s", 'x', Whole, &Out.ExitAfterS_, 0, "time limit",
+       "SECONDS"},
+      POPT_AUTOHELP POPT_TABLEEND};
+  return readOptions(Count, Values, Options);
+}
+
+StandinTargetConfig configOf(const Arguments &From) {
+  StandinTargetConfig Out;
+  Out.Listen_ = From.Listen_;
+  Out.Name_ = From.Name_;
+  Out.Service_ = From.Service_;
+  Out.Slots_ = static_cast<std::size_t>(From.Slots_);
+  Out.Announce_ = From.Announce_;
+  Out.ColdStart_ = milliseconds(From.ColdStartMs_);
+  Out.Work_ = Duration(static_cast<std::int64_t>(From.ServiceMs_ * 1000));
+  Out.StragglerRatio_ = From.StragglerRatio_;
+  Out.StragglerFactor_ = From.StragglerFactor_;
+  Out.SlowFactor_ = From.SlowFactor_;
+  Out.Ledger_ = From.Ledger_;
+  Out.NestedPath_ = From.NestedPath_;
+  Out.NestedVia_ = From.NestedVia_;
+  Out.NestedLevels_ = static_cast<std::uint64_t>(From.NestedLevels_);
+  Out.Seed_ = static_cast<std::uint64_t>(From.Seed_);
+  return Out;
+}
+
+} // namespace
+
+int main(int Count, const char **Values) {
+  Arguments Given;
+  if (!read(Count, Values, Given))
+    return 2;
+  event_base *Base = event_base_new();
+  auto Target = StandinTarget::create(Base, configOf(Given));
+  if (!Target) {
+    printError(Target.error());
+    return 1;
+  }
+  if (auto Written = writePortFile(Given.PortFile_, (*Target)->address());
+      !Written) {
+    printError(Written.error());
+    return 1;
+  }
+  runUntilEnd(Base, Given.ExitAfterS_, [&] {
+    (*Target)->drain([Base] { event_base_loopbreak(Base); });
+  });
+  Target->reset();
+  event_base_free(Base);
+  return 0;
+}
--- /dev/null
+++ b/test/correctness/StandinTargetTest.cpp
@@ -0,0 +1,275 @@
+// Guards against a stand-in target that behaves better, or worse, than its
+// switches say: the tests of the mesh rely on it.
+#include "StandinTarget.h"
+#include "ChildProcess.h"
+#include "RawSocket.h"
+#include "TargetAnswers.h"
+
+#include <gtest/gtest.h>
+
+using namespace sycamore;
+using namespace sycamore::standin;
+
+namespace {
+
+/// A target on the loop of the caller; Pair's server plays the daemon.
+struct TargetSetup : HttpPair {
+  explicit TargetSetup(StandinTargetConfig Config = {}) {
+    Config.Crash_ = [this] { Crashed_ = true; };
+    Target_ = StandinTarget::create(Loop_.base(), Config).value();
+  }
+
+  HttpAnswer get(const std::string &Path, HttpHeaders Headers = {}) {
+    HttpClientRequest Request;
+    Request.Path_ = Path;
+    Request.Headers_ = std::move(Headers);
+    return call(Request, Target_->address());
+  }
+  Json json(const std::string &Path) {
+    return Json::parse(get(Path).Body_, nullptr, false);
+  }
+  void faults(const char *Document) {
+    HttpClientRequest Request;
+    Request.Method_ = "POST";
+    Request.Path_ = "/faults";
+    Request.Body_ = Document;
+    EXPECT_EQ(call(Request, Target_->address()).Status_, 200) << Document;
+  }
+  std::shared_ptr<HttpCall> start(HttpClientRequest Request) {
+    return Client_->send(Target_->address(), std::move(Request),
+                         [this](HttpAnswer Answer) { Last_ = Answer; });
+  }
+
+  std::unique_ptr<StandinTarget> Target_;
+  std::optional<HttpAnswer> Last_;
+  bool Crashed_ = false;
+};
+
+std::vector<Json> readLines(const std::string &Path) {
+  std::vector<Json> Out;
+  std::ifstream File(Path);
+  for (std::string Line; std::getline(File, Line);)
+    Out.push_back(Json::parse(Line));
+  return Out;
+}
+
+HttpClientRequest slowRequest() {
+  HttpClientRequest Out;
+  Out.Path_ = "/stock/1?ms=60000";
+  return Out;
+}
+
+} // namespace
+
+TEST(StandinTarget, AnswersByPath) {
+  TargetSetup Setup;
+  HttpClientRequest Request;
+  Request.Method_ = "POST";
+  Request.Path_ = "/stock/echo";
+  Request.Body_ = randomBody(2000000);
+  EXPECT_TRUE(Setup.call(Request, Setup.Target_->address()).Body_ ==
+              Request.Body_);
+  Request.Path_ += "?chunked";
+  HttpAnswer Chunked = Setup.call(Request, Setup.Target_->address());
+  EXPECT_TRUE(Chunked.Body_ == Request.Body_);
+  EXPECT_EQ(*findHeader(Chunked.Headers_, "transfer-encoding"), "chunked");
+  EXPECT_TRUE(Setup.get("/a/bytes/100001").Body_ == patternBytes(100001));
+  EXPECT_EQ(Setup.get("/a?status=404").Status_, 404);
+  Json Described = Setup.json("/a?q=1");
+  EXPECT_EQ(Described["method"], "GET");
+  EXPECT_EQ(Described["path"], "/a?q=1");
+  EXPECT_EQ(Described["target"], "target-1");
+}
+
+// Guards against work that runs although it was refused.
+TEST(StandinTarget, RefusesWorkOverItsSlots) {
+  StandinTargetConfig Config;
+  Config.Slots_ = 2;
+  TargetSetup Setup(Config);
+  auto First = Setup.start(slowRequest());
+  auto Second = Setup.start(slowRequest());
+  ASSERT_TRUE(
+      Setup.Loop_.runUntil([&] { return Setup.Target_->running() == 2; }));
+  EXPECT_EQ(Setup.json("/load")["running"], 2);
+  HttpAnswer Refused = Setup.get("/x");
+  EXPECT_EQ(Refused.Status_, 503);
+  EXPECT_EQ(*findHeader(Refused.Headers_, "sycamore-run"), "not-run");
+  First->cancel();
+  ASSERT_TRUE(
+      Setup.Loop_.runUntil([&] { return Setup.Target_->running() == 1; }));
+  EXPECT_EQ(Setup.get("/x").Status_, 200);
+  Setup.faults(R"({"lying_load": true})");
+  EXPECT_EQ(Setup.json("/load")["running"], 0);
+  Setup.faults(R"({"lying_load": false, "load_lag_ms": 60000})");
+  EXPECT_EQ(Setup.json("/load")["running"], 0);
+}
+
+TEST(StandinTarget, HonoursDeadlines) {
+  TargetSetup Setup;
+  HttpAnswer Late = Setup.get("/x?ms=60000", {{"sycamore-deadline-ms", "50"}});
+  EXPECT_EQ(Late.Status_, 504);
+  EXPECT_EQ(*findHeader(Late.Headers_, "sycamore-run"), "unknown");
+  HttpAnswer Passed = Setup.get("/x", {{"sycamore-deadline-ms", "0"}});
+  EXPECT_EQ(*findHeader(Passed.Headers_, "sycamore-run"), "not-run");
+}
+
+TEST(StandinTarget, TakesItsTime) {
+  StandinTargetConfig Config;
+  Config.ColdStart_ = milliseconds(150);
+  Config.Work_ = milliseconds(10);
+  TargetSetup Setup(Config);
+  TimePoint Start = monotonicNow();
+  EXPECT_EQ(Setup.json("/health")["status"], "starting");
+  EXPECT_EQ(Setup.get("/x").Status_, 200);
+  EXPECT_GE(monotonicNow() - Start, milliseconds(150));
+  EXPECT_EQ(Setup.json("/health")["status"], "ok");
+  Setup.faults(R"({"slow_factor": 10})");
+  Start = monotonicNow();
+  EXPECT_EQ(Setup.get("/x").Status_, 200);
+  EXPECT_GE(monotonicNow() - Start, milliseconds(100));
+}
+
+TEST(StandinTarget, MisbehavesWhenTold) {
+  TargetSetup Setup;
+  Setup.faults(R"({"cut": 2})");
+  EXPECT_EQ(Setup.get("/bytes/1000").Outcome_, HttpOutcome::Broken);
+  EXPECT_EQ(Setup.get("/bytes/1000?chunked").Outcome_, HttpOutcome::Broken);
+  EXPECT_EQ(Setup.get("/bytes/1000").Status_, 200);
+  Setup.faults(R"({"crash_marker": "poison"})");
+  Setup.get("/ok");
+  EXPECT_FALSE(Setup.Crashed_);
+  Setup.get("/a-poison-path");
+  EXPECT_TRUE(Setup.Crashed_);
+  Setup.faults(R"({"silent": true})");
+  HttpClientRequest Request;
+  Request.Deadline_ = milliseconds(100);
+  EXPECT_EQ(Setup.call(Request, Setup.Target_->address()).Outcome_,
+            HttpOutcome::TimedOut);
+  Setup.faults(R"({"silent": false, "draining": true})");
+  EXPECT_EQ(Setup.json("/health")["status"], "draining");
+  EXPECT_EQ(Setup.get("/x").Status_, 503);
+}
+
+// Guards against a ledger that misses work, which would hide a second run.
+TEST(StandinTarget, KeepsALedger) {
+  std::string Path =
+      (std::filesystem::temp_directory_path() / "sycamore-ledger-XXXXXX")
+          .string();
+  close(mkstemp(Path.data()));
+  StandinTargetConfig Config;
+  Config.Ledger_ = Path;
+  TargetSetup Setup(Config);
+  Setup.get("/x", {{"Idempotency-Key", "k1"}, {"sycamore-depth", "2"}});
+  auto Call = Setup.start(slowRequest());
+  ASSERT_TRUE(
+      Setup.Loop_.runUntil([&] { return Setup.Target_->running() == 1; }));
+  Call->cancel();
+  ASSERT_TRUE(
+      Setup.Loop_.runUntil([&] { return Setup.Target_->running() == 0; }));
+  std::vector<Json> Lines = readLines(Path);
+  std::filesystem::remove(Path);
+  ASSERT_EQ(Lines.size(), 4U);
+  EXPECT_EQ(Lines[0]["event"], "started");
+  EXPECT_EQ(Lines[0]["key"], "k1");
+  EXPECT_EQ(Lines[0]["ids"]["sycamore-depth"], "2");
+  EXPECT_EQ(Lines[1]["event"], "finished");
+  EXPECT_EQ(Lines[2]["event"], "started");
+  EXPECT_EQ(Lines[3]["event"], "cancelled");
+  EXPECT_EQ(Lines[3]["request"], Lines[2]["request"]);
+}
+
+// Guards against nested calls that lose the headers by which the mesh knows
+// their depth.
+TEST(StandinTarget, PassesHeadersOnToNestedCalls) {
+  HttpPair Daemon;
+  std::vector<HttpRequest> Seen;
+  int Status = 200;
+  Daemon.Server_->setHandler([&](HttpExchangePointer Exchange) {
+    Seen.push_back(Exchange->request());
+    Exchange->reply(Status, {}, "");
+  });
+  StandinTargetConfig Config;
+  Config.NestedPath_ = "/issue";
+  Config.NestedVia_ = Daemon.Address_;
+  Config.NestedLevels_ = 3;
+  auto Target = StandinTarget::create(Daemon.Loop_.base(), Config).value();
+  HttpClientRequest Request;
+  Request.Headers_ = {{"traceparent", "00-1-2-01"},
+                      {"Sycamore-Depth", "1"},
+                      {"sycamore-deadline-ms", "5000"},
+                      {"x-other", "1"}};
+  EXPECT_EQ(Daemon.call(Request, Target->address()).Status_, 200);
+  ASSERT_EQ(Seen.size(), 1U);
+  EXPECT_EQ(Seen[0].Path_, "/issue");
+  EXPECT_EQ(*findHeader(Seen[0].Headers_, "traceparent"), "00-1-2-01");
+  EXPECT_EQ(*findHeader(Seen[0].Headers_, "sycamore-depth"), "1");
+  EXPECT_EQ(*findHeader(Seen[0].Headers_, "x-nested-levels"), "2");
+  EXPECT_LE(std::stoi(*findHeader(Seen[0].Headers_, "sycamore-deadline-ms")),
+            5000);
+  EXPECT_FALSE(findHeader(Seen[0].Headers_, "x-other"));
+  Status = 503;
+  EXPECT_EQ(Daemon.call(Request, Target->address()).Status_, 502);
+  Request.Headers_.push_back({"x-nested-levels", "0"});
+  EXPECT_EQ(Daemon.call(Request, Target->address()).Status_, 200);
+  EXPECT_EQ(Seen.size(), 2U);
+}
+
+// Guards against a planned stop that loses a request or the farewell.
+TEST(StandinTarget, LeavesInOrderOnSigterm) {
+  HttpPair Daemon;
+  std::vector<std::string> Seen;
+  std::string Body;
+  Daemon.Server_->setHandler([&](HttpExchangePointer Exchange) {
+    Seen.push_back(Exchange->request().Method_ + Exchange->request().Path_);
+    if (Exchange->request().Method_ == "POST")
+      Body = Exchange->request().Body_;
+    Exchange->reply(200, {}, "");
+  });
+  ChildProcess Target(Daemon.Loop_, "standin-target",
+                      {"--announce", Daemon.Address_, "--name", "t-1",
+                       "--slots", "3", "--service-ms", "700"});
+  ASSERT_TRUE(Daemon.Loop_.runUntil([&] { return Seen.size() >= 2; }));
+  EXPECT_EQ(Seen[1], "POST/announce");
+  EXPECT_EQ(Json::parse(Body)["address"], Target.address());
+  EXPECT_EQ(Json::parse(Body)["slots"], 3);
+  std::optional<HttpAnswer> Answer;
+  Daemon.Client_->send(Target.address(), {},
+                       [&](HttpAnswer Value) { Answer = Value; });
+  Daemon.Loop_.runFor(milliseconds(100));
+  Target.terminate();
+  ASSERT_TRUE(Daemon.Loop_.runUntil(
+      [&] { return Seen.back() == "DELETE/announce/t-1"; }));
+  Target.terminate();
+  HttpAnswer Refused = Daemon.call({}, Target.address());
+  EXPECT_EQ(Refused.Status_, 503);
+  ASSERT_TRUE(Daemon.Loop_.runUntil([&] { return Target.ended(); }));
+  EXPECT_EQ(Target.exitStatus(), 0);
+  ASSERT_TRUE(Daemon.Loop_.runUntil([&] { return Answer.has_value(); }));
+  EXPECT_EQ(Answer->Status_, 200) << Answer->Reason_;
+}
+
+TEST(StandinTarget, CrashesAndRefusesConnectionsAfterwards) {
+  HttpPair Pair;
+  ChildProcess Target(Pair.Loop_, "standin-target", {});
+  HttpClientRequest Request;
+  Request.Method_ = "POST";
+  Request.Path_ = "/faults";
+  Request.Body_ = R"({"crash_marker": "poison"})";
+  EXPECT_EQ(Pair.call(Request, Target.address()).Status_, 200);
+  Request.Path_ = "/x";
+  EXPECT_EQ(Pair.call(Request, Target.address()).Outcome_, HttpOutcome::Broken);
+  EXPECT_EQ(Pair.call(Request, Target.address()).Outcome_,
+            HttpOutcome::NotSent);
+  EXPECT_TRUE(Pair.Loop_.runUntil([&] { return Target.ended(); }));
+}
+
+TEST(StandinStoreProgram, ServesAndEndsOnSigterm) {
+  HttpPair Pair;
+  ChildProcess Store(Pair.Loop_, "standin-store", {});
+  HttpClientRequest Request;
+  Request.Path_ = "/counters";
+  EXPECT_EQ(Pair.call(Request, Store.address()).Status_, 200);
+  Store.terminate();
+  ASSERT_TRUE(Pair.Loop_.runUntil([&] { return Store.ended(); }));
+  EXPECT_EQ(Store.exitStatus(), 0);
+}
