Add the open-loop load generator

Cause: goodput at the crest, stragglers and slowed targets are measured by a client whose sending does not wait for answers.

Change: sycamore-load with JSON scenarios, latencies from the intended send time, outcomes by sycamore-run and status, resends with the same key, history, and a report with plots that compares scenarios; a tutorial; tests. The stand-ins now use timers that are exact to microseconds.

Decisions: percentiles are of good answers and stand beside the counts of the other outcomes. A refusal after an attempt of unknown outcome stays unknown. The report shows the generator's own delay, so that a saturated generator is seen.

Not checked: how the plots look in a browser; they are well-formed XML.

--- /dev/null
+++ b/src/LoadReport.cpp
@@ -0,0 +1,207 @@
+// Report of load runs.
+#include "LoadReport.h"
+
+#include "LoadPlot.h"
+
+#include <algorithm>
+#include <iomanip>
+#include <sstream>
+
+namespace sycamore {
+namespace {
+
+std::string fixed(double Value, int Digits) {
+  std::ostringstream Out;
+  Out << std::fixed << std::setprecision(Digits) << Value;
+  return Out.str();
+}
+
+std::string inMs(Duration Span) {
+  return fixed(static_cast<double>(Span.count()) / 1000, 2);
+}
+
+double perSecond(std::uint64_t Count, Duration Length) {
+  std::chrono::duration<double> Span = Length;
+  return Span.count() > 0 ? static_cast<double>(Count) / Span.count() : 0;
+}
+
+/// Text inside a Markdown table cell.
+std::string cellText(std::string Text) {
+  std::replace(Text.begin(), Text.end(), '|', '/');
+  std::replace(Text.begin(), Text.end(), '\n', ' ');
+  return Text;
+}
+
+constexpr const char *RowTitles =
+    "| phase | request | sent | good | wrong | failed | not run | unknown | "
+    "resends | goodput/s | p50 ms | p90 ms | p99 ms | p99.9 ms | max ms |\n"
+    "| --- | --- | --: | --: | --: | --: | --: | --: | --: | --: | --: | "
+    "--: | --: | --: | --: |\n";
+
+void writeRow(std::ostream &Out, const std::string &Phase,
+              const std::string &Request, const LoadCell &Cell,
+              Duration Length) {
+  Out << "| " << cellText(Phase) << " | " << cellText(Request) << " | "
+      << Cell.total();
+  for (std::uint64_t Count : Cell.Outcomes_)
+    Out << " | " << Count;
+  Out << " | " << Cell.Resends_ << " | "
+      << fixed(perSecond(Cell.count(LoadOutcome::Good), Length), 1);
+  for (double Share : {0.5, 0.9, 0.99, 0.999})
+    Out << " | " << inMs(Cell.Latency_.percentile(Share));
+  Out << " | " << inMs(Cell.Latency_.max()) << " |\n";
+}
+
+std::string phaseName(const LoadScenario &Scenario, std::size_t Index) {
+  const LoadPhase &Phase = Scenario.Phases_[Index];
+  std::string Name =
+      Phase.Name_.empty() ? std::to_string(Index + 1) : Phase.Name_;
+  return Phase.Warmup_ ? Name + " (warm-up)" : Name;
+}
+
+void writeScenario(std::ostream &Out, const LoadResult &Result) {
+  const LoadScenario &Scenario = Result.Scenario_;
+  Out << "## " << cellText(Scenario.Name_) << "\n\n"
+      << Scenario.Addresses_.size() << " addresses, timeout "
+      << toMilliseconds(Scenario.Timeout_) << " ms, "
+      << (Scenario.EvenArrivals_ ? "even" : "random") << " arrivals, seed "
+      << Scenario.Seed_ << ". Delay of the generator itself: p50 "
+      << inMs(Result.SendDelay_.percentile(0.5)) << " ms, p99 "
+      << inMs(Result.SendDelay_.percentile(0.99)) << " ms, max "
+      << inMs(Result.SendDelay_.max()) << " ms.\n\n"
+      << RowTitles;
+  for (std::size_t I = 0; I < Scenario.Phases_.size(); ++I) {
+    Duration Length = Scenario.Phases_[I].Length_;
+    for (std::size_t J = 0; J < Scenario.Requests_.size(); ++J)
+      writeRow(Out, phaseName(Scenario, I), Scenario.Requests_[J].Name_,
+               Result.Cells_[I][J], Length);
+    if (Scenario.Requests_.size() > 1)
+      writeRow(Out, phaseName(Scenario, I), "all", Result.ofPhase(I), Length);
+  }
+  writeRow(Out, "all", "all", Result.total(), Result.totalLength());
+  Out << "\n";
+}
+
+std::string ratio(double Value, double Base) {
+  return Base > 0 ? fixed(Value / Base, 3) : "-";
+}
+
+void writeComparison(std::ostream &Out,
+                     const std::vector<LoadResult> &Results) {
+  Out << "## Comparison\n\nEach ratio is to the first scenario, without "
+         "warm-up phases.\n\n"
+      << "| scenario | goodput/s | ratio | good share | p50 ms | ratio | "
+         "p99 ms | ratio | p99.9 ms | ratio |\n"
+      << "| --- | --: | --: | --: | --: | --: | --: | --: | --: | --: |\n";
+  LoadCell Base = Results.front().total();
+  double BaseRate =
+      perSecond(Base.count(LoadOutcome::Good), Results.front().totalLength());
+  for (const LoadResult &Result : Results) {
+    LoadCell Cell = Result.total();
+    std::uint64_t Good = Cell.count(LoadOutcome::Good);
+    double Rate = perSecond(Good, Result.totalLength());
+    Out << "| " << cellText(Result.Scenario_.Name_) << " | " << fixed(Rate, 1)
+        << " | " << ratio(Rate, BaseRate) << " | "
+        << ratio(static_cast<double>(Good), static_cast<double>(Cell.total()));
+    for (double Share : {0.5, 0.99, 0.999}) {
+      Duration Value = Cell.Latency_.percentile(Share);
+      Out << " | " << inMs(Value) << " | "
+          << ratio(
+                 static_cast<double>(Value.count()),
+                 static_cast<double>(Base.Latency_.percentile(Share).count()));
+    }
+    Out << " |\n";
+  }
+  Out << "\n";
+}
+
+/// Shares are drawn by how many requests are slower: 10 for p90, 100 for p99.
+std::string latencyPlot(const std::vector<LoadResult> &Results) {
+  std::vector<PlotSeries> Series;
+  double Lowest = 1e9;
+  double Highest = 0;
+  for (const LoadResult &Result : Results) {
+    LoadCell Cell = Result.total();
+    PlotSeries Line{Result.Scenario_.Name_, {}, false};
+    for (double Odds = 1; Odds <= 10000; Odds *= 1.1) {
+      double Share = std::max(1 - 1 / Odds, 1e-9);
+      double Value =
+          static_cast<double>(Cell.Latency_.percentile(Share).count()) / 1000;
+      if (Value <= 0)
+        continue;
+      Line.Points_.emplace_back(Odds, Value);
+      Lowest = std::min(Lowest, Value);
+      Highest = std::max(Highest, Value);
+    }
+    Series.push_back(std::move(Line));
+  }
+  PlotAxis X{"percentile of good answers",
+             {{1, "min"},
+              {2, "50"},
+              {10, "90"},
+              {100, "99"},
+              {1000, "99.9"},
+              {10000, "99.99"}},
+             true};
+  PlotAxis Y{"latency in ms", decadeTicks(std::min(Lowest, 1e6), Highest),
+             true};
+  return renderPlot("Latency from the intended send time", X, Y, Series);
+}
+
+std::string ratePlot(const std::vector<LoadResult> &Results) {
+  std::vector<PlotSeries> Series;
+  double LastTime = 1;
+  double Highest = 1;
+  for (const LoadResult &Result : Results) {
+    PlotSeries Offered{Result.Scenario_.Name_ + " offered", {}, true};
+    PlotSeries Good{Result.Scenario_.Name_ + " good", {}, false};
+    std::chrono::duration<double> Length = Result.SliceLength_;
+    for (std::size_t I = 0; I < Result.Slices_.size(); ++I) {
+      const LoadSlice &Slice = Result.Slices_[I];
+      double At = static_cast<double>(I) * Length.count();
+      Offered.Points_.emplace_back(
+          At, perSecond(Slice.Offered_, Result.SliceLength_));
+      Good.Points_.emplace_back(At,
+                                perSecond(Slice.Good_, Result.SliceLength_));
+      Highest = std::max(
+          {Highest, Offered.Points_.back().second, Good.Points_.back().second});
+      LastTime = std::max(LastTime, At);
+    }
+    Series.push_back(std::move(Offered));
+    Series.push_back(std::move(Good));
+  }
+  return renderPlot("Requests a second",
+                    {"seconds from the start", linearTicks(LastTime), false},
+                    {"requests a second", linearTicks(Highest), false}, Series);
+}
+
+void addPlot(LoadReport &Report, const std::string &Name,
+             const std::string &Title, std::string Plot) {
+  Report.Markdown_ += "![" + Title + "](" + Name + ")\n\n";
+  Report.Files_.emplace_back(Name, std::move(Plot));
+}
+
+} // namespace
+
+LoadReport makeLoadReport(const std::vector<LoadResult> &Results,
+                          const std::string &FileStem) {
+  LoadReport Out;
+  std::ostringstream Text;
+  Text << "# Load report\n\nOpen loop: each request has an intended send time "
+          "that does not depend on earlier answers, and latencies count from "
+          "it. Percentiles are of good answers; goodput is good answers a "
+          "second of the phase.\n\n";
+  if (Results.size() > 1)
+    writeComparison(Text, Results);
+  for (const LoadResult &Result : Results)
+    writeScenario(Text, Result);
+  Out.Markdown_ = Text.str();
+  if (FileStem.empty() || Results.empty())
+    return Out;
+  addPlot(Out, FileStem + "-latency.svg", "Latency percentiles",
+          latencyPlot(Results));
+  addPlot(Out, FileStem + "-rate.svg", "Rate over time", ratePlot(Results));
+  return Out;
+}
+
+} // namespace sycamore
--- /dev/null
+++ b/src/LoadScenario.h
@@ -0,0 +1,58 @@
+// What the load generator sends: phases with rates, and a mix of requests.
+#pragma once
+
+#include "sycamore/HttpMessage.h"
+#include "sycamore/Json.h"
+#include "sycamore/Time.h"
+
+namespace sycamore {
+
+struct LoadPhase {
+  std::string Name_;
+  double Rate_ = 0;    ///< Requests a second at the start of the phase.
+  double EndRate_ = 0; ///< At its end; the rate changes evenly.
+  Duration Length_{0};
+  bool Warmup_ = false; ///< Left out of the totals.
+
+  /// Requests expected in the phase.
+  double expected() const;
+};
+
+struct LoadRequest {
+  std::string Name_;
+  double Weight_ = 1;
+  std::string Method_ = "GET";
+  std::string Path_ = "/"; ///< "{n}" becomes the number of the request.
+  HttpHeaders Headers_;
+  std::size_t BodyBytes_ = 0;
+  bool Keyed_ = false; ///< Adds an Idempotency-Key (UUIDv7).
+  /// Times a request is sent again after an outcome other than an answer that
+  /// its target gave.
+  std::uint64_t Resends_ = 0;
+  Duration ResendDelay_ = milliseconds(100);
+  bool CheckEcho_ = false; ///< The answer must be the request's body.
+};
+
+struct LoadScenario {
+  std::string Name_;
+  std::vector<std::string> Addresses_; ///< Used in turn; loopback only.
+  std::size_t ConnectionsPerAddress_ = 128;
+  Duration Timeout_ = seconds(2); ///< Of each attempt.
+  std::uint64_t Seed_ = 1;
+  bool EvenArrivals_ = false; ///< Random (Poisson) arrivals otherwise.
+  std::vector<LoadPhase> Phases_;
+  std::vector<LoadRequest> Requests_;
+  std::uint64_t MaxRequests_ = 1'000'000;
+
+  Duration length() const;
+};
+
+/// Errors: InvalidArgument, one line for each problem; also for addresses
+/// outside loopback and for more load than the limits allow.
+Result<LoadScenario> parseLoadScenario(const Json &Document,
+                                       std::string_view Source);
+
+/// Problem with an address, or nothing.
+std::optional<std::string> loadAddressProblem(const std::string &Address);
+
+} // namespace sycamore
--- a/standin/Program.cpp
+++ b/standin/Program.cpp
@@ -62,6 +62,14 @@
   return {};
 }
 
+event_base *makeExactLoop() {
+  event_config *Config = event_config_new();
+  event_config_set_flag(Config, EVENT_BASE_FLAG_PRECISE_TIMER);
+  event_base *Base = event_base_new_with_config(Config);
+  event_config_free(Config);
+  return Base;
+}
+
 void runUntilEnd(event_base *Base, int ExitAfterSeconds,
                  std::function<void()> OnTerminate) {
   EndState State{Base, std::move(OnTerminate)};
--- a/standin/Program.h
+++ b/standin/Program.h
@@ -19,6 +19,10 @@
 /// sees a part of it. An empty path does nothing.
 Result<void> writePortFile(const std::string &Path, const std::string &Address);
 
+/// A loop whose timers are exact to microseconds; by default they are rounded
+/// up to milliseconds, which would lengthen every work time.
+event_base *makeExactLoop();
+
 /// Runs the loop until SIGTERM, SIGINT or the time limit. OnTerminate starts an
 /// orderly end and must stop the loop; without it, the loop stops at once.
 void runUntilEnd(event_base *Base, int ExitAfterSeconds,
--- a/standin/standin-store.cpp
+++ b/standin/standin-store.cpp
@@ -31,7 +31,7 @@
   if (!readOptions(Count, Arguments, Options))
     return 2;
 
-  event_base *Base = event_base_new();
+  event_base *Base = makeExactLoop();
   auto Store = StandinStore::create(
       Base, {Listen, AdminListen, milliseconds(ProgressMs)});
   if (!Store) {
--- a/standin/standin-target.cpp
+++ b/standin/standin-target.cpp
@@ -93,7 +93,7 @@
   Arguments Given;
   if (!read(Count, Values, Given))
     return 2;
-  event_base *Base = event_base_new();
+  event_base *Base = makeExactLoop();
   auto Target = StandinTarget::create(Base, configOf(Given));
   if (!Target) {
     printError(Target.error());
