--- a/include/sycamore/Settings.h
+++ b/include/sycamore/Settings.h
@@ -87,6 +87,8 @@
   milliseconds GossipInterval_{200};
   milliseconds SyncInterval_{5000};
   milliseconds HeadReadInterval_{10000};
+  /// First store read of a starting daemon comes after up to this time.
+  milliseconds StartJitter_{5000};
   milliseconds LinkDeadline_{2000};
   milliseconds AnnounceInterval_{1000};
 
--- a/src/CliConnect.cpp
+++ b/src/CliConnect.cpp
@@ -77,8 +77,8 @@
   if (Answer.Outcome_ == HttpOutcome::Answered)
     return AdminAnswer{Answer.Status_, std::move(Answer.Body_)};
   return fail(Answer.Sent_ ? ErrorKind::OutcomeUnknown : ErrorKind::Unavailable,
-              "the daemon at " + Settings.Daemon_ + " gave no answer: " +
-                  Answer.Reason_,
+              "the daemon at " + Settings.Daemon_ +
+                  " gave no answer: " + Answer.Reason_,
               "check that it runs, and its address and certificate authority "
               "in the settings");
 }
--- a/src/ControlPlane.cpp
+++ b/src/ControlPlane.cpp
@@ -37,6 +37,7 @@
   for (const BootstrapPeer &Peer : Config.BootstrapPeers_)
     Out.Peers_.push_back(Peer.Name_);
   Out.HeadInterval_ = Config.Timing_.HeadReadInterval_;
+  Out.MaxReadDelay_ = Config.Timing_.StartJitter_;
   return Out;
 }
 
--- a/tools/demo-library.sh
+++ b/tools/demo-library.sh
@@ -91,6 +91,7 @@
   "store": {"endpoints": ["${store_of[$name]}"]},
   "operators": $(operators_json "$name"),
   "require_second_operator": true,
+  "timing": {"start_jitter_ms": 500, "head_read_interval_ms": 2000},
   "log": {"file": "$folder/$number.log"}
 }
 JSON
