--- a/src/ControlPlane.cpp
+++ b/src/ControlPlane.cpp
@@ -186,7 +186,7 @@
   Request.Reads_ = {ReadHead, seedsRange()};
   TimePoint StartedAt = Time.Monotonic_;
   Store_.txn(Request, Settings_.Store_.Timeout_,
-             [this, ForFloor, StartedAt](Result<TxnResult> Answer) {
+             [this, ForFloor, StartedAt](const Result<TxnResult> &Answer) {
                onStoreAnswer(ForFloor, StartedAt, Answer);
              });
 }
@@ -251,7 +251,7 @@
   RangeRequest Request;
   Request.Key_ = snapshotKey(Number);
   Store_.range(Request, Settings_.Store_.Timeout_,
-               [this, HeadValue](Result<RangeResult> Answer) {
+               [this, HeadValue](const Result<RangeResult> &Answer) {
                  if (!Answer || Answer->Values_.empty())
                    return;
                  auto Base = parseStoredSnapshot(Answer->Values_[0].Value_);
@@ -297,7 +297,7 @@
   Request.Compares_ = {Compare{Key, SeedsRevision_}};
   Request.Puts_ = {Put{Key, encodeSeeds(Seeds), 0}};
   Store_.txn(Request, Settings_.Store_.Timeout_,
-             [this](Result<TxnResult> Answer) {
+             [this](const Result<TxnResult> &Answer) {
                // After a lost race the next read of the head brings the
                // revision that won.
                if (Answer && Answer->Succeeded_)
--- a/src/EntryProxy.cpp
+++ b/src/EntryProxy.cpp
@@ -110,6 +110,7 @@
              Pinned.end();
     });
   std::vector<Candidate> Candidates;
+  Candidates.reserve(Eligible.size());
   for (const EligibleTarget &Target : Eligible)
     Candidates.push_back(
         {Target.Name_, Target.Server_, Target.DataCentre_, Target.Slots_});
@@ -159,7 +160,7 @@
   if (!Request.Key_.empty() && !Request.Call_.Idempotent_)
     Keyed_(std::move(Request), std::move(Exchange), Time);
   else
-    serve(std::move(Request), std::move(Exchange), Time);
+    serve(std::move(Request), Exchange, Time);
 }
 
 bool EntryProxy::accept(const HttpExchangePointer &Exchange,
@@ -277,8 +278,8 @@
   return true;
 }
 
-void EntryProxy::serve(AcceptedRequest Request, HttpExchangePointer Exchange,
-                       Now Time) {
+void EntryProxy::serve(AcceptedRequest Request,
+                       const HttpExchangePointer &Exchange, Now Time) {
   EntryCall Call = std::move(Request.Call_);
   Request.Call_ = {};
   TraceContext Span = Request.Span_;
--- a/src/EntryProxy.h
+++ b/src/EntryProxy.h
@@ -65,7 +65,8 @@
                       CallFinished Done, Now Time);
 
   /// Begins a call for a caller's connection and answers it there.
-  void serve(AcceptedRequest Request, HttpExchangePointer Exchange, Now Time);
+  void serve(AcceptedRequest Request, const HttpExchangePointer &Exchange,
+             Now Time);
 
   /// Answers a caller.
   void reply(const HttpExchangePointer &Exchange,
--- a/src/KeyHolder.cpp
+++ b/src/KeyHolder.cpp
@@ -107,7 +107,7 @@
     };
     decide(std::move(Own), Time);
   } else if (Holder && Holder->Server_ != Settings_.Server_) {
-    forward(std::move(Request), std::move(Exchange), Holder->Server_, Time);
+    forward(std::move(Request), Exchange, Holder->Server_, Time);
   } else {
     ++Counters_.NoHolder_;
     Entry_.reply(Exchange, Request,
@@ -118,7 +118,8 @@
   }
 }
 
-void KeyHolder::forward(AcceptedRequest Request, HttpExchangePointer Exchange,
+void KeyHolder::forward(AcceptedRequest Request,
+                        const HttpExchangePointer &Exchange,
                         const std::string &Holder, Now Time) {
   ++Counters_.Forwarded_;
   EntryCall Call = std::move(Request.Call_);
@@ -143,9 +144,8 @@
   Sending Forwarded;
   Forwarded.Key_ = Request.idempotency_key();
   Forwarded.Hash_ = Request.fingerprint();
-  wire::CallId Id = Request.id();
-  Forwarded.Deliver_ = [this, Id, Route](wire::CallAnswer Answer,
-                                         std::string Payload) {
+  Forwarded.Deliver_ = [this, Id = Request.id(), Route](wire::CallAnswer Answer,
+                                                        std::string Payload) {
     *Answer.mutable_id() = Id;
     Answer.set_body_size(Payload.size());
     Answer.set_body_hash(bodyHash(Payload));
@@ -283,7 +283,7 @@
   Published_ = std::move(Claims);
 }
 
-void KeyHolder::carryOut(BucketActions Actions, Now Time) {
+void KeyHolder::carryOut(const BucketActions &Actions, Now Time) {
   for (const BucketAction &Action : Actions) {
     if (const auto *Acquire = std::get_if<AcquireBucket>(&Action))
       acquire(*Acquire, Time);
--- a/src/KeyHolder.h
+++ b/src/KeyHolder.h
@@ -56,12 +56,12 @@
     Deliver Deliver_;
   };
 
-  void forward(AcceptedRequest Request, HttpExchangePointer Exchange,
+  void forward(AcceptedRequest Request, const HttpExchangePointer &Exchange,
                const std::string &Holder, Now Time);
   void decide(Sending Request, Now Time);
   void runKey(Sending Request, Now Time);
   void retryWaiters(Now Time);
-  void carryOut(BucketActions Actions, Now Time);
+  void carryOut(const BucketActions &Actions, Now Time);
   void acquire(const AcquireBucket &Action, Now Time);
   void putClaim(const AcquireBucket &Action, std::int64_t LeaseId,
                 const std::optional<LeaseAnswer> &Granted);
