Add a run of quarantine tables with delayed gossip

Entry daemons, targets, callers of a request that ends its targets, and innocent requests beside it.

--- /dev/null
+++ b/bench/Agenda.h
@@ -0,0 +1,47 @@
+// Clock and pending events of an event-driven run.
+#pragma once
+
+#include "sycamore/Time.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <functional>
+#include <queue>
+#include <vector>
+
+namespace sycamore::bench {
+
+struct Event {
+  TimePoint At_;
+  std::uint64_t Order_ = 0; ///< Keeps events of one moment in order.
+  std::function<void()> Action_;
+};
+
+struct LaterFirst {
+  bool operator()(const Event &Left, const Event &Right) const {
+    return Left.At_ != Right.At_ ? Left.At_ > Right.At_
+                                 : Left.Order_ > Right.Order_;
+  }
+};
+
+struct Agenda {
+  TimePoint Now_{};
+  std::uint64_t Next_ = 0;
+  std::priority_queue<Event, std::vector<Event>, LaterFirst> Events_;
+
+  void after(Duration Delay, std::function<void()> Action) {
+    Events_.push(
+        {Now_ + std::max(Delay, Duration{0}), Next_++, std::move(Action)});
+  }
+
+  void runUntil(TimePoint End) {
+    while (!Events_.empty() && Events_.top().At_ <= End) {
+      Event Next = Events_.top();
+      Events_.pop();
+      Now_ = Next.At_;
+      Next.Action_();
+    }
+  }
+};
+
+} // namespace sycamore::bench
--- a/bench/DecisionRun.cpp
+++ b/bench/DecisionRun.cpp
@@ -68,13 +68,7 @@
   }
   scheduleArrivals();
   tick();
-  TimePoint End{Config_.Length_};
-  while (!Agenda_.Events_.empty() && Agenda_.Events_.top().At_ <= End) {
-    Event Next = Agenda_.Events_.top();
-    Agenda_.Events_.pop();
-    Agenda_.Now_ = Next.At_;
-    Next.Action_();
-  }
+  Agenda_.runUntil(TimePoint{Config_.Length_});
   for (const Host &Each : Hosts_)
     Result_.ConflictRefusals_ +=
         Each.Admission_.Counters_.RefusedDepthConflict_;
--- /dev/null
+++ b/bench/QuarantineRun.h
@@ -0,0 +1,40 @@
+// Event-driven run of quarantine tables: entry daemons, targets, callers that
+// send a request that ends every target that runs it, and innocent requests
+// beside it. Gossip is delayed; there is no I/O.
+#pragma once
+
+#include "sycamore/Quarantine.h"
+
+namespace sycamore::bench {
+
+struct QuarantineRunConfig {
+  std::uint64_t Seed_ = 1;
+  std::size_t Daemons_ = 13; ///< Each is an entry daemon beside one target.
+  std::size_t Callers_ = 1;  ///< Of the killing request.
+  /// Unset: a caller resends when it has an answer. Otherwise it sends again
+  /// after this time, whether it has an answer or not.
+  std::optional<Duration> ResendEvery_;
+  Duration GossipDelay_ = milliseconds(600); ///< Largest; uniform from 0.
+  Duration RestartAfter_ =
+      seconds(10); ///< From a loss to the next announcement.
+  Duration Length_ = seconds(50);
+  double InnocentRate_ = 200; ///< Requests per second.
+  QuarantineOptions Options_;
+  bool Enabled_ = true;             ///< False: the baseline without quarantine.
+  bool OneSuspectTarget_ = true;    ///< False: suspects run on any target.
+  std::optional<Duration> ClearAt_; ///< Operator's command at one daemon.
+};
+
+struct QuarantineRunResult {
+  std::uint64_t Losses_ = 0;               ///< Targets lost in the whole run.
+  Duration LastLoss_{0};                   ///< Time of the last one.
+  std::uint64_t Innocents_ = 0;            ///< Innocent requests answered.
+  std::uint64_t Held_ = 0;                 ///< Of them, refused at least once.
+  Duration LongestHeld_{0};                ///< First refusal to answer.
+  std::uint64_t InnocentsQuarantined_ = 0; ///< Fingerprints, at any daemon.
+  std::uint64_t KillerRefused_ = 0;
+};
+
+QuarantineRunResult runQuarantine(const QuarantineRunConfig &Config);
+
+} // namespace sycamore::bench
--- a/bench/Simulation.h
+++ b/bench/Simulation.h
@@ -1,43 +1,17 @@
 // State of one run; see DecisionRun.h.
 #pragma once
 
+#include "Agenda.h"
 #include "DecisionRun.h"
 
 #include "sycamore/RouteCost.h"
 
 #include <deque>
-#include <functional>
-#include <queue>
 
 namespace sycamore::bench {
 
 inline constexpr std::size_t None = SIZE_MAX;
 
-struct Event {
-  TimePoint At_;
-  std::uint64_t Order_ = 0; ///< Keeps events of one moment in order.
-  std::function<void()> Action_;
-};
-
-struct LaterFirst {
-  bool operator()(const Event &Left, const Event &Right) const {
-    return Left.At_ != Right.At_ ? Left.At_ > Right.At_
-                                 : Left.Order_ > Right.Order_;
-  }
-};
-
-/// Clock and pending events.
-struct Agenda {
-  TimePoint Now_{};
-  std::uint64_t Next_ = 0;
-  std::priority_queue<Event, std::vector<Event>, LaterFirst> Events_;
-
-  void after(Duration Delay, std::function<void()> Action) {
-    Events_.push(
-        {Now_ + std::max(Delay, Duration{0}), Next_++, std::move(Action)});
-  }
-};
-
 /// A server: its entry daemon, its target's daemon and its target.
 struct Host {
   std::string Name_;
