Test the load-policy tables and the quarantine of a fleet

Unit and property tests for each module; seeded fleet runs for quarantine (20 seeds each, SYCAMORE_TEST_SEED sets the first). Mutations are switched on with SYCAMORE_MUTATION.

--- /dev/null
+++ b/test/correctness/AdmissionTest.cpp
@@ -0,0 +1,233 @@
+// Guards against a target that takes more than its slots, queues work that it
+// cannot answer in time, or lets long or shallow requests take every slot.
+#include "PolicyMutation.h"
+
+#include "sycamore/Admission.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace sycamore;
+using sycamore::test::isMutated;
+
+namespace {
+
+struct AdmissionTest : testing::Test {
+  Admission Table_;
+  TimePoint Now_{seconds(100)};
+  std::uint64_t NextId_ = 1;
+  std::vector<std::uint64_t> Run_;
+  std::vector<std::uint64_t> Refused_;
+
+  AdmissionTest() {
+    setSlots(Table_, 6);
+    if (isMutated("admission-no-depth-share"))
+      Table_.Options_.ReserveByDepth_ = false;
+    if (isMutated("admission-no-conflict-refusal"))
+      Table_.Options_.ConflictWait_ = std::chrono::hours(1);
+    if (isMutated("admission-no-early-refusal"))
+      Table_.Options_.DeadlineMargin_ = -1e6;
+    if (isMutated("admission-no-long-share"))
+      Table_.Options_.LongShare_ = 1;
+  }
+
+  AdmissionRequest request(std::uint32_t Depth = 0,
+                           Duration Remaining = seconds(1)) {
+    AdmissionRequest Out;
+    Out.Id_ = NextId_++;
+    Out.Depth_ = Depth;
+    Out.Deadline_ = Now_ + Remaining;
+    Out.Expected_ = milliseconds(10);
+    return Out;
+  }
+
+  AdmissionDecision offer(const AdmissionRequest &Request) {
+    return admit(Table_, Request, Now_).Decision_;
+  }
+
+  void fill(std::uint32_t Depth = 0) {
+    while (load(Table_).Queued_ == 0)
+      offer(request(Depth));
+  }
+
+  void take() {
+    Run_.clear();
+    Refused_.clear();
+    takeRunnable(Table_, Now_, Run_, Refused_);
+  }
+};
+
+} // namespace
+
+TEST_F(AdmissionTest, RunsAsManyAsThereAreSlots) {
+  for (int Each = 0; Each < 6; ++Each)
+    EXPECT_EQ(offer(request()), AdmissionDecision::Run);
+  EXPECT_EQ(offer(request()), AdmissionDecision::Queued);
+  finish(Table_, 1, milliseconds(10), Now_);
+  take();
+  EXPECT_EQ(Run_, std::vector<std::uint64_t>{7});
+}
+
+TEST_F(AdmissionTest, RefusesADuplicateId) {
+  AdmissionRequest Request = request();
+  offer(Request);
+  EXPECT_EQ(admit(Table_, Request, Now_).Reason_, RefusalReason::Duplicate);
+  EXPECT_EQ(load(Table_).Running_, 1U);
+}
+
+TEST_F(AdmissionTest, RunsDeeperThenMoreUrgentRequestsFirst) {
+  fill();
+  AdmissionRequest Late = request(0, milliseconds(900));
+  AdmissionRequest Soon = request(0, milliseconds(500));
+  AdmissionRequest Deep = request(1, seconds(1));
+  for (const AdmissionRequest &Each : {Late, Soon, Deep})
+    ASSERT_EQ(offer(Each), AdmissionDecision::Queued);
+  for (std::uint64_t Expected : {Deep.Id_, Soon.Id_}) {
+    finish(Table_, Table_.Running_[0].Request_.Id_, milliseconds(10), Now_);
+    take();
+    // One slot is kept for depth 1 from now on, so Soon waits for a second.
+    if (Run_.empty()) {
+      finish(Table_, Table_.Running_[0].Request_.Id_, milliseconds(10), Now_);
+      take();
+    }
+    ASSERT_FALSE(Run_.empty());
+    EXPECT_EQ(Run_[0], Expected);
+  }
+}
+
+TEST_F(AdmissionTest, RefusesWhatCannotBeAnsweredInTime) {
+  AdmissionVerdict Verdict = admit(Table_, request(0, milliseconds(9)), Now_);
+  EXPECT_EQ(Verdict.Reason_, RefusalReason::TooLate);
+  EXPECT_GT(Verdict.RetryAfter_, Duration{0});
+  AdmissionRequest Before;
+  for (int Each = 0; Each < 46; ++Each) {
+    Before = request(0, milliseconds(300));
+    Before.Expected_ = milliseconds(30);
+    ASSERT_NE(offer(Before), AdmissionDecision::Refused);
+  }
+  // 40 requests of 30 ms are before it on 6 slots.
+  AdmissionRequest Last = request(0, milliseconds(310));
+  Last.Expected_ = milliseconds(80);
+  EXPECT_EQ(admit(Table_, Last, Now_).Reason_, RefusalReason::TooLate);
+  Now_ += milliseconds(290);
+  take();
+  EXPECT_EQ(Refused_.size(), 40U);
+}
+
+TEST_F(AdmissionTest, KeepsTheQueueShortAndMakesRoomForDeeperCalls) {
+  setQueueLimit(Table_, 3);
+  fill();
+  offer(request());
+  AdmissionRequest Last = request(0, seconds(2));
+  offer(Last);
+  EXPECT_EQ(admit(Table_, request(), Now_).Reason_, RefusalReason::QueueFull);
+  EXPECT_EQ(offer(request(2)), AdmissionDecision::Queued);
+  take();
+  EXPECT_EQ(Refused_, std::vector<std::uint64_t>{Last.Id_});
+  EXPECT_EQ(load(Table_).Queued_, 3U);
+}
+
+TEST_F(AdmissionTest, ClosesSlotsToLongRequests) {
+  AdmissionRequest Long = request();
+  for (int Each = 0; Each < 4; ++Each) {
+    Long = request();
+    Long.Long_ = true;
+    offer(Long);
+  }
+  EXPECT_EQ(load(Table_).Running_, 2U);
+  for (int Each = 0; Each < 4; ++Each)
+    EXPECT_EQ(offer(request()), AdmissionDecision::Run);
+}
+
+TEST_F(AdmissionTest, LeavesASlotForEveryDeeperLevelSeen) {
+  offer(request(2));
+  finish(Table_, 1, milliseconds(10), Now_);
+  fill(0);
+  EXPECT_EQ(load(Table_).Running_, 5U);
+  EXPECT_EQ(offer(request(2)), AdmissionDecision::Run);
+  Now_ += Table_.Options_.DepthMemory_;
+  EXPECT_EQ(depthCap(Table_, 0, Now_), 6U);
+}
+
+TEST_F(AdmissionTest, RefusesANestedCallThatItsCallersMayHoldUp) {
+  fill(0); // Shallow calls hold every slot before the first nested one.
+  AdmissionRequest Nested = request(1);
+  offer(Nested);
+  Now_ += milliseconds(60);
+  take();
+  EXPECT_EQ(Refused_, std::vector<std::uint64_t>{Nested.Id_});
+  EXPECT_EQ(Table_.Counters_.RefusedDepthConflict_, 1U);
+}
+
+TEST_F(AdmissionTest, RunsOneSuspectAtATime) {
+  AdmissionRequest First = request();
+  AdmissionRequest Second = request();
+  First.Suspect_ = Second.Suspect_ = true;
+  EXPECT_EQ(offer(First), AdmissionDecision::Run);
+  EXPECT_EQ(offer(Second), AdmissionDecision::Queued);
+  EXPECT_EQ(offer(request()), AdmissionDecision::Run);
+  finish(Table_, First.Id_, milliseconds(1), Now_);
+  take();
+  EXPECT_EQ(Run_, std::vector<std::uint64_t>{Second.Id_});
+}
+
+TEST_F(AdmissionTest, LeavingRefusesTheQueueAndLetsRunningOnesFinish) {
+  fill();
+  stopAdmitting(Table_);
+  take();
+  EXPECT_EQ(Refused_.size(), 1U);
+  EXPECT_EQ(load(Table_).Running_, 6U);
+  EXPECT_EQ(admit(Table_, request(), Now_).Reason_, RefusalReason::Leaving);
+}
+
+TEST_F(AdmissionTest, CancelsOnlyWhatDidNotStart) {
+  fill();
+  EXPECT_TRUE(cancel(Table_, 7));
+  EXPECT_FALSE(cancel(Table_, 7));
+  EXPECT_FALSE(cancel(Table_, 1));
+  EXPECT_EQ(load(Table_).Running_, 6U);
+}
+
+/// Whatever is offered, finished or cancelled: the slots, the queue limit and
+/// the shares by depth hold, and each request gets exactly one verdict.
+RC_GTEST_PROP(AdmissionProperty, KeepsItsLimitsAndAnswersEachRequestOnce, ()) {
+  Admission Table;
+  setSlots(Table, *rc::gen::inRange<std::uint32_t>(1, 13));
+  setQueueLimit(Table, 5);
+  TimePoint Now{seconds(1)};
+  std::vector<std::uint64_t> Run;
+  std::vector<std::uint64_t> Refused;
+  std::uint64_t Id = 0;
+  std::uint64_t Cancelled = 0;
+  auto Steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
+      rc::gen::pair(rc::gen::inRange(0, 4), rc::gen::inRange(0, 12)));
+  for (auto [Kind, Value] : Steps) {
+    Now += milliseconds(Value);
+    if (Kind == 0 && !Table.Running_.empty())
+      finish(Table, Table.Running_[0].Request_.Id_, milliseconds(5), Now);
+    if (Kind == 1 && !Table.Queue_.empty())
+      Cancelled += cancel(Table, Table.Queue_[0].Request_.Id_) ? 1 : 0;
+    if (Kind >= 2) {
+      AdmissionRequest New;
+      New.Id_ = ++Id;
+      New.Depth_ = static_cast<std::uint32_t>(Value);
+      New.Deadline_ = Now + milliseconds(Value * 20);
+      New.Expected_ = milliseconds(5);
+      New.Long_ = Value % 3 == 0;
+      auto Verdict = admit(Table, New, Now);
+      if (Verdict.Decision_ == AdmissionDecision::Run)
+        Run.push_back(Id);
+      if (Verdict.Decision_ == AdmissionDecision::Refused)
+        Refused.push_back(Id);
+    }
+    takeRunnable(Table, Now, Run, Refused);
+    RC_ASSERT(Table.Running_.size() <= Table.Slots_);
+    RC_ASSERT(Table.Queue_.size() <= 5U);
+  }
+  std::vector<std::uint64_t> All = Run;
+  All.insert(All.end(), Refused.begin(), Refused.end());
+  std::sort(All.begin(), All.end());
+  RC_ASSERT(std::adjacent_find(All.begin(), All.end()) == All.end());
+  RC_ASSERT(All.size() + Table.Queue_.size() + Cancelled == Id);
+}
--- /dev/null
+++ b/test/correctness/PlacementTest.cpp
@@ -0,0 +1,244 @@
+// Guards against calls that go to loaded, slow, cold or dead targets, and
+// against rules that leave no target at all.
+#include "PolicyMutation.h"
+
+#include "sycamore/Placement.h"
+
+#include <algorithm>
+#include <cmath>
+#include <gtest/gtest.h>
+#include <map>
+#include <rapidcheck/gtest.h>
+
+using namespace sycamore;
+using sycamore::test::isMutated;
+
+namespace {
+
+const std::vector<std::string> Names{"t-1", "t-2", "t-3", "t-4", "t-5"};
+
+std::vector<Candidate> candidates(std::size_t Near) {
+  std::vector<Candidate> Out;
+  for (std::size_t Index = 0; Index < Names.size(); ++Index)
+    Out.push_back(
+        {Names[Index], Names[Index], Index < Near ? "near" : "far", 6});
+  return Out;
+}
+
+struct PlacementTest : testing::Test {
+  Placement Table_;
+  Random Rng_{7};
+  TimePoint Now_{seconds(100)};
+  std::vector<Candidate> Candidates_ = candidates(5);
+
+  PlacementTest() {
+    if (isMutated("placement-no-outliers"))
+      Table_.Options_.OutlierRatio_ = 1e9;
+    if (isMutated("placement-no-panic"))
+      Table_.Options_.PanicShare_ = 1;
+    if (isMutated("placement-no-ejection"))
+      Table_.Options_.EjectionLimit_ = Duration{0};
+    if (isMutated("placement-no-ramp"))
+      Table_.Options_.RampFloor_ = 1;
+    if (isMutated("placement-no-spill"))
+      Table_.Options_.SpillCost_ = 1e9;
+  }
+
+  std::size_t choose(std::span<const std::string> Excluded = {}) {
+    return *chooseTarget(Table_, Candidates_, "near", Excluded, Now_, Rng_);
+  }
+
+  /// One call that is answered after this time.
+  void serve(std::size_t Index, Duration Latency,
+             AttemptOutcome Outcome = AttemptOutcome::Done) {
+    noteDispatched(Table_, Names[Index], Now_);
+    noteAnswered(Table_, Names[Index], {}, Latency, Outcome, Now_);
+  }
+
+  std::map<std::size_t, int> chooseMany(int Count) {
+    std::map<std::size_t, int> Chosen;
+    for (int Each = 0; Each < Count; ++Each)
+      ++Chosen[choose()];
+    return Chosen;
+  }
+
+  void warmUp() {
+    choose();
+    Now_ += seconds(60);
+    for (std::size_t Index = 0; Index < Names.size(); ++Index)
+      for (int Each = 0; Each < 10; ++Each)
+        serve(Index, milliseconds(5));
+  }
+};
+
+} // namespace
+
+TEST_F(PlacementTest, AvoidsTheTargetWithMostCallsInFlight) {
+  warmUp();
+  for (int Each = 0; Each < 4; ++Each)
+    noteDispatched(Table_, Names[2], Now_);
+  EXPECT_EQ(chooseMany(200)[2], 0);
+}
+
+TEST_F(PlacementTest, CountsTheLoadOfOtherDaemons) {
+  warmUp();
+  for (int Each = 0; Each < 200; ++Each) {
+    noteDispatched(Table_, Names[1], Now_);
+    noteAnswered(Table_, Names[1], {6, 20, 6, {}}, milliseconds(5),
+                 AttemptOutcome::Done, Now_);
+  }
+  EXPECT_EQ(chooseMany(200)[1], 0);
+  Now_ += std::chrono::hours(10); // The report is too old to count.
+  EXPECT_GT(chooseMany(200)[1], 0);
+}
+
+TEST_F(PlacementTest, GivesLatencyOutliersNoCallsButTests) {
+  warmUp();
+  for (int Each = 0; Each < 10; ++Each)
+    serve(3, milliseconds(50));
+  EXPECT_EQ(chooseMany(200)[3], 0);
+  Now_ += Table_.Options_.OutlierTestInterval_;
+  EXPECT_GT(chooseMany(200)[3], 0);
+  serve(3, milliseconds(5));
+  EXPECT_GT(chooseMany(200)[3], 0);
+  EXPECT_GT(Table_.Counters_.OutliersFound_, 0U);
+}
+
+TEST_F(PlacementTest, TreatsAStalledTargetAsSlowBeforeItAnswers) {
+  warmUp();
+  noteDispatched(Table_, Names[0], Now_);
+  for (std::size_t Index = 1; Index < Names.size(); ++Index)
+    noteDispatched(Table_, Names[Index], Now_);
+  Now_ += milliseconds(30);
+  for (std::size_t Index = 1; Index < Names.size(); ++Index)
+    noteAnswered(Table_, Names[Index], {}, milliseconds(5),
+                 AttemptOutcome::Done, Now_);
+  for (std::size_t Index = 1; Index < Names.size(); ++Index)
+    noteDispatched(Table_, Names[Index], Now_);
+  EXPECT_EQ(chooseMany(200)[0], 0);
+}
+
+TEST_F(PlacementTest, IgnoresOutliersWhenMostTargetsAreSlow) {
+  warmUp();
+  for (std::size_t Index : {0U, 1U})
+    for (int Each = 0; Each < 10; ++Each)
+      serve(Index, milliseconds(5));
+  // Three of five are excluded as slow; the two fast ones set the baseline.
+  Candidates_.resize(4);
+  for (std::size_t Index : {1U, 2U, 3U})
+    for (int Each = 0; Each < 10; ++Each)
+      serve(Index, milliseconds(50));
+  Table_.Targets_.at(Names[0]).Latency_.LogValue_ = std::log(5000.0);
+  // Median of 5, 50, 50, 50 is 50 ms: nobody is an outlier then either.
+  auto Chosen = chooseMany(400);
+  for (std::size_t Index = 0; Index < 4; ++Index)
+    EXPECT_GT(Chosen[Index], 0) << Names[Index];
+}
+
+TEST_F(PlacementTest, PanicRuleKeepsAllTargetsInUse) {
+  warmUp();
+  Table_.Options_.PanicShare_ = isMutated("placement-no-panic") ? 1 : 0.3;
+  for (std::size_t Index : {3U, 4U})
+    for (int Each = 0; Each < 10; ++Each)
+      serve(Index, milliseconds(50));
+  auto Chosen = chooseMany(400);
+  EXPECT_GT(Chosen[3], 0);
+  EXPECT_GT(Table_.Counters_.Panics_, 0U);
+}
+
+TEST_F(PlacementTest, StaysNearUntilTheNearTargetsAreLoaded) {
+  Candidates_ = candidates(2);
+  warmUp();
+  auto Chosen = chooseMany(200);
+  EXPECT_EQ(Chosen[0] + Chosen[1], 200);
+  for (int Each = 0; Each < 6; ++Each) {
+    noteDispatched(Table_, Names[0], Now_);
+    noteDispatched(Table_, Names[1], Now_);
+  }
+  Chosen = chooseMany(200);
+  EXPECT_EQ(Chosen[0] + Chosen[1], 0);
+}
+
+TEST_F(PlacementTest, RaisesTheWeightOfANewTargetSlowly) {
+  Candidates_.resize(4);
+  warmUp();
+  Candidates_ = candidates(5);
+  Table_.Targets_.erase(Names[4]);
+  choose();
+  // Any load at the warm targets is below the cost of the cold one.
+  for (std::size_t Index = 0; Index < 4; ++Index)
+    for (int Each = 0; Each < 2; ++Each)
+      noteDispatched(Table_, Names[Index], Now_);
+  EXPECT_EQ(chooseMany(200)[4], 0);
+  Now_ += Table_.Options_.RampTime_;
+  EXPECT_GT(chooseMany(200)[4], 0);
+}
+
+TEST_F(PlacementTest, EjectsATargetThatRefusesConnectionsForLongerEachTime) {
+  warmUp();
+  Duration Before{0};
+  for (int Round = 0; Round < 3; ++Round) {
+    serve(1, milliseconds(1), AttemptOutcome::ConnectionRefused);
+    EXPECT_EQ(chooseMany(200)[1], 0);
+    Duration Span = Table_.Targets_.at(Names[1]).EjectedUntil_ - Now_;
+    EXPECT_GT(Span, Before);
+    Before = Span;
+    Now_ += Span;
+    EXPECT_GT(chooseMany(200)[1], 0);
+  }
+  serve(1, milliseconds(5));
+  EXPECT_EQ(Table_.Targets_.at(Names[1]).Refusals_, 0U);
+}
+
+TEST_F(PlacementTest, UsesEjectedTargetsWhenNoneIsLeft) {
+  warmUp();
+  for (std::size_t Index = 0; Index < Names.size(); ++Index)
+    serve(Index, milliseconds(1), AttemptOutcome::ConnectionRefused);
+  EXPECT_EQ(chooseMany(10).size() > 0, true);
+  EXPECT_EQ(Table_.Counters_.EjectionsIgnored_, 10U);
+}
+
+TEST_F(PlacementTest, ForgetsTargetsThatAreGone) {
+  Table_.Options_.MaxTargets_ = 3;
+  for (int Each = 0; Each < 100; ++Each) {
+    noteDispatched(Table_, "other-" + std::to_string(Each), Now_);
+    Now_ += seconds(1);
+  }
+  EXPECT_LE(Table_.Targets_.size(), 3U);
+  Table_.Options_.MaxTargets_ = 4096;
+  choose();
+  Now_ += Table_.Options_.ForgetAfter_ * 2;
+  for (std::string_view Name : Names)
+    forgetTarget(Table_, Name);
+  EXPECT_LE(Table_.Targets_.size(), 3U);
+}
+
+RC_GTEST_PROP(PlacementProperty, AlwaysChoosesACandidateThatIsNotExcluded, ()) {
+  Placement Table;
+  Random Rng(*rc::gen::arbitrary<std::uint64_t>());
+  auto Candidates = candidates(*rc::gen::inRange<std::size_t>(0, 6));
+  TimePoint Now{seconds(1)};
+  auto Steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
+      rc::gen::pair(rc::gen::inRange(0, 5), rc::gen::inRange(0, 6)));
+  for (auto [Target, Outcome] : Steps) {
+    std::vector<std::string> Excluded(Names.begin(), Names.begin() + Target);
+    auto Choice = chooseTarget(Table, Candidates, "near", Excluded, Now, Rng);
+    RC_ASSERT(Choice.has_value());
+    RC_ASSERT(*Choice >= static_cast<std::size_t>(Target));
+    noteDispatched(Table, Names[*Choice], Now);
+    Now += milliseconds(Target * 3 + 1);
+    noteAnswered(Table, Names[*Choice], {1, 2, 6, {}}, milliseconds(Target * 9),
+                 static_cast<AttemptOutcome>(Outcome), Now);
+  }
+  RC_ASSERT(!chooseTarget(Table, Candidates, "near", Names, Now, Rng));
+}
+
+RC_GTEST_PROP(PlacementProperty, AllDaemonsSendASuspectToOneTarget, ()) {
+  auto Fingerprint = *rc::gen::arbitrary<std::uint64_t>();
+  auto Candidates = candidates(2);
+  std::string_view Name =
+      Candidates[*chooseSuspectTarget(Fingerprint, Candidates)].Name_;
+  std::reverse(Candidates.begin(), Candidates.end());
+  RC_ASSERT(Candidates[*chooseSuspectTarget(Fingerprint, Candidates)].Name_ ==
+            Name);
+}
--- /dev/null
+++ b/test/failure/QuarantineFleetTest.cpp
@@ -0,0 +1,125 @@
+// Guards against one request that takes down target after target in the whole
+// fleet, and against innocent requests that suffer with it.
+#include "PolicyMutation.h"
+#include "QuarantineRun.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+
+using namespace sycamore;
+using namespace sycamore::bench;
+using sycamore::test::isMutated;
+
+namespace {
+
+constexpr std::uint64_t Seeds = 20;
+
+QuarantineRunConfig config() {
+  QuarantineRunConfig Out;
+  Out.InnocentRate_ = 50;
+  if (isMutated("quarantine-any-suspect-target"))
+    Out.OneSuspectTarget_ = false;
+  if (isMutated("quarantine-no-hold"))
+    Out.Options_.SpreadTime_ = Duration{0};
+  if (isMutated("quarantine-no-limit"))
+    Out.Options_.LossLimit_ = 1000;
+  if (isMutated("quarantine-short-memory"))
+    Out.Options_.RememberFor_ = Out.Options_.RefuseFor_;
+  return Out;
+}
+
+struct Worst {
+  std::uint64_t Losses_ = 0;
+  std::uint64_t InnocentsQuarantined_ = 0;
+  Duration LongestHeld_{0};
+};
+
+Worst worstOf(QuarantineRunConfig Config) {
+  Worst Out;
+  std::uint64_t First = sycamore::test::testSeed();
+  for (std::uint64_t Seed = First; Seed < First + Seeds; ++Seed) {
+    Config.Seed_ = Seed;
+    QuarantineRunResult Result = runQuarantine(Config);
+    Out.Losses_ = std::max(Out.Losses_, Result.Losses_);
+    Out.InnocentsQuarantined_ =
+        std::max(Out.InnocentsQuarantined_, Result.InnocentsQuarantined_);
+    Out.LongestHeld_ = std::max(Out.LongestHeld_, Result.LongestHeld_);
+  }
+  return Out;
+}
+
+} // namespace
+
+TEST(QuarantineFleet, ACallerThatWaitsForItsAnswerCostsTwoTargets) {
+  for (std::size_t Daemons : {3U, 13U, 60U}) {
+    QuarantineRunConfig Config = config();
+    Config.Daemons_ = Daemons;
+    EXPECT_EQ(worstOf(Config).Losses_, 2U) << Daemons << " daemons";
+  }
+}
+
+/// Copies that run before the first loss is known cannot be told from others.
+TEST(QuarantineFleet, CopiesSentTogetherCostOneTargetEachAndNoMore) {
+  for (std::size_t Callers : {3U, 5U, 8U}) {
+    QuarantineRunConfig Config = config();
+    Config.Callers_ = Callers;
+    EXPECT_LE(worstOf(Config).Losses_, Callers) << Callers << " callers";
+  }
+}
+
+/// The copies of one gossip delay, of which each entry daemon loses at most
+/// one before its own loss makes it run the next copy at the one target for
+/// suspects, which may cost one more.
+TEST(QuarantineFleet, CallersThatDoNotWaitCostTheCopiesOfOneGossipDelay) {
+  for (int Gap : {200, 100, 10}) {
+    QuarantineRunConfig Config = config();
+    Config.ResendEvery_ = milliseconds(Gap);
+    std::uint64_t Copies =
+        static_cast<std::uint64_t>(Config.GossipDelay_ / milliseconds(Gap)) + 1;
+    EXPECT_LE(worstOf(Config).Losses_,
+              std::min<std::uint64_t>(Copies, Config.Daemons_) + 1)
+        << "every " << Gap << " ms";
+  }
+}
+
+/// Mean over the seeds, because the daemons meet by chance.
+TEST(QuarantineFleet, OneTargetForSuspectsCostsLessThanAnyTarget) {
+  double Product = 0;
+  double AnyTarget = 0;
+  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+    QuarantineRunConfig Config = config();
+    Config.Seed_ = Seed;
+    Config.ResendEvery_ = milliseconds(10);
+    Product += static_cast<double>(runQuarantine(Config).Losses_);
+    Config.OneSuspectTarget_ = false;
+    AnyTarget += static_cast<double>(runQuarantine(Config).Losses_);
+  }
+  EXPECT_LT(Product, AnyTarget);
+}
+
+TEST(QuarantineFleet, ACallerThatNeverGivesUpCostsOneTargetAMinute) {
+  QuarantineRunConfig Config = config();
+  Config.Length_ = seconds(300);
+  Config.InnocentRate_ = 5;
+  EXPECT_LE(worstOf(Config).Losses_, 2U + 4U);
+}
+
+TEST(QuarantineFleet, InnocentRequestsAreHeldForTheSpreadTimeAtMost) {
+  QuarantineRunConfig Config = config();
+  Config.InnocentRate_ = 200;
+  Worst Seen = worstOf(Config);
+  EXPECT_EQ(Seen.InnocentsQuarantined_, 0U);
+  // Held with the loss, and once more when another copy was running alone.
+  EXPECT_LE(Seen.LongestHeld_,
+            2 * Config.Options_.SpreadTime_ + milliseconds(200));
+}
+
+TEST(QuarantineFleet, TheOperatorsClearReachesTheFleet) {
+  QuarantineRunConfig Config = config();
+  Config.ClearAt_ = seconds(20);
+  Config.Seed_ = sycamore::test::testSeed();
+  QuarantineRunResult Result = runQuarantine(Config);
+  // Admitted again, and quarantined again after two more losses.
+  EXPECT_EQ(Result.Losses_, 4U);
+  EXPECT_LT(Result.LastLoss_, seconds(24));
+}
