Measure hedged work and recovery by what they are, and spill to free slots

The work that hedging adds is the time of the hedges: the first attempt would have run to its end without them.

Far targets with a free slot need no margin any more: with one of two near targets slow, the other one ran at 0.96 of its slots. Tests of outliers come once a second, because 26 a second for 3000 calls were almost the 1% that the 99th percentile leaves.

Work on the tail at Daegu, on recovery and on the nested crest goes on; the tests of these measures fail at this commit.

--- a/bench/DecisionRun.h
+++ b/bench/DecisionRun.h
@@ -103,9 +103,11 @@
   std::uint64_t Hedges_ = 0;
   std::uint64_t Retries_ = 0;
   std::uint64_t ConflictRefusals_ = 0;
-  double SlotSeconds_ = 0;      ///< Time in slots of all attempts.
-  double HedgeSlotSeconds_ = 0; ///< Of attempts whose answer was not used
-                                ///< because another came first.
+  double SlotSeconds_ = 0; ///< Time in slots of all attempts.
+  /// Of hedges, whether or not their answer was used. It is at least the work
+  /// that hedging adds: without the hedge the first attempt would have run to
+  /// its end.
+  double HedgeSlotSeconds_ = 0;
 };
 
 RunResult run(const RunConfig &Config);
--- a/include/sycamore/Placement.h
+++ b/include/sycamore/Placement.h
@@ -66,13 +66,13 @@
   /// Outliers are ignored when more than this share of candidates are.
   double PanicShare_ = 0.5;
   /// Time between two calls that test whether an outlier has recovered.
-  Duration OutlierTestInterval_ = milliseconds(500);
+  Duration OutlierTestInterval_ = seconds(1);
   /// Cost of the best near target from which others are considered; 1 means
   /// that the call would take the last free slot.
   double SpillCost_ = 0.6;
-  /// A far target is taken only when it costs less than this share of the near
-  /// one. When all are loaded alike, the way would be wasted, and a nested call
-  /// holds its caller's slot on the way.
+  /// A far target without a free slot is taken only when it costs less than
+  /// this share of the near one. When all are loaded alike, the way would be
+  /// wasted, and a nested call holds its caller's slot on the way.
   double SpillRatio_ = 0.6;
   /// Time in which a new target grows from RampFloor_ to its full weight.
   Duration RampTime_ = seconds(5);
--- a/src/Placement.cpp
+++ b/src/Placement.cpp
@@ -216,7 +216,11 @@
   if (Best != nullptr && (Best->Cost_ <= Settings.SpillCost_ || Far.empty()))
     return Best;
   const Option *Other = bestOfTwo(Far, Rng);
-  if (Best == nullptr || Other->Cost_ < Best->Cost_ * Settings.SpillRatio_)
+  if (Best == nullptr)
+    return Other;
+  double Limit =
+      Other->Cost_ > 1 ? Best->Cost_ * Settings.SpillRatio_ : Best->Cost_;
+  if (Other->Cost_ < Limit)
     return Other;
   return Best;
 }
--- /dev/null
+++ b/test/performance/DecisionRunTest.cpp
@@ -0,0 +1,68 @@
+// Guards the measures of design.md that load policy decides. The clock is fake
+// and every run has a seed, so the bounds may decide.
+#include "DecisionScenarios.h"
+#include "PolicyMutation.h"
+
+#include <gtest/gtest.h>
+
+using namespace sycamore;
+using namespace sycamore::bench;
+using sycamore::test::isMutated;
+
+namespace {
+
+ScenarioOptions options() {
+  ScenarioOptions Out;
+  Out.Seed_ = sycamore::test::testSeed();
+  Policy &How = Out.Product_;
+  if (isMutated("placement-no-outliers"))
+    How.PlacementOptions_.OutlierRatio_ = 1e9;
+  if (isMutated("placement-trusts-late-reports"))
+    How.PlacementOptions_.LoadGain_ = 1;
+  if (isMutated("admission-no-long-share"))
+    How.AdmissionOptions_.LongShare_ = 1;
+  if (isMutated("admission-baseline"))
+    How.Admission_ = false;
+  if (isMutated("hedge-unbounded"))
+    How.HedgeOptions_.Share_ = 1;
+  return Out;
+}
+
+void expectMet(const std::vector<Measure> &Measures) {
+  for (const Measure &Each : Measures)
+    EXPECT_TRUE(isMet(Each))
+        << Each.Name_ << ", " << Each.Site_ << ": " << Each.Product_ << ' '
+        << Each.Unit_ << ", bound " << Each.Bound_.value_or(0);
+}
+
+} // namespace
+
+class DecisionRun : public testing::TestWithParam<Site> {};
+
+TEST_P(DecisionRun, KeepsItsGoodputAtTheCrestAndRecovers) {
+  expectMet(crest(GetParam(), options()));
+}
+
+TEST_P(DecisionRun, KeepsItsGoodputAtTheCrestOfNestedCalls) {
+  expectMet(nestedCrest(GetParam(), options()));
+}
+
+TEST_P(DecisionRun, ShortRequestsDoNotWaitForKnownLongOnes) {
+  expectMet(headOfLine(GetParam(), true, options()));
+}
+
+TEST_P(DecisionRun, ShortRequestsDoNotWaitForUnknownLongOnes) {
+  expectMet(headOfLine(GetParam(), false, options()));
+}
+
+TEST_P(DecisionRun, OneSlowTargetDoesNotSlowTheTail) {
+  expectMet(tail(GetParam(), false, options()));
+}
+
+TEST_P(DecisionRun, ASlowTargetThatMovesDoesNotSlowTheTail) {
+  expectMet(tail(GetParam(), true, options()));
+}
+
+INSTANTIATE_TEST_SUITE_P(Sites, DecisionRun,
+                         testing::Values(daegu(), ashworth()),
+                         [](const auto &Info) { return Info.param.Name_; });
