--- a/bench/Simulation.h
+++ b/bench/Simulation.h
@@ -1,43 +1,17 @@
 // State of one run; see DecisionRun.h.
 #pragma once
 
+#include "Agenda.h"
 #include "DecisionRun.h"
 
 #include "sycamore/RouteCost.h"
 
 #include <deque>
-#include <functional>
-#include <queue>
 
 namespace sycamore::bench {
 
 inline constexpr std::size_t None = SIZE_MAX;
 
-struct Event {
-  TimePoint At_;
-  std::uint64_t Order_ = 0; ///< Keeps events of one moment in order.
-  std::function<void()> Action_;
-};
-
-struct LaterFirst {
-  bool operator()(const Event &Left, const Event &Right) const {
-    return Left.At_ != Right.At_ ? Left.At_ > Right.At_
-                                 : Left.Order_ > Right.Order_;
-  }
-};
-
-/// Clock and pending events.
-struct Agenda {
-  TimePoint Now_{};
-  std::uint64_t Next_ = 0;
-  std::priority_queue<Event, std::vector<Event>, LaterFirst> Events_;
-
-  void after(Duration Delay, std::function<void()> Action) {
-    Events_.push(
-        {Now_ + std::max(Delay, Duration{0}), Next_++, std::move(Action)});
-  }
-};
-
 /// A server: its entry daemon, its target's daemon and its target.
 struct Host {
   std::string Name_;
@@ -63,6 +37,7 @@
   TimePoint Sent_{};
   TimePoint Started_{};
   bool Running_ = false;
+  bool Hedge_ = false;
   bool Failed_ = false; ///< Its nested call failed: an error status.
   bool Ended_ = false;  ///< At the entry daemon.
 };
@@ -103,6 +78,8 @@
   bool dispatch(std::size_t Id);
   std::optional<std::size_t> pick(const Call &Value);
   void scheduleHedge(std::size_t Id);
+  void sendHedge(std::size_t Id, Duration Patience);
+  void endHedge(std::size_t AttemptId);
   void answered(std::size_t AttemptId, AttemptOutcome Outcome, TargetLoad Load,
                 Duration RetryAfter);
   void refused(std::size_t Id, Duration RetryAfter);
