Add deliberate faults and tests of the desk and the command line

Cause: a test that passes shows nothing until it is seen to fail.

Two were not noticed at first, because the race tests repeated changes that the state already had; the tests now change the state each time.

--- a/src/CliFleet.cpp
+++ b/src/CliFleet.cpp
@@ -34,7 +34,9 @@
   Reader.readString("data_centre", Out.DataCentre_);
   Reader.readString("state", Out.State_);
   Reader.readUnsigned("ticket", Out.Ticket_, 0, INT64_MAX);
-  Reader.readUnsigned("rejected_ticket", Out.Rejected_, 0, INT64_MAX);
+  if (const Json *Rejected = Reader.find("rejected_ticket");
+      Rejected && !Rejected->is_null())
+    Reader.readUnsigned("rejected_ticket", Out.Rejected_, 0, INT64_MAX);
   Reader.readUnsigned("age_ms", Out.AgeMs_, 0, INT64_MAX);
   return Out;
 }
--- a/src/CliOutput.cpp
+++ b/src/CliOutput.cpp
@@ -1,6 +1,8 @@
 // Formats what the command line prints.
 #include "CliOutput.h"
 
+#include "TicketMutations.h"
+
 #include <algorithm>
 #include <charconv>
 #include <cstdlib>
@@ -30,7 +32,7 @@
     if (SecondControl)
       ++I;
     bool Control = Byte < ' ' || Byte == 0x7F || SecondControl;
-    if (Control && !(KeepLines && Byte == '\n'))
+    if (Control && !(KeepLines && Byte == '\n') && !mutated("cli-raw-text"))
       Out += '?';
     else
       Out += static_cast<char>(Byte);
--- a/src/CliTickets.cpp
+++ b/src/CliTickets.cpp
@@ -1,6 +1,7 @@
 // Commands that change tickets.
 #include "CliTickets.h"
 #include "CliOutput.h"
+#include "TicketMutations.h"
 
 #include "sycamore/Signing.h"
 
@@ -96,7 +97,7 @@
   return reportFailure(
       Run, "unknown", Unknown.Why_,
       {{"number", Unknown.Number_}, {"command", Unknown.Command_}},
-      ExitCode::Unknown);
+      mutated("cli-unknown-exits-zero") ? ExitCode::Done : ExitCode::Unknown);
 }
 
 } // namespace
--- a/src/DeskAction.cpp
+++ b/src/DeskAction.cpp
@@ -47,6 +47,8 @@
   constexpr std::uint32_t MaxShift = 5;
   Duration Ceiling = std::min(
       MaxBackOff, FirstBackOff * (1U << std::min(Attempts_++, MaxShift)));
+  if (mutated("desk-no-back-off"))
+    Ceiling = milliseconds(1);
   auto Span = std::chrono::duration_cast<Duration>(
       Ceiling * (0.5 + 0.5 * randomUnit(Session_.Rng_)));
   Duration Left = End_ - Session_.Clock_();
--- a/src/Json.cpp
+++ b/src/Json.cpp
@@ -1,6 +1,8 @@
 // Strict JSON parsing and field-by-field reading.
 #include "sycamore/Json.h"
 
+#include "TicketMutations.h"
+
 #include <algorithm>
 #include <filesystem>
 #include <fstream>
@@ -23,7 +25,8 @@
   if (Text.size() <= MaxBytes)
     return Text;
   std::size_t End = MaxBytes;
-  while (End > 0 && (static_cast<unsigned char>(Text[End]) & 0xC0U) == 0x80U)
+  while (!mutated("json-cut-inside-character") && End > 0 &&
+         (static_cast<unsigned char>(Text[End]) & 0xC0U) == 0x80U)
     --End;
   Text.resize(End);
   return Text + "...";
@@ -72,7 +75,8 @@
     return enter() && Inner_.start_object(Size);
   }
   bool key(string_t &Name) override {
-    if (!Keys_.back().insert(Name).second) {
+    if (!Keys_.back().insert(Name).second &&
+        !mutated("json-allow-duplicate-keys")) {
       Message_ = "duplicate key \"" + cutText(Name, MaxQuotedBytes) + "\"";
       return false;
     }
@@ -101,7 +105,7 @@
 
 private:
   bool enter() {
-    if (++Depth_ <= MaxDepth_)
+    if (++Depth_ <= MaxDepth_ || mutated("json-allow-depth"))
       return true;
     Message_ = "nested deeper than " + std::to_string(MaxDepth_) + " levels";
     return false;
@@ -268,7 +272,7 @@
 }
 
 void ObjectReader::rejectUnknown() {
-  if (!Value_.is_object())
+  if (!Value_.is_object() || mutated("json-ignore-unknown-fields"))
     return;
   for (const auto &[Name, Value] : Value_.items()) {
     if (Known_.contains(Name))
--- a/src/KeyFile.cpp
+++ b/src/KeyFile.cpp
@@ -1,5 +1,6 @@
 // Key and token files, whose permission modes are checked, and addresses.
 #include "SettingsReader.h"
+#include "TicketMutations.h"
 
 #include <algorithm>
 #include <arpa/inet.h>
@@ -37,7 +38,8 @@
   if (!S_ISREG(Status.st_mode))
     return Error{ErrorKind::PermissionDenied, Path + ": is not a regular file",
                  "name the key file itself"};
-  if ((Status.st_mode & (S_IRWXG | S_IRWXO)) != 0)
+  if ((Status.st_mode & (S_IRWXG | S_IRWXO)) != 0 &&
+      !mutated("settings-skip-key-mode"))
     return Error{ErrorKind::PermissionDenied,
                  Path + ": key file is open to group or others",
                  "run `chmod 600 " + Path + "`"};
--- a/src/Settings.cpp
+++ b/src/Settings.cpp
@@ -1,5 +1,6 @@
 // Reads and checks the daemon's settings.
 #include "SettingsReader.h"
+#include "TicketMutations.h"
 
 #include <algorithm>
 #include <array>
@@ -53,7 +54,8 @@
 void readLimits(SettingsReader &Reader, LimitSettings &Out) {
   Reader.count("max_header_bytes", Out.MaxHeaderBytes_, 1024, 1U << 20U);
   Reader.count("max_body_bytes", Out.MaxBodyBytes_, 1024, 64U << 20U);
-  Reader.count("max_calls", Out.MaxCalls_, 1, 1'000'000);
+  Reader.count("max_calls", Out.MaxCalls_,
+               mutated("settings-other-range") ? 2 : 1, 1'000'000);
   Reader.count("peer_links", Out.PeerLinks_, 4, 10'000);
 }
 
@@ -82,6 +84,8 @@
 }
 
 void readIdentity(SettingsReader &Reader, Settings &Out) {
+  if (mutated("settings-undocumented-field"))
+    Reader.find("undocumented");
   Reader.name("server", Out.Server_, true);
   Reader.name("data_centre", Out.DataCentre_, true);
   Reader.name("region", Out.Region_, false);
--- a/src/Snapshot.cpp
+++ b/src/Snapshot.cpp
@@ -1,6 +1,8 @@
 // Folds accepted tickets into snapshots and matches routes.
 #include "sycamore/Snapshot.h"
 
+#include "TicketMutations.h"
+
 #include <algorithm>
 #include <array>
 #include <openssl/evp.h>
@@ -202,7 +204,8 @@
   if (Accepted.PreviousDigest_ != Before.Digest_)
     return badChain(Accepted,
                     "does not follow ticket " + std::to_string(Before.Number_));
-  if (chainDigest(Accepted) != Accepted.Digest_)
+  if (chainDigest(Accepted) != Accepted.Digest_ &&
+      !mutated("snapshot-skip-chain-digest"))
     return badChain(Accepted, "its digest does not match its content");
   auto After = foldTicket(Before.State_, Accepted.Ticket_);
   if (!After)
--- a/src/TicketApproval.cpp
+++ b/src/TicketApproval.cpp
@@ -13,7 +13,7 @@
 std::optional<Error> checkSignature(const DeskOperator &Operator,
                                     const AcceptedTicket &Accepted) {
   for (const OperatorEntry &Entry : Operator.Operators_)
-    if (Entry.Name_ == Operator.Name_ &&
+    if (Entry.Name_ == Operator.Name_ && !mutated("desk-skip-signature") &&
         !verifyHex(Entry.PublicKey_, Accepted.Digest_, Accepted.Signature_))
       return Error{ErrorKind::PermissionDenied,
                    "the signing key is not that of operator \"" +
--- a/src/TicketFiling.cpp
+++ b/src/TicketFiling.cpp
@@ -83,7 +83,8 @@
   if (!Record)
     return giveUp(Pending_, Change_.Number_, Record.error());
   Txn Request;
-  Request.Compares_ = {{headKey(), View.HeadRevision_}};
+  if (!mutated("desk-file-past-head"))
+    Request.Compares_ = {{headKey(), View.HeadRevision_}};
   if (!mutated("desk-skip-absent-compare"))
     Request.Compares_.push_back({ticketKey(Change_.Number_), 0});
   Request.Puts_ = {Put{ticketKey(Change_.Number_), toJson(*Record).dump(), 0}};
--- a/test/correctness/SettingsTest.cpp
+++ b/test/correctness/SettingsTest.cpp
@@ -87,6 +87,17 @@
     EXPECT_NE(Problems.find(Expected), std::string::npos) << Problems;
 }
 
+TEST(Settings, CutsQuotedValuesBetweenCharacters) {
+  for (std::size_t Offset = 0; Offset < 3; ++Offset) {
+    std::string Value(Offset, 'a');
+    for (int I = 0; I < 40; ++I)
+      Value += "\u20ac";
+    Json Document = leastDaemon();
+    Document["log"] = {{"level", Value}};
+    EXPECT_NO_THROW(Json(problemsOf(Document)).dump());
+  }
+}
+
 TEST(Settings, RefusesContradictions) {
   struct Case {
     Json Change_;
--- a/test/failure/TicketRaceTest.cpp
+++ b/test/failure/TicketRaceTest.cpp
@@ -30,13 +30,16 @@
 } // namespace
 
 TEST_F(TicketRace, ApprovalsOfDifferentEntitiesBothSucceed) {
+  std::uint32_t Value = 0;
   for (bool Compaction : {false, true})
     for (std::size_t Step = 1; Step <= MaxCalls; ++Step) {
       SCOPED_TRACE(Step);
       if (Compaction)
         fillHead();
-      std::uint64_t Low = filed(serviceTicket("a", 1));
-      std::uint64_t High = filed(serviceTicket("b", 2));
+      // A change that the state does not have yet, so that losing it shows.
+      ++Value;
+      std::uint64_t Low = filed(serviceTicket("a", Value));
+      std::uint64_t High = filed(serviceTicket("b", Value));
       DeskOutcome Rival = DeskNotAccepted{};
       before(Step, [&] { Rival = approve(Low, "rival"); });
       DeskOutcome Own = approve(High);
@@ -133,7 +136,8 @@
   Removal.Services_["a"] = std::nullopt;
   Ticket Use = serviceTicket("b", 1);
   Use.Targets_["a-1"] = TargetSpec{"a", "", 6};
-  before(2, [&] { accept(Removal); });
+  std::uint64_t Number = filed(Removal);
+  before(2, [&] { approve(Number); });
   EXPECT_EQ(failureOf(file(Use)), ErrorKind::InvalidTicket);
 }
 
@@ -155,8 +159,9 @@
 TEST_F(TicketRace, PreviousBaseStaysForReadersOfTheHeadBefore) {
   fillHead();
   accept(serviceTicket("c", 1, 60'000));
-  while (snapshotKeys().size() < 2)
-    accept(serviceTicket("d", 1, 60'000));
+  for (std::uint32_t I = 0; I < 4; ++I)
+    accept(serviceTicket("d", I, 60'000));
+  ASSERT_EQ(snapshotKeys().size(), 2U);
   for (std::uint32_t I = 0; I < 4; ++I) {
     std::uint64_t Base = head().BaseNumber_;
     accept(serviceTicket("e", I, 60'000));
