Harden the HTTP adapters against odd input and churn

Change: a status outside 100 to 999 is Broken; pools without connections and waiting calls are dropped; a listener whose accept() fails pauses for at most 500 ms; the accept backlog is 1024; TCP_NODELAY is set once for a connection. New tests: mutated requests and answers, a pipelined upload larger than the read-ahead, time limits that spare running requests and streams.

--- a/src/HttpClient.cpp
+++ b/src/HttpClient.cpp
@@ -173,15 +173,19 @@
     Connection->IdleSince_ = monotonicNow();
     if (!KeepConnection || Connection->Retire_)
       bury(*Connection);
-    else if (!evtimer_pending(SweepTimer_, nullptr)) {
-      timeval Wait = toTimeval(SweepInterval);
-      evtimer_add(SweepTimer_, &Wait);
-    }
   } else {
     std::erase_if(Pool.Waiting_,
                   [&](const auto &Item) { return Item.get() == &Call; });
   }
   pump(Pool);
+  armSweep();
+}
+
+void ClientCore::armSweep() {
+  if (evtimer_pending(SweepTimer_, nullptr))
+    return;
+  timeval Wait = toTimeval(SweepInterval);
+  evtimer_add(SweepTimer_, &Wait);
 }
 
 void ClientCore::finish(ClientCall &Call, HttpAnswer Answer,
@@ -227,6 +231,8 @@
   static_cast<ClientCore *>(Self)->sweep();
 }
 
+// Closes connections that were unused for too long and forgets addresses that
+// are no longer called; targets come and go.
 void ClientCore::sweep() {
   TimePoint Oldest = monotonicNow() - Config_.IdleTimeout_;
   bool AnyIdle = false;
@@ -242,10 +248,11 @@
     for (ClientConnection *Connection : Expired)
       bury(*Connection);
   }
-  if (!AnyIdle)
-    return;
-  timeval Wait = toTimeval(SweepInterval);
-  evtimer_add(SweepTimer_, &Wait);
+  std::erase_if(Pools_, [](const auto &Item) {
+    return Item.second->Connections_.empty() && Item.second->Waiting_.empty();
+  });
+  if (AnyIdle)
+    armSweep();
 }
 
 void ClientCore::forget(const std::string &Address) {
--- a/src/HttpClientPool.cpp
+++ b/src/HttpClientPool.cpp
@@ -7,6 +7,7 @@
 #include <charconv>
 #include <event2/bufferevent_ssl.h>
 #include <sys/socket.h>
+#include <utility>
 
 namespace sycamore {
 namespace {
@@ -55,6 +56,10 @@
   return "unknown failure";
 }
 
+/// evhttp takes any number for a status, also a negative one, and reports 0 for
+/// a connection that failed.
+bool isStatus(int Status) { return Status >= 100 && Status <= 999; }
+
 /// Why the end of an answer cannot be relied on, or empty.
 std::string_view incompleteness(const HttpAnswer &Answer,
                                 const HttpClientRequest &Request) {
@@ -159,7 +164,8 @@
     Call_ = nullptr;
     return false;
   }
-  if (evutil_socket_t Socket = bufferevent_getfd(Stream_); Socket >= 0)
+  evutil_socket_t Socket = bufferevent_getfd(Stream_);
+  if (Socket >= 0 && !std::exchange(NoDelay_, true))
     setNoDelay(Socket);
   return true;
 }
@@ -191,9 +197,10 @@
   HttpAnswer Answer;
   Answer.Sent_ = This->Written_ > 0;
   Answer.Status_ = Request ? evhttp_request_get_response_code(Request) : 0;
-  std::string Reason =
-      This->Failure_.empty() ? "the connection failed" : This->Failure_;
-  if (Answer.Status_ != 0) {
+  std::string Reason = Answer.Status_ != 0 ? "the answer's status is invalid"
+                       : This->Failure_.empty() ? "the connection failed"
+                                                : This->Failure_;
+  if (isStatus(Answer.Status_)) {
     copyHeaders(evhttp_request_get_input_headers(Request), Answer.Headers_);
     Answer.Body_ = takeBody(evhttp_request_get_input_buffer(Request));
     Reason = incompleteness(Answer, Call->Request_);
--- a/src/HttpClientPool.h
+++ b/src/HttpClientPool.h
@@ -67,6 +67,7 @@
   std::size_t Written_ = 0;
   bool Closed_ = false;
   bool Starting_ = false; ///< Inside evhttp_make_request().
+  bool NoDelay_ = false;
 };
 
 class ClientCall : public HttpCall,
@@ -131,6 +132,7 @@
   ClientConnection *takeConnection(ClientPool &Pool);
   void release(ClientCall &Call, bool KeepConnection);
   void bury(ClientConnection &Connection);
+  void armSweep();
   void sweep();
   static void onBurial(evutil_socket_t Socket, short Events, void *Self);
   static void onSweep(evutil_socket_t Socket, short Events, void *Self);
--- a/src/HttpServer.cpp
+++ b/src/HttpServer.cpp
@@ -19,6 +19,13 @@
     EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT |
     EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS | EVHTTP_REQ_PATCH;
 
+/// Connections that wait to be accepted when many callers return at once.
+constexpr int AcceptBacklog = 1024;
+
+/// A listener whose accept() fails, for want of file descriptors as a rule,
+/// pauses until the next of these turns; it would keep the loop busy otherwise.
+constexpr timeval AcceptInterval{0, 500000};
+
 class ServerImpl : public HttpServer, public HttpConnectionOwner {
 public:
   ServerImpl(event_base *Base, const HttpServerConfig &Config, TlsContext Tls);
@@ -44,6 +51,8 @@
 
   static bufferevent *newStream(event_base *Base, void *Self);
   static void onRequest(evhttp_request *Request, void *Self);
+  static void onAcceptError(evconnlistener *Listener, void *Http);
+  static void onAcceptTimer(evutil_socket_t Socket, short Events, void *Self);
   static void onCloseTimer(evutil_socket_t Socket, short Events, void *Self);
 
   event_base *Base_;
@@ -51,6 +60,7 @@
   TlsContext Tls_;
   evhttp *Http_;
   event *CloseTimer_;
+  event *AcceptTimer_;
   HttpHandler Handler_;
   std::vector<evhttp_bound_socket *> Sockets_;
   std::map<evhttp_connection *, std::unique_ptr<HttpServerConnection>>
@@ -63,7 +73,9 @@
                        TlsContext Tls)
     : Base_(Base), Config_(Config), Tls_(std::move(Tls)),
       Http_(evhttp_new(Base)),
-      CloseTimer_(evtimer_new(Base, onCloseTimer, this)) {
+      CloseTimer_(evtimer_new(Base, onCloseTimer, this)),
+      AcceptTimer_(event_new(Base, -1, EV_PERSIST, onAcceptTimer, this)) {
+  event_add(AcceptTimer_, &AcceptInterval);
   evhttp_set_max_headers_size(Http_,
                               static_cast<ev_ssize_t>(Config_.MaxHeaderBytes_));
   evhttp_set_max_body_size(Http_,
@@ -85,6 +97,7 @@
     Connection->detach();
   }
   event_free(CloseTimer_);
+  event_free(AcceptTimer_);
   evhttp_free(Http_);
 }
 
@@ -105,8 +118,8 @@
     return tl::unexpected(Parsed.error());
   evconnlistener *Listener = evconnlistener_new_bind(
       Base_, nullptr, nullptr,
-      LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_CLOSE_ON_FREE, -1,
-      Parsed->get(), Parsed->Length_);
+      LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_CLOSE_ON_FREE,
+      AcceptBacklog, Parsed->get(), Parsed->Length_);
   if (!Listener)
     return fail(ErrorKind::Unavailable,
                 "cannot listen on " + Address + ": " + std::strerror(errno),
@@ -115,9 +128,20 @@
   setNoDelay(evconnlistener_get_fd(Listener));
   std::string Bound = boundAddress(evconnlistener_get_fd(Listener));
   Sockets_.push_back(evhttp_bind_listener(Http_, Listener));
+  evconnlistener_set_error_cb(Listener, onAcceptError);
   return Bound;
 }
 
+void ServerImpl::onAcceptError(evconnlistener *Listener, void * /*Http*/) {
+  evconnlistener_disable(Listener);
+}
+
+void ServerImpl::onAcceptTimer(evutil_socket_t /*Socket*/, short /*Events*/,
+                               void *Self) {
+  for (evhttp_bound_socket *Socket : static_cast<ServerImpl *>(Self)->Sockets_)
+    evconnlistener_enable(evhttp_bound_socket_get_listener(Socket));
+}
+
 void ServerImpl::stopAccepting() {
   Stopping_ = true;
   for (evhttp_bound_socket *Socket : Sockets_)
--- a/test/failure/HttpFailureTest.cpp
+++ b/test/failure/HttpFailureTest.cpp
@@ -49,6 +49,8 @@
       "HTTP/1.0 200 OK\r\n\r\nno length",
       "HTTP/1.1 200 OK\r\nContent-Le",
       "nonsense\r\n\r\n",
+      "HTTP/1.1 -204 OK\r\nContent-Length: 0\r\n\r\n",
+      "HTTP/1.1 20400 OK\r\nContent-Length: 0\r\n\r\n",
       ""};
   HttpPair Pair;
   for (const std::string &Cut : Cuts) {
@@ -142,6 +144,61 @@
   EXPECT_LT(Caller.Input_.find("/1"), Caller.Input_.find("/2"));
 }
 
+// Guards against a pipelined upload that stalls once more of it has arrived
+// than the server reads ahead.
+TEST(HttpFailure, ReadsALargePipelinedUploadAfterTheAnswer) {
+  HttpPair Pair;
+  std::vector<HttpExchangePointer> Held;
+  Pair.Server_->setHandler(
+      [&](HttpExchangePointer Exchange) { Held.push_back(Exchange); });
+  RawClient Caller(Pair.Loop_.base(), Pair.Address_);
+  std::string Body = randomBody(3000000);
+  Caller.write("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n"
+               "POST /2 HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+               std::to_string(Body.size()) + "\r\n\r\n" + Body);
+  ASSERT_TRUE(Pair.Loop_.runUntil([&] { return Held.size() == 1; }));
+  Pair.Loop_.runFor(milliseconds(50));
+  Held[0]->reply(200, {}, "");
+  ASSERT_TRUE(Pair.Loop_.runUntil([&] { return Held.size() == 2; }));
+  EXPECT_TRUE(Held[1]->request().Body_ == Body);
+}
+
+// Guards against a time limit for unused connections that ends a long request
+// or a quiet stream, and against connections that stay for ever.
+TEST(HttpFailure, LimitsUnusedConnectionsOnly) {
+  HttpServerConfig Config;
+  Config.IdleTimeout_ = seconds(1);
+  HttpPair Pair(Config);
+  std::vector<HttpExchangePointer> Held;
+  Pair.Server_->setHandler([&](HttpExchangePointer Exchange) {
+    if (Exchange->request().Path_ == "/stream")
+      Exchange->startReply(200, {});
+    Held.push_back(Exchange);
+  });
+  std::vector<HttpAnswer> Answers;
+  HttpClientRequest Request;
+  for (const char *Path : {"/long", "/stream"}) {
+    Request.Path_ = Path;
+    Pair.Client_->send(Pair.Address_, Request,
+                       [&](HttpAnswer Value) { Answers.push_back(Value); });
+  }
+  RawClient Silent(Pair.Loop_.base(), Pair.Address_);
+  Silent.write("GET / HT");
+  EXPECT_TRUE(Pair.Loop_.runUntil([&] { return Silent.Closed_; }));
+  Pair.Loop_.runFor(milliseconds(1000));
+  ASSERT_EQ(Held.size(), 2U);
+  for (const HttpExchangePointer &Exchange : Held) {
+    EXPECT_TRUE(Exchange->isOpen());
+    Exchange->reply(200, {}, "");
+    Exchange->endReply();
+  }
+  ASSERT_TRUE(Pair.Loop_.runUntil([&] { return Answers.size() == 2; }));
+  EXPECT_EQ(Answers[0].Status_ + Answers[1].Status_, 400);
+  EXPECT_EQ(Pair.Client_->connections(Pair.Address_), 2U);
+  EXPECT_TRUE(Pair.Loop_.runUntil(
+      [&] { return Pair.Client_->connections(Pair.Address_) == 0; }));
+}
+
 // Guards against a body that is taken for the next request.
 TEST(HttpFailure, RefusesABodyOnAMethodWithoutOne) {
   HttpPair Pair;
