--- a/src/CallMutation.h
+++ b/src/CallMutation.h
@@ -9,7 +9,6 @@
   None,
   RetryInDoubt,
   RestartedDaemonVouches,
-  AnyServerAnswers,
   AnyIncarnationAnswers,
   NoBodyCheck,
   NoTombstone,
--- a/src/TargetCalls.cpp
+++ b/src/TargetCalls.cpp
@@ -158,11 +158,12 @@
   if (mutated(CallMutation::IgnorePause))
     return Duration{0};
   Duration SinceTick = Now - Calls.LastTick_;
+  bool Draining =
+      Calls.LastTick_ - Calls.PauseEnd_ <= Calls.Limits_.DrainAfterPause_;
+  Duration Wait = Draining ? Calls.PauseLength_ : Duration{0};
   if (SinceTick > Calls.Limits_.PauseThreshold_)
-    return SinceTick;
-  if (Now - Calls.PauseEnd_ <= Calls.Limits_.DrainAfterPause_)
-    return Calls.PauseLength_;
-  return Duration{0};
+    Wait += SinceTick;
+  return Wait;
 }
 
 AcceptResult refuse(Acceptance Kind, wire::CallAnswer Answer) {
--- a/test/support/CallWorld.cpp
+++ b/test/support/CallWorld.cpp
@@ -23,6 +23,7 @@
       {"no-low-water-mark", NoLowWaterMark},
       {"expired-without-record", ExpiredWithoutRecord},
       {"no-duplicate-check", NoDuplicateCheck},
+      {"ignore-pause", IgnorePause},
       {"border-without-allowance", BorderWithoutAllowance},
       {"lease-from-answer", LeaseFromAnswer},
       {"takeover-from-request", TakeoverFromRequest},
