--- a/test/failure/CallHistoryTest.cpp
+++ b/test/failure/CallHistoryTest.cpp
@@ -60,6 +60,8 @@
     std::cout << "  " << Name << ": " << Value << "\n";
   // A path that no run takes would leave its rule unchecked.
   if (EveryPath && Count >= 1000 && Found.empty()) {
+    // Only a faulty peer uses one ordinal for two calls.
+    Totals.erase("target mismatched");
     for (const auto &[Name, Value] : Totals)
       EXPECT_GT(Value, 0U) << Name;
   }
