--- a/src/AdminApi.h
+++ b/src/AdminApi.h
@@ -4,7 +4,7 @@
 
 #include "ControlPlane.h"
 #include "EntryProxy.h"
-#include "KeyHolder.h"
+#include "KeyedProxy.h"
 #include "TargetProxy.h"
 #include "sycamore/EtcdStore.h"
 #include "sycamore/HttpServer.h"
@@ -17,7 +17,7 @@
   ControlPlane &Control_;
   TargetProxy &Targets_;
   EntryProxy &Entry_;
-  KeyHolder &Keys_;
+  KeyedProxy &Keys_;
   Quarantine &Marks_;
   SpanBuffer &Spans_;
   const PeerTransport &Peers_;
--- a/src/Daemon.cpp
+++ b/src/Daemon.cpp
@@ -131,11 +131,11 @@
   Entry_ = std::make_unique<EntryProxy>(
       Settings_, *Control_, *Targets_, Marks_, Spans_, Rng_, Process_, SendCall,
       [this](const std::string &Server) { Peers_->closeLink(Server); });
-  KeyHolder_ = std::make_unique<KeyHolder>(
+  Keyed_ = std::make_unique<KeyedProxy>(
       Settings_, *Control_, *Entry_, *Targets_, *Store_, Rng_, Process_, Send);
   Entry_->setKeyedHandler(
       [this](AcceptedRequest Request, HttpExchangePointer Exchange, Now At) {
-        KeyHolder_->receive(std::move(Request), std::move(Exchange), At);
+        Keyed_->receive(std::move(Request), std::move(Exchange), At);
       });
 }
 
@@ -148,8 +148,8 @@
     Tokens = std::move(*Loaded);
   }
   Admin_ = std::make_unique<AdminApi>(
-      AdminSubjects{Settings_, *Control_, *Targets_, *Entry_, *KeyHolder_,
-                    Marks_, Spans_, *Peers_, *StoreCounters_},
+      AdminSubjects{Settings_, *Control_, *Targets_, *Entry_, *Keyed_, Marks_,
+                    Spans_, *Peers_, *StoreCounters_},
       std::move(Tokens));
 
   auto Caller =
@@ -211,7 +211,7 @@
   Control_->tick(Time);
   Targets_->tick(Time);
   Entry_->tick(Time);
-  KeyHolder_->tick(Time);
+  Keyed_->tick(Time);
   expire(Marks_, Time.Wall_);
   for (const QuarantineEvent &Event : takeEvents(Marks_))
     logEvent(LogLevel::Warning,
@@ -235,7 +235,7 @@
     takeQuarantine(Message.gossip(), Time);
     break;
   case wire::PeerMessage::kBucketHandover:
-    KeyHolder_->receiveHandover(Message.bucket_handover(), Time);
+    Keyed_->receiveHandover(Message.bucket_handover(), Time);
     break;
   case wire::PeerMessage::kLinkHeartbeat:
     if (!Message.link_heartbeat().answer()) {
@@ -260,7 +260,7 @@
     if (Request.idempotency_key().empty())
       Targets_->run(Request, std::move(Body), Route, Time);
     else
-      KeyHolder_->receiveForwarded(Request, std::move(Body), Route, Time);
+      Keyed_->receiveForwarded(Request, std::move(Body), Route, Time);
     break;
   }
   case wire::PeerMessage::kCallAnswer:
@@ -349,12 +349,12 @@
            {{"calls", Entry_->inFlight()}, {"requests", Targets_->inFlight()}});
   Control_->startLeaving(Time);
   Targets_->startLeaving();
-  KeyHolder_->startLeaving(Time);
+  Keyed_->startLeaving(Time);
 }
 
 bool DaemonImpl::isIdle() const {
   return Entry_->inFlight() == 0 && Targets_->inFlight() == 0 &&
-         KeyHolder_->waiting() == 0 && CallerServer_->openExchanges() == 0;
+         Keyed_->waiting() == 0 && CallerServer_->openExchanges() == 0;
 }
 
 void DaemonImpl::continueStop(Now Time) {
@@ -364,16 +364,16 @@
   CutShort_ = !Done && Time.Monotonic_ - StopStarted_ >= Settings_.StopLimit_;
   // Callers that dial this daemon are still served until the news has spread;
   // only then do its listeners close.
-  if (Time.Monotonic_ - StopStarted_ >= LeaveNotice && !KeysHandedOver_) {
-    KeysHandedOver_ = true;
+  if (Time.Monotonic_ - StopStarted_ >= LeaveNotice && !ListenersClosed_) {
+    ListenersClosed_ = true;
     Entry_->startLeaving();
     CallerServer_->stopAccepting();
     CallerServer_->closeIdle();
     IdleSince_ = Time.Monotonic_;
   }
-  if (!CutShort_ && !(Done && KeysHandedOver_))
+  if (!CutShort_ && !(Done && ListenersClosed_))
     return;
-  KeyHolder_->finishLeaving(Time);
+  Keyed_->finishLeaving();
   Control_->finishLeaving(Time);
   logEvent(CutShort_ ? LogLevel::Warning : LogLevel::Info, "left",
            {{"cut_short", CutShort_}});
--- a/src/DaemonImpl.h
+++ b/src/DaemonImpl.h
@@ -4,7 +4,7 @@
 #include "AdminApi.h"
 #include "ControlPlane.h"
 #include "EntryProxy.h"
-#include "KeyHolder.h"
+#include "KeyedProxy.h"
 #include "PeerKeys.h"
 #include "TargetProxy.h"
 #include "sycamore/Daemon.h"
@@ -73,7 +73,7 @@
   std::unique_ptr<ControlPlane> Control_;
   std::unique_ptr<TargetProxy> Targets_;
   std::unique_ptr<EntryProxy> Entry_;
-  std::unique_ptr<KeyHolder> KeyHolder_;
+  std::unique_ptr<KeyedProxy> Keyed_;
   std::unique_ptr<AdminApi> Admin_;
   std::unique_ptr<HttpServer> CallerServer_;
   std::unique_ptr<HttpServer> AdminServer_;
@@ -81,7 +81,7 @@
   event *LocalEvent_ = nullptr;
   std::deque<LocalMessage> Local_;
   bool Stopping_ = false;
-  bool KeysHandedOver_ = false;
+  bool ListenersClosed_ = false;
   bool CutShort_ = false;
   TimePoint StopStarted_;
   TimePoint IdleSince_;
--- a/src/KeyedProxy.h
+++ b/src/KeyedProxy.h
@@ -3,26 +3,27 @@
 #pragma once
 
 #include "EntryProxy.h"
-#include "sycamore/KeyedCalls.h"
+#include "sycamore/BucketStore.h"
+#include "sycamore/KeyHolder.h"
 
 namespace sycamore {
 
-struct KeyHolderCounters {
+struct KeyedProxyCounters {
   std::uint64_t Forwarded_ = 0;
   std::uint64_t NoHolder_ = 0;
   std::uint64_t BadKeys_ = 0;
   std::uint64_t WaitsTimedOut_ = 0;
-  std::uint64_t StoreCalls_ = 0;
 };
 
-class KeyHolder {
+class KeyedProxy {
 public:
-  KeyHolder(const Settings &Config, ControlPlane &Control, EntryProxy &Entry,
-            TargetProxy &Attempts, Store &Platform, Random &Rng,
-            std::uint64_t Process, OutboxSender Send);
+  KeyedProxy(const Settings &Config, ControlPlane &Control, EntryProxy &Entry,
+             TargetProxy &Attempts, Store &Platform, Random &Rng,
+             std::uint64_t Process, OutboxSender Send);
 
   /// A caller's request with a key at its entry daemon.
-  void receive(AcceptedRequest Request, HttpExchangePointer Exchange, Now Time);
+  void receive(AcceptedRequest Request, const HttpExchangePointer &Exchange,
+               Now Time);
 
   /// A request that an entry daemon forwarded to this holder; the attempt is
   /// accepted already.
@@ -36,58 +37,53 @@
   /// Hands the buckets over to other daemons.
   void startLeaving(Now Time);
   /// Releases what nobody has taken over.
-  void finishLeaving(Now Time);
+  void finishLeaving();
 
-  std::size_t waiting() const { return Waiters_.size(); }
-  const BucketTable &buckets() const { return Buckets_; }
-  const KeyHolderCounters &counters() const { return Counters_; }
+  std::size_t waiting() const { return Sendings_.size(); }
+  const BucketTable &buckets() const { return Holder_.Buckets_; }
+  const KeyedProxyCounters &counters() const { return Counters_; }
 
 private:
-  /// Receives the outcome of a keyed request, in the form of a call's answer.
   using Deliver = std::function<void(const wire::CallAnswer &, std::string)>;
 
-  /// One sending of a key, at its holder.
-  struct Sending {
-    std::string Key_;
-    std::uint64_t Hash_ = 0;
-    EntryCall Call_;
-    TraceContext Span_;
-    TimePoint Deadline_;
+  /// A sending that this holder has not answered.
+  struct OpenSending {
     Deliver Deliver_;
+    TimePoint Deadline_;
+    SnapshotPointer Snapshot_;
+    TraceContext Span_;
   };
 
   void forward(AcceptedRequest Request, const HttpExchangePointer &Exchange,
                const std::string &Holder, Now Time);
-  void decide(Sending Request, Now Time);
-  void runKey(Sending Request, Now Time);
-  void retryWaiters(Now Time);
-  void carryOut(const BucketActions &Actions, Now Time);
-  void acquire(const AcquireBucket &Action, Now Time);
-  void putClaim(const AcquireBucket &Action, std::int64_t LeaseId,
-                const std::optional<LeaseAnswer> &Granted);
-  void keepAlive(const KeepLeaseAlive &Action, Now Time);
-  void release(const ReleaseBucket &Action);
-  void handOver(const SendHandover &Action);
+  void take(const wire::CallRequest &Request,
+            std::shared_ptr<const std::string> Body, OpenSending Sending,
+            Now Time);
+  void carryOut(HolderActions Actions, Now Time);
+  void carryOut(BucketActions Actions);
+  void run(const RunKey &Action, Now Time);
+  void deliver(std::uint64_t Token, const wire::CallAnswer &Answer,
+               std::string Body);
+  void endLateSendings(Now Time);
   /// Records of all servers, at most a moment old.
   const std::vector<wire::ServerRecord> &serverRecords(Now Time);
   void publishClaims();
-  void logEvent(const BucketEvent &Event) const;
 
   const Settings &Settings_;
   ControlPlane &Control_;
   EntryProxy &Entry_;
   TargetProxy &Attempts_;
-  Store &Store_;
   Random &Rng_;
   OutboxSender Send_;
-  BucketTable Buckets_;
-  std::deque<Sending> Waiters_; ///< For the outcome of an earlier sending.
+  KeyHolder Holder_;
+  BucketStore BucketStore_;
+  std::map<std::uint64_t, OpenSending> Sendings_; ///< By token.
+  std::uint64_t NextToken_ = 1;
+  std::vector<wire::HeldBucket> Published_;
   std::vector<wire::ServerRecord> Records_;
   TimePoint NextRecords_;
   TimePoint NextBucketTick_;
-  bool Settled_ = false; ///< A key that is waited for has an outcome.
-  std::vector<wire::HeldBucket> Published_;
-  KeyHolderCounters Counters_;
+  KeyedProxyCounters Counters_;
 };
 
 } // namespace sycamore
--- a/test/support/CallWorld.h
+++ b/test/support/CallWorld.h
@@ -3,8 +3,9 @@
 #pragma once
 
 #include "History.h"
+#include "sycamore/BucketStore.h"
 #include "sycamore/EntryCalls.h"
-#include "sycamore/KeyedCalls.h"
+#include "sycamore/KeyHolder.h"
 #include "sycamore/TargetCalls.h"
 
 #include <map>
@@ -30,6 +31,7 @@
   Micros Tick_ = 20'000;
   Micros Detection_ = 1'500'000; ///< Until a lost server is seen as dead.
   Micros CallerPatience_ = 1'500'000;
+  Micros StoreDeadline_ = 3'000'000;
   KeyedLimits Keyed_;
   TargetCallLimits Target_;
   EntryCallLimits Entry_;
@@ -56,10 +58,12 @@
   SnapshotPointer Snapshot_;
   EntryCalls Entry_;
   TargetCalls Target_;
-  BucketTable Buckets_;
+  KeyHolder Holder_;
+  std::unique_ptr<Store> Access_;
+  BucketStore Store_;
   std::map<std::uint64_t, std::function<void(const Finish &)>> OnFinish_;
-  std::map<std::string, std::vector<std::function<void(const Finish &)>>>
-      Waiters_;
+  /// Whom to answer about sendings of keys, by token.
+  std::map<std::uint64_t, std::function<void(const Finish &)>> Replies_;
   std::vector<wire::ServerRecord> SeenRecords_;
   std::vector<std::string> SeenAlive_;
   std::map<std::string, std::uint64_t> SeenProcess_;
@@ -74,18 +78,11 @@
 };
 
 struct FakeStore {
-  struct Claim {
-    std::string Value_;
-    std::int64_t Lease_ = 0;
-    std::int64_t Revision_ = 0;
-  };
-  std::map<std::uint32_t, Claim> Claims_;
+  std::map<std::string, KeyValue> Values_;
   std::map<std::int64_t, Micros> LeaseEnds_;
   std::int64_t Revision_ = 1;
   std::int64_t NextLease_ = 1;
   Micros DownUntil_ = 0;
-  /// Leases do not run down while the store is down.
-  bool LeasesPause_ = false;
   Micros SlowUntil_ = 0;
   std::uint64_t Calls_ = 0;
 };
@@ -141,7 +138,7 @@
   void perform(Node &From, const CallActions &Actions);
   void send(Node &From, const SendAttempt &Attempt);
   void sendOver(std::size_t From, std::size_t To, bool IsAnswer,
-                std::function<void(Node &)> Deliver);
+                const std::function<void(Node &)> &Deliver);
   void receive(Node &To, std::size_t From, const wire::CallRequest &Call,
                const std::string &Body);
   void runOnTarget(Node &Beside, std::size_t From,
@@ -151,14 +148,12 @@
   void query(Node &At, std::size_t From, const wire::CallQuery &Question);
 
   // Keyed calls.
-  void holdKey(Node &At, sycamore::Now Read, const wire::CallRequest &Call,
-               const std::string &Body,
-               std::function<void(const Finish &)> Reply);
-  void beginKeyed(Node &At, const wire::CallRequest &Call,
-                  const std::string &Body);
+  void hold(Node &At, sycamore::Now Read, const wire::CallRequest &Call,
+            const std::string &Body,
+            const std::function<void(const Finish &)> &Reply);
+  void performHolder(Node &At, const HolderActions &Actions);
+  void beginKeyed(Node &At, const RunKey &Run);
   void performBuckets(Node &From, const BucketActions &Actions);
-  void acquire(Node &From, const AcquireBucket &Action);
-  void keepAlive(Node &From, const KeepLeaseAlive &Action);
   /// Whether the store answers, and after how long.
   struct StoreFate {
     bool Runs_ = true;
@@ -167,15 +162,16 @@
     Micros After_ = 0;
   };
   StoreFate storeFate(const Node &From);
+  void connectStore(Node &Of);
 
   // Callers.
   void scheduleLoad();
-  void sendRequest(std::shared_ptr<Request> What);
-  void takeCall(Node &At, std::shared_ptr<Request> What,
+  void sendRequest(const std::shared_ptr<Request> &What);
+  void takeCall(Node &At, const std::shared_ptr<Request> &What,
                 const std::string &Call);
-  void replyToCaller(Node &At, std::shared_ptr<Request> What,
+  void replyToCaller(Node &At, const std::shared_ptr<Request> &What,
                      const std::string &Call, const Finish &Answer);
-  void maybeResend(std::shared_ptr<Request> What);
+  void maybeResend(const std::shared_ptr<Request> &What);
 
   struct Scheduled {
     Micros When_;
@@ -191,6 +187,7 @@
   std::map<std::string, bool> Answered_; ///< By call.
   std::uint64_t Sent_ = 0;
   std::uint64_t Runs_ = 0;
+  std::uint64_t Tokens_ = 0;
   std::vector<Micros> CallerOffset_;
   std::vector<std::shared_ptr<Request>> Keyed_;
 };
