--- a/test/support/Cluster.cpp
+++ b/test/support/Cluster.cpp
@@ -160,9 +160,10 @@
   Which.Peer_ = (*Ports)["peer"];
 }
 
-void Cluster::restartDaemon(Server &Which) {
+void Cluster::restartDaemon(Server &Which, const Json &ExtraSettings) {
   Which.Daemon_.reset();
   Json Config = Json::parse(readFile(Which.Settings_));
+  Config.merge_patch(ExtraSettings);
   Config["caller_listen"] = Which.Caller_;
   Config["admin_listen"] = Which.Admin_;
   Config["peer_listen"] = Which.Peer_;
--- a/test/support/Cluster.h
+++ b/test/support/Cluster.h
@@ -72,8 +72,8 @@
                     const std::vector<std::string> &TargetOptions = {},
                     const Json &ExtraSettings = Json::object());
 
-  /// Starts the daemon again on its former addresses.
-  void restartDaemon(Server &Which);
+  /// Starts the daemon again on its former addresses, with changed settings.
+  void restartDaemon(Server &Which, const Json &ExtraSettings = Json::object());
   void startTarget(Server &Which, const std::vector<std::string> &Options);
 
   /// Runs sycamorectl; Output receives what it printed.
