--- a/include/sycamore/Placement.h
+++ b/include/sycamore/Placement.h
@@ -52,10 +52,11 @@
 struct PlacementOptions {
   /// Time after which a load report counts half.
   Duration LoadHalfLife_ = seconds(5);
-  /// Weight of a new load report. Reports may be late: with a weight of 0.2
-  /// and reports 500 ms old, all daemons chased the target that had been idle,
-  /// and two calls in three were queued at half load.
-  double LoadGain_ = 0.02;
+  /// Time in which a change of the reported load counts half. Reports may be
+  /// late: when they were taken at once and 500 ms old, all daemons chased the
+  /// target that had been idle, and two calls in three were queued at half
+  /// load.
+  Duration LoadSmoothing_ = seconds(3);
   /// A target is an outlier when its median latency is this many times the
   /// median of all candidates ...
   double OutlierRatio_ = 3.0;
@@ -63,6 +64,8 @@
   /// data centre makes no outlier of a fast target.
   Duration OutlierMargin_ = milliseconds(4);
   std::uint64_t OutlierMinSamples_ = 4;
+  /// Largest move of the logarithm of a target's median for one answer.
+  double LatencyStep_ = 0.25;
   /// Outliers are ignored when more than this share of candidates are.
   double PanicShare_ = 0.5;
   /// Time between two calls that test whether an outlier has recovered.
@@ -91,11 +94,11 @@
   std::uint32_t InFlight_ = 0; ///< Own calls dispatched, not answered.
   double OthersLoad_ = 0;      ///< Requests of others at ReportedAt_.
   TimePoint ReportedAt_{};
-  RunningQuantile Latency_{0.5, 0.5}; ///< Median in microseconds.
-  TimePoint LastSample_{};            ///< Last latency noted.
-  TimePoint WaitingSince_{};          ///< Last answer, or first dispatch after.
-  TimePoint FirstSeen_{};             ///< Start of the ramp.
-  TimePoint LastSeen_{};              ///< Last time it was a candidate.
+  RunningQuantile Latency_{}; ///< Median in microseconds.
+  TimePoint LastSample_{};    ///< Last latency noted.
+  TimePoint WaitingSince_{};  ///< Last answer, or first dispatch after.
+  TimePoint FirstSeen_{};     ///< Start of the ramp.
+  TimePoint LastSeen_{};      ///< Last time it was a candidate.
   TimePoint EjectedUntil_{};
   std::uint32_t Refusals_ = 0; ///< Refused connections in a row.
   bool Outlier_ = false;
--- a/src/Placement.cpp
+++ b/src/Placement.cpp
@@ -85,6 +85,7 @@
   if (Table.Targets_.size() >= Table.Options_.MaxTargets_)
     forgetOne(Table);
   TargetStats &Stats = Table.Targets_[std::string(Name)];
+  Stats.Latency_.Step_ = Table.Options_.LatencyStep_;
   Stats.FirstSeen_ = Now;
   Stats.LastSeen_ = Now;
   return Stats;
@@ -346,7 +347,10 @@
     double Reported = static_cast<double>(Load.Running_) + Load.Queued_;
     double Others = std::max(0.0, Reported - Stats.InFlight_);
     double Before = othersLoad(Table.Options_, Stats, Now);
-    Stats.OthersLoad_ = Before + (Others - Before) * Table.Options_.LoadGain_;
+    double Elapsed = std::max(0.0, inUnits(Now - Stats.ReportedAt_));
+    double Weight =
+        1 - std::exp2(-Elapsed / inUnits(Table.Options_.LoadSmoothing_));
+    Stats.OthersLoad_ = Before + (Others - Before) * Weight;
     Stats.ReportedAt_ = Now;
   }
   if (Outcome == AttemptOutcome::ConnectionRefused ||
