Judge no key by a time from before its record ended

A holder read the clock, was paused, and on waking its tick ended the key's record by the new time; the sending was then judged by the old time, at which the key was not yet too old. Change: the bucket table remembers the latest time it was given, and admitKey() and tickBuckets() use no earlier one. holdersOf() finds all holders in one pass over the server records, where each bucket took a pass before. The history's JSON form is written from tables of fields. Ruled out: longer records; the pause has no bound. Conclusion: mutation stale-time shows the fault again.

--- a/include/sycamore/KeyBuckets.h
+++ b/include/sycamore/KeyBuckets.h
@@ -200,6 +200,9 @@
   TimePoint LeaseValidUntil_;
   bool LeaseValid_ = false; ///< As last reported by an event.
   bool Leaving_ = false;
+  /// The latest time that admitKey() or tickBuckets() was given. Records end
+  /// by it, so no key may be judged by an earlier reading.
+  Now Latest_;
   TimePoint NextKeepAlive_;
   bool KeepAliveInFlight_ = false;
   /// Store calls in a row that got no answer. While there are any, one bucket
@@ -230,6 +233,7 @@
 struct BucketHolder {
   std::string Server_;
   std::uint64_t Fence_ = 0;
+  bool Lapsed_ = false; ///< Its lease is not valid; see HeldBucket.lapsed.
 };
 
 /// Who holds a bucket according to the servers' records: the claim with the
@@ -238,6 +242,11 @@
 std::optional<BucketHolder>
 holderOf(std::uint32_t Bucket, std::span<const wire::ServerRecord> Records);
 
+/// The same for all buckets, in one pass over the records.
+std::vector<std::optional<BucketHolder>>
+holdersOf(std::uint32_t BucketCount,
+          std::span<const wire::ServerRecord> Records);
+
 /// The claims of this daemon for its own server record.
 std::vector<wire::HeldBucket> heldBuckets(const BucketTable &Table);
 
--- a/src/BucketStore.cpp
+++ b/src/BucketStore.cpp
@@ -35,13 +35,13 @@
   Read.Key_ = Key;
   Request.Reads_.push_back(Read);
   Now Sent = With.Clock_();
-  With.Store_->txn(Request, With.Deadline_,
-                   [&With, Action, Granted, Sent](Result<TxnResult> Answer) {
-                     Now At = mutated(CallMutation::TakeoverFromRequest)
-                                  ? Sent
-                                  : With.Clock_();
-                     takeAnswer(With, Action, Granted, Answer, At);
-                   });
+  With.Store_->txn(
+      Request, With.Deadline_,
+      [&With, Action, Granted, Sent](const Result<TxnResult> &Answer) {
+        Now At =
+            mutated(CallMutation::TakeoverFromRequest) ? Sent : With.Clock_();
+        takeAnswer(With, Action, Granted, Answer, At);
+      });
 }
 
 void acquire(BucketStore &With, const AcquireBucket &Action) {
@@ -80,7 +80,7 @@
   Request.Compares_.push_back({Key, static_cast<std::int64_t>(Action.Fence_)});
   Request.Deletes_.push_back(Key);
   // If it fails, the claim ends with its lease.
-  With.Store_->txn(Request, With.Deadline_, [](Result<TxnResult>) {});
+  With.Store_->txn(Request, With.Deadline_, [](const Result<TxnResult> &) {});
 }
 
 } // namespace
--- a/src/CallMutation.h
+++ b/src/CallMutation.h
@@ -25,6 +25,7 @@
   HandoverWithoutFence,
   AcceptWhileHandingOver,
   LapsedIsSettled,
+  StaleTime,
 };
 
 // Not const: tests set it before a run.
--- a/src/KeyBuckets.cpp
+++ b/src/KeyBuckets.cpp
@@ -158,19 +158,9 @@
          (std::int64_t{1} << std::min<std::size_t>(Rank - 1, 20));
 }
 
-bool isLapsed(const BucketHolder &Holder, std::uint32_t Bucket,
-              std::span<const wire::ServerRecord> Records) {
-  for (const wire::ServerRecord &Record : Records)
-    if (Record.name() == Holder.Server_)
-      for (const wire::HeldBucket &Held : Record.buckets())
-        if (Held.bucket() == Bucket && Held.fence() == Holder.Fence_)
-          return Held.lapsed();
-  return false;
-}
-
 struct View {
   std::span<const std::string> Alive_;
-  std::span<const wire::ServerRecord> Records_;
+  std::span<const std::optional<BucketHolder>> Holders_;
   Now At_;
 };
 
@@ -184,9 +174,8 @@
     acquire(Table, Bucket, In.Pending_->Fence_, Out);
     return;
   }
-  auto Holder = holderOf(Bucket, Seen.Records_);
-  bool Claimed = Holder && Holder->Server_ != Table.Self_ &&
-                 !isLapsed(*Holder, Bucket, Seen.Records_);
+  const auto &Holder = Seen.Holders_[Bucket];
+  bool Claimed = Holder && Holder->Server_ != Table.Self_ && !Holder->Lapsed_;
   if (Claimed) {
     In.UnheldSince_.reset();
     return;
@@ -204,7 +193,7 @@
                     const View &Seen) {
   KeyBucket &In = Table.Buckets_[Bucket];
   In.UnheldSince_.reset();
-  auto Holder = holderOf(Bucket, Seen.Records_);
+  const auto &Holder = Seen.Holders_[Bucket];
   if (Holder && Holder->Server_ != Table.Self_ && Holder->Fence_ > In.Fence_)
     freeBucket(Table, Bucket);
 }
@@ -260,20 +249,31 @@
   return Best;
 }
 
+std::vector<std::optional<BucketHolder>>
+holdersOf(std::uint32_t BucketCount,
+          std::span<const wire::ServerRecord> Records) {
+  std::vector<std::optional<BucketHolder>> Out(BucketCount);
+  std::vector<bool> Gone(BucketCount);
+  for (const wire::ServerRecord &Record : Records)
+    for (const wire::HeldBucket &Held : Record.buckets()) {
+      bool Known = Held.bucket() < BucketCount;
+      if (!Known ||
+          (Out[Held.bucket()] && Out[Held.bucket()]->Fence_ >= Held.fence()))
+        continue;
+      Out[Held.bucket()] =
+          BucketHolder{Record.name(), Held.fence(), Held.lapsed()};
+      Gone[Held.bucket()] = Record.state() == wire::SERVER_LEFT ||
+                            Record.state() == wire::SERVER_DEAD;
+    }
+  for (std::uint32_t Bucket = 0; Bucket < BucketCount; ++Bucket)
+    if (Gone[Bucket])
+      Out[Bucket].reset();
+  return Out;
+}
+
 std::optional<BucketHolder>
 holderOf(std::uint32_t Bucket, std::span<const wire::ServerRecord> Records) {
-  const wire::ServerRecord *Best = nullptr;
-  std::uint64_t Fence = 0;
-  for (const wire::ServerRecord &Record : Records)
-    for (const wire::HeldBucket &Held : Record.buckets())
-      if (Held.bucket() == Bucket && Held.fence() > Fence) {
-        Best = &Record;
-        Fence = Held.fence();
-      }
-  if (Best == nullptr || Best->state() == wire::SERVER_LEFT ||
-      Best->state() == wire::SERVER_DEAD)
-    return std::nullopt;
-  return BucketHolder{Best->name(), Fence};
+  return holdersOf(Bucket + 1, Records).back();
 }
 
 std::vector<wire::HeldBucket> heldBuckets(const BucketTable &Table) {
@@ -300,10 +300,12 @@
 
 BucketActions tickBuckets(BucketTable &Table,
                           std::span<const std::string> AliveServers,
-                          std::span<const wire::ServerRecord> Records, Now At,
+                          std::span<const wire::ServerRecord> Records, Now Read,
                           Random & /*Rng*/) {
+  Now At = latest(Table, Read);
   BucketActions Out;
-  View Seen{AliveServers, Records, At};
+  auto Holders = holdersOf(Table.Limits_.BucketCount_, Records);
+  View Seen{AliveServers, Holders, At};
   tickLease(Table, At, Out);
   for (std::uint32_t Bucket = 0; Bucket < Table.Buckets_.size(); ++Bucket) {
     expireRecords(Table, Bucket, At.Monotonic_);
--- a/src/KeyTable.cpp
+++ b/src/KeyTable.cpp
@@ -3,6 +3,12 @@
 
 namespace sycamore::keytable {
 
+Now latest(BucketTable &Table, Now At) {
+  if (At.Monotonic_ >= Table.Latest_.Monotonic_)
+    Table.Latest_ = At;
+  return Table.Latest_;
+}
+
 KeyEntry &enterRecord(BucketTable &Table, std::uint32_t Bucket,
                       const std::string &Key, TimePoint Now) {
   KeyBucket &In = Table.Buckets_[Bucket];
--- a/src/KeyTable.h
+++ b/src/KeyTable.h
@@ -5,6 +5,9 @@
 
 namespace sycamore::keytable {
 
+/// At, or the time of an earlier call if that is later.
+Now latest(BucketTable &Table, Now At);
+
 /// Enters or finds a record; a new one is kept for the resend window and twice
 /// the skew, so that its key is too old by any clock when the record ends.
 KeyEntry &enterRecord(BucketTable &Table, std::uint32_t Bucket,
--- a/src/KeyedCalls.cpp
+++ b/src/KeyedCalls.cpp
@@ -206,7 +206,8 @@
 }
 
 KeyDecision admitKey(BucketTable &Table, std::string_view KeyView,
-                     std::uint64_t RequestHash, Now At) {
+                     std::uint64_t RequestHash, Now Read) {
+  Now At = mutated(CallMutation::StaleTime) ? Read : latest(Table, Read);
   std::string Key(KeyView);
   std::uint32_t Bucket = bucketOf(Key, Table.Limits_.BucketCount_);
   KeyBucket &In = Table.Buckets_[Bucket];
--- a/test/support/CallWorld.cpp
+++ b/test/support/CallWorld.cpp
@@ -33,6 +33,7 @@
       {"handover-without-fence", HandoverWithoutFence},
       {"accept-while-handing-over", AcceptWhileHandingOver},
       {"lapsed-is-settled", LapsedIsSettled},
+      {"stale-time", StaleTime},
   };
   return Table;
 }
--- a/test/support/History.cpp
+++ b/test/support/History.cpp
@@ -12,6 +12,19 @@
 constexpr std::string_view KindNames[] = {"sent", "answered", "ran", "ticket",
                                           "accepted"};
 
+template <typename T> struct Field {
+  const char *Name_;
+  T Event::*Value_;
+};
+
+constexpr Field<std::string> Texts[] = {
+    {"call", &Event::Call_},       {"key", &Event::Key_},
+    {"request", &Event::Request_}, {"run", &Event::Run_},
+    {"body", &Event::Body_},       {"target", &Event::Target_},
+    {"proxy", &Event::Proxy_}};
+constexpr Field<bool> Flags[] = {{"idempotent", &Event::Idempotent_},
+                                 {"settled", &Event::Settled_}};
+
 /// The events of one history, by what the rules look them up by.
 struct Index {
   std::map<std::string, const Event *> SentByCall_;
@@ -165,17 +178,12 @@
   Json Out{{"event", KindNames[static_cast<int>(Entry.Kind_)]},
            {"at", Entry.At_},
            {"until", Entry.Until_},
-           {"call", Entry.Call_},
-           {"key", Entry.Key_},
-           {"request", Entry.Request_},
-           {"idempotent", Entry.Idempotent_},
-           {"run", Entry.Run_},
-           {"settled", Entry.Settled_},
            {"status", Entry.Status_},
-           {"body", Entry.Body_},
-           {"target", Entry.Target_},
-           {"proxy", Entry.Proxy_},
            {"ticket", Entry.Ticket_}};
+  for (const auto &[Name, Value] : Texts)
+    Out[Name] = Entry.*Value;
+  for (const auto &[Name, Value] : Flags)
+    Out[Name] = Entry.*Value;
   return Out.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
@@ -193,17 +201,12 @@
     Out.Kind_ = static_cast<EventKind>(Kind - std::begin(KindNames));
     Out.At_ = Document->at("at");
     Out.Until_ = Document->value("until", std::int64_t{0});
-    Out.Call_ = Document->value("call", "");
-    Out.Key_ = Document->value("key", "");
-    Out.Request_ = Document->value("request", "");
-    Out.Idempotent_ = Document->value("idempotent", false);
-    Out.Run_ = Document->value("run", "");
-    Out.Settled_ = Document->value("settled", false);
     Out.Status_ = Document->value("status", 0U);
-    Out.Body_ = Document->value("body", "");
-    Out.Target_ = Document->value("target", "");
-    Out.Proxy_ = Document->value("proxy", "");
     Out.Ticket_ = Document->value("ticket", std::uint64_t{0});
+    for (const auto &[Name, Value] : Texts)
+      Out.*Value = Document->value(Name, "");
+    for (const auto &[Name, Value] : Flags)
+      Out.*Value = Document->value(Name, false);
     return Out;
   } catch (const Json::exception &Failure) {
     return fail(ErrorKind::InvalidData, Failure.what(),
