Describe the command line for scripts

Cause: scripts rely on exit codes and JSON documents, which no page listed.

Change: docs/sycamorectl.md, checked for every command by CliTest; the script for deliberate faults moves to tools/; SYCAMORE_TEST_RUNS sets the number of random runs.

--- a/test/correctness/CliTest.cpp
+++ b/test/correctness/CliTest.cpp
@@ -261,6 +261,8 @@
 
 TEST_F(CliTest, EveryCommandHasACompletePage) {
   std::string Overview = cliHelp("", "");
+  std::stringstream Page;
+  Page << std::ifstream(SYCAMORE_SOURCE_DIR "/docs/sycamorectl.md").rdbuf();
   std::string Completion = bashCompletion();
   for (const CliCommand &Command : cliCommands()) {
     SCOPED_TRACE(Command.Name_);
@@ -269,6 +271,7 @@
     EXPECT_EQ(run({Group, Name, "--help"}), 0);
     EXPECT_NE(cliHelp(Group, "").find(Name), std::string::npos);
     EXPECT_NE(Overview.find(Group + " " + Name), std::string::npos);
+    EXPECT_NE(Page.str().find("| `" + Group + " " + Name), std::string::npos);
     EXPECT_NE(Completion.find(Name), std::string::npos);
     for (const char *Section :
          {"NAME", "SYNOPSIS", "DESCRIPTION", "OPTIONS", "EXAMPLES",
--- a/test/support/DeskFixture.cpp
+++ b/test/support/DeskFixture.cpp
@@ -9,6 +9,8 @@
 std::vector<std::uint64_t> testSeeds(std::uint64_t Count) {
   if (const char *Text = std::getenv("SYCAMORE_TEST_SEED"))
     return {std::strtoull(Text, nullptr, 10)};
+  if (const char *Text = std::getenv("SYCAMORE_TEST_RUNS"))
+    Count = std::strtoull(Text, nullptr, 10);
   std::vector<std::uint64_t> Out(Count);
   for (std::uint64_t I = 0; I < Count; ++I)
     Out[I] = I + 1;
--- a/test/support/DeskFixture.h
+++ b/test/support/DeskFixture.h
@@ -8,7 +8,8 @@
 
 namespace sycamore {
 
-/// Seeds of random tests: SYCAMORE_TEST_SEED runs that one alone.
+/// Seeds 1 to Count of random tests; SYCAMORE_TEST_SEED runs one alone and
+/// SYCAMORE_TEST_RUNS replaces Count.
 std::vector<std::uint64_t> testSeeds(std::uint64_t Count);
 
 /// A ticket that sets one service; Bytes pads its title.
--- a/test/run-mutations.sh
+++ b/tools/run-mutations.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
-# Checks that each deliberate fault of the lists named (by default all of
-# test/mutations-*.txt that use this switch) makes its test fail, and that the
-# test passes without it.
+# Checks that each deliberate fault of the lists named (by default
+# test/mutations-tickets.txt) makes its test fail, and that the test passes
+# without it.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
