--- a/test/run-mutations.sh
+++ b/tools/run-mutations.sh
@@ -4,7 +4,7 @@
 #   name | test command | what it breaks
 # Commands run in a build with SYCAMORE_MUTATIONS, in its folder, with the
 # environment variable SYCAMORE_MUTATION set to the name.
-# Usage: test/run-mutations.sh [LIST...]
+# Usage: tools/run-mutations.sh [LIST...]
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
