--- a/src/KeyedCalls.cpp
+++ b/src/KeyedCalls.cpp
@@ -129,14 +129,16 @@
 }
 
 /// A key that has not run and cannot be taken now.
-std::optional<KeyDecision> refuseForNow(BucketTable &Table,
+std::optional<KeyDecision> refuseForNow(BucketTable &Table, const KeyBucket &In,
                                         std::optional<WallTime> Birth, Now At) {
   if (Birth && *Birth > At.Wall_ + Table.Limits_.ClockSkew_) {
     ++Table.Counters_.FromTheFuture_;
     return refuseNotRun(KeyReason::FromTheFuture, true,
                         *Birth - At.Wall_ - Table.Limits_.ClockSkew_);
   }
-  if (Table.Records_ >= Table.Limits_.MaxRecords_) {
+  // A key that was refused often leaves an entry in the queue each time.
+  std::size_t Limit = Table.Limits_.MaxRecords_;
+  if (Table.Records_ >= Limit || In.Expiry_.size() >= 2 * Limit) {
     ++Table.Counters_.Full_;
     return refuseNotRun(KeyReason::Full, true, seconds(1));
   }
@@ -219,7 +221,7 @@
   auto Birth = keyBirth(Key);
   if (auto Refusal = refuseUnknown(Table, In, Birth, At))
     return *Refusal;
-  if (auto Refusal = refuseForNow(Table, Birth, At))
+  if (auto Refusal = refuseForNow(Table, In, Birth, At))
     return *Refusal;
   KeyEntry &Entry = enterRecord(Table, Bucket, Key, At.Monotonic_);
   Entry.RequestHash_ = RequestHash;
