Free everything at the end of the stand-ins and the load generator

Cause: a build with the address and undefined-behaviour sanitizers reported 3096 bytes leaked by standin-target and 26 bytes by standin-store at their end: connections that the client frees when the loop runs next, and strings that popt leaves to the program. The leak report changes the exit status, so StandinTarget.LeavesInOrderOnSigterm failed in that build.

Change: the stand-ins run the loop once more before they free it, and the options are static. HttpClient's comment states when connections are closed.

--- a/include/sycamore/HttpClient.h
+++ b/include/sycamore/HttpClient.h
@@ -71,6 +71,7 @@
 };
 
 /// May be destroyed inside its callbacks; calls under way are then cancelled.
+/// Its connections are closed when the loop runs next.
 class HttpClient {
 public:
   /// Makes the process ignore SIGPIPE. Errors: InvalidSettings for TLS files
--- a/standin/Program.cpp
+++ b/standin/Program.cpp
@@ -85,6 +85,11 @@
   event_base_dispatch(Base);
 }
 
+void freeLoop(event_base *Base) {
+  event_base_loop(Base, EVLOOP_NONBLOCK);
+  event_base_free(Base);
+}
+
 void printError(const Error &Failure) {
   std::fprintf(stderr, "%s\n", describe(Failure).c_str());
 }
--- a/standin/Program.h
+++ b/standin/Program.h
@@ -28,6 +28,9 @@
 void runUntilEnd(event_base *Base, int ExitAfterSeconds,
                  std::function<void()> OnTerminate = nullptr);
 
+/// Lets the adapters free their connections, and then frees the loop.
+void freeLoop(event_base *Base);
+
 /// Prints an error for people to standard error.
 void printError(const Error &Failure);
 
--- a/standin/standin-store.cpp
+++ b/standin/standin-store.cpp
@@ -8,10 +8,11 @@
 using namespace sycamore::standin;
 
 int main(int Count, const char **Arguments) {
-  const char *Listen = "127.0.0.1:0";
-  const char *AdminListen = "";
-  const char *PortFile = "";
-  const char *AdminPortFile = "";
+  // popt allocates the strings and leaves them to the program.
+  static const char *Listen = "127.0.0.1:0";
+  static const char *AdminListen = "";
+  static const char *PortFile = "";
+  static const char *AdminPortFile = "";
   int ProgressMs = 5000;
   int ExitAfterS = 600;
   const poptOption Options[] = {
@@ -47,6 +48,6 @@
     }
   runUntilEnd(Base, ExitAfterS);
   Store->reset();
-  event_base_free(Base);
+  freeLoop(Base);
   return 0;
 }
--- a/standin/standin-target.cpp
+++ b/standin/standin-target.cpp
@@ -90,7 +90,8 @@
 } // namespace
 
 int main(int Count, const char **Values) {
-  Arguments Given;
+  // popt allocates the strings and leaves them to the program.
+  static Arguments Given;
   if (!read(Count, Values, Given))
     return 2;
   event_base *Base = makeExactLoop();
@@ -108,6 +109,6 @@
     (*Target)->drain([Base] { event_base_loopbreak(Base); });
   });
   Target->reset();
-  event_base_free(Base);
+  freeLoop(Base);
   return 0;
 }
--- a/tools/sycamore-load.cpp
+++ b/tools/sycamore-load.cpp
@@ -139,7 +139,8 @@
 } // namespace
 
 int main(int Count, const char **Values) {
-  Arguments Given;
+  // popt allocates the strings and leaves them to the program.
+  static Arguments Given;
   if (auto Read = readArguments(Count, Values, Given); !Read)
     return complain(Read.error());
   for (const char *Path : {Given.Report_, Given.History_})
