--- a/include/sycamore/HttpClient.h
+++ b/include/sycamore/HttpClient.h
@@ -71,6 +71,7 @@
 };
 
 /// May be destroyed inside its callbacks; calls under way are then cancelled.
+/// Its connections are closed when the loop runs next.
 class HttpClient {
 public:
   /// Makes the process ignore SIGPIPE. Errors: InvalidSettings for TLS files
@@ -84,10 +85,9 @@
 
   /// Sends a request to "IP:PORT". Done runs exactly once unless the call is
   /// cancelled, never before send() returns. A call goes on when its handle is
-  /// dropped. An answer whose end only the closing
-  /// of the connection marks is Broken, as it may have been cut. So is an
-  /// answer that arrives on a connection that closes before the request is
-  /// written.
+  /// dropped. An answer whose end only the closing of the connection marks is
+  /// Broken, as it may have been cut. So is an answer that arrives on a
+  /// connection that closes before the request is written.
   virtual std::shared_ptr<HttpCall> send(const std::string &Address,
                                          HttpClientRequest Request,
                                          Callback Done) = 0;
