Name the process of a server in its record

Cause: a call that may run only once is sent only to a known process, and a daemon learned a peer's process from that peer's own messages only. Change: ServerRecord.process travels by gossip; a sign of life counts only when it came over the link that carries requests. Ruled out: the incarnation, which rises with refutations.

--- a/include/sycamore/Membership.h
+++ b/include/sycamore/Membership.h
@@ -21,8 +21,9 @@
 struct MembershipConfig {
   std::string Name_; ///< Of this server; unique in the fleet.
   std::string DataCentre_;
-  std::string PeerAddress_; ///< Where other daemons reach this one.
-  std::string PublicKey_;   ///< CURVE key of the peer endpoint; may be empty.
+  std::string PeerAddress_;   ///< Where other daemons reach this one.
+  std::string PublicKey_;     ///< CURVE key of the peer endpoint; may be empty.
+  std::uint64_t Process_ = 0; ///< See wire::ServerRecord::process.
 
   Duration GossipInterval_ = milliseconds(200);
   std::uint32_t GossipFanout_ = 3; ///< Neighbours for each round of gossip.
--- a/src/ControlPlane.cpp
+++ b/src/ControlPlane.cpp
@@ -10,12 +10,14 @@
 
 MembershipConfig membershipConfig(const Settings &Config,
                                   const std::string &PeerAddress,
-                                  const std::string &PublicKey) {
+                                  const std::string &PublicKey,
+                                  std::uint64_t Process) {
   MembershipConfig Out;
   Out.Name_ = Config.Server_;
   Out.DataCentre_ = Config.DataCentre_;
   Out.PeerAddress_ = PeerAddress;
   Out.PublicKey_ = PublicKey;
+  Out.Process_ = Process;
   Out.GossipInterval_ = Config.Timing_.GossipInterval_;
   Out.ProbeInterval_ = Config.Timing_.ProbeInterval_;
   Out.ProbeTimeout_ = Config.Timing_.ProbeTimeout_;
@@ -84,11 +86,12 @@
 
 ControlPlane::ControlPlane(const Settings &Config,
                            const std::string &PeerAddress,
-                           const std::string &PublicKey, Store &Platform,
-                           Random &Rng, OutboxSender Send, Now Time)
+                           const std::string &PublicKey, std::uint64_t Process,
+                           Store &Platform, Random &Rng, OutboxSender Send,
+                           Now Time)
     : Settings_(Config), Store_(Platform), Rng_(Rng), Send_(std::move(Send)),
-      Members_(makeMembership(membershipConfig(Config, PeerAddress, PublicKey),
-                              Time)),
+      Members_(makeMembership(
+          membershipConfig(Config, PeerAddress, PublicKey, Process), Time)),
       Replica_(makeConfigReplica(replicaConfig(Config))),
       Spread_(makeDissemination({}, Time)),
       Boot_(makeBootstrap(bootstrapConfig(Config), Time, Rng)) {
--- a/src/ControlPlane.h
+++ b/src/ControlPlane.h
@@ -27,8 +27,8 @@
   /// PeerAddress is the address that other daemons dial, PublicKey the CURVE
   /// key of this daemon or empty.
   ControlPlane(const Settings &Config, const std::string &PeerAddress,
-               const std::string &PublicKey, Store &Platform, Random &Rng,
-               OutboxSender Send, Now Time);
+               const std::string &PublicKey, std::uint64_t Process,
+               Store &Platform, Random &Rng, OutboxSender Send, Now Time);
 
   /// Called every 20 ms.
   void tick(Now Time);
--- a/src/Daemon.cpp
+++ b/src/Daemon.cpp
@@ -123,8 +123,9 @@
                       std::string_view Body) {
     replyCall(Route, Message, Body);
   };
-  Control_ = std::make_unique<ControlPlane>(
-      Settings_, PeerAddress, Keys_.Own_.PublicKey_, *Store_, Rng_, Send, Time);
+  Control_ = std::make_unique<ControlPlane>(Settings_, PeerAddress,
+                                            Keys_.Own_.PublicKey_, Process_,
+                                            *Store_, Rng_, Send, Time);
   Targets_ =
       std::make_unique<TargetProxy>(Settings_, *Client_, *Control_, Marks_,
                                     Spans_, Rng_, Process_, Reply, Time);
@@ -228,7 +229,9 @@
 void DaemonImpl::onMessage(wire::PeerMessage &Message, std::string &Body,
                            const ReplyRoute &Route) {
   Now Time = readClocks();
-  Entry_->noteMessage(Message.sender(), Message.process(), Time);
+  // Only what comes over the dialled link shows that requests can pass.
+  Entry_->noteMessage(Message.sender(), Message.process(), !Route.Link_.empty(),
+                      Time);
   Control_->receive(Message, Time);
   switch (Message.body_case()) {
   case wire::PeerMessage::kGossip:
--- a/src/EntryProxy.h
+++ b/src/EntryProxy.h
@@ -76,8 +76,10 @@
                      std::string Body, Now Time);
   void receiveQueryAnswer(const std::string &Server,
                           const wire::CallQueryAnswer &Answer, Now Time);
-  /// Any message from a peer; Process is its start time.
-  void noteMessage(const std::string &Server, std::uint64_t Process, Now Time);
+  /// Any message from a peer; Process is its start time. OnLink says that it
+  /// came over the link that carries requests to it.
+  void noteMessage(const std::string &Server, std::uint64_t Process,
+                   bool OnLink, Now Time);
   void onLinkEnd(const std::string &Server, std::uint64_t Link, LinkEnd End,
                  Now Time);
 
@@ -120,6 +122,7 @@
                       Now Time);
   bool passQuarantine(AcceptedRequest &Request, Finish &Refusal, Now Time);
   CallPolicy makePolicy();
+  std::uint64_t processOf(const std::string &Server) const;
   std::optional<ChosenTarget> choose(const EntryCall &Call,
                                      std::span<const std::string> Excluded);
   void carryOut(CallActions Actions, Now Time);
--- a/src/Membership.cpp
+++ b/src/Membership.cpp
@@ -169,6 +169,7 @@
   Own.Record_.set_data_centre(Out.Config_.DataCentre_);
   Own.Record_.set_peer_address(Out.Config_.PeerAddress_);
   Own.Record_.set_public_key(Out.Config_.PublicKey_);
+  Own.Record_.set_process(Out.Config_.Process_);
   Own.Record_.set_incarnation(unixMicroseconds(Time));
   Own.Record_.set_started(unixMicroseconds(Time));
   Own.Record_.set_version(1);
