Use the process of the server record when a call is sent

Change: EntryProxy takes the higher of the process heard and the one recorded. Ruled out: sending with process 0, which cannot be asked about later.

--- a/src/EntryProxy.cpp
+++ b/src/EntryProxy.cpp
@@ -85,17 +85,20 @@
   return Out;
 }
 
+std::uint64_t EntryProxy::processOf(const std::string &Server) const {
+  auto Heard = ProcessOf_.find(Server);
+  std::uint64_t Known = Heard == ProcessOf_.end() ? 0 : Heard->second;
+  const wire::ServerRecord *Record = findServer(Control_.members(), Server);
+  return Record ? std::max<std::uint64_t>(Known, Record->process()) : Known;
+}
+
 std::optional<ChosenTarget>
 EntryProxy::choose(const EntryCall &Call,
                    std::span<const std::string> Excluded) {
-  auto ProcessOf = [this](const std::string &Server) {
-    auto Found = ProcessOf_.find(Server);
-    return Found == ProcessOf_.end() ? 0 : Found->second;
-  };
   if (!Call.Request_.idempotency_key().empty() && Excluded.empty()) {
     // The holder of the key's bucket chooses the target.
     return ChosenTarget{
-        Call.Request_.target(), {}, ProcessOf(Call.Request_.target())};
+        Call.Request_.target(), {}, processOf(Call.Request_.target())};
   }
   if (!Call.Request_.idempotency_key().empty())
     return std::nullopt;
@@ -125,7 +128,7 @@
   if (!Index)
     return std::nullopt;
   const EligibleTarget &Chosen = Eligible[*Index];
-  return ChosenTarget{Chosen.Server_, Chosen.Name_, ProcessOf(Chosen.Server_)};
+  return ChosenTarget{Chosen.Server_, Chosen.Name_, processOf(Chosen.Server_)};
 }
 
 std::optional<Finish> EntryProxy::checkAcceptable() const {
@@ -501,10 +504,12 @@
 }
 
 void EntryProxy::noteMessage(const std::string &Server, std::uint64_t Process,
-                             Now Time) {
+                             bool OnLink, Now Time) {
   Time_ = Time.Monotonic_;
-  HeardAt_[Server] = Time.Monotonic_;
-  noteHeard(Calls_, Server, Time.Monotonic_);
+  if (OnLink) {
+    HeardAt_[Server] = Time.Monotonic_;
+    noteHeard(Calls_, Server, Time.Monotonic_);
+  }
   std::uint64_t &Known = ProcessOf_[Server];
   if (Process <= Known)
     return;
