--- a/include/sycamore/Membership.h
+++ b/include/sycamore/Membership.h
@@ -181,6 +181,7 @@
   TimePoint NextGossip_;
   TimePoint NextProbe_;
   std::int64_t HeartbeatRound_ = 0;
+  std::uint32_t GossipRound_ = 0;
   TimePoint NextSync_;
   TimePoint NextScan_; ///< Of suspicion timers and expiry.
   TimePoint NextOverlay_;
--- a/src/MembershipGossip.cpp
+++ b/src/MembershipGossip.cpp
@@ -11,7 +11,11 @@
 constexpr int MaxRecords = 60;
 
 /// Sends that are left out for each time that the record comes in again.
-constexpr std::uint32_t SendsSpared = 1;
+constexpr std::uint32_t SendsSpared = 2;
+
+/// Rounds of gossip between two messages to another data centre, which together
+/// carry more records for one envelope.
+constexpr std::uint32_t RemoteRounds = 3;
 
 std::uint32_t logOf(std::size_t Count) {
   return Count < 2 ? 1 : static_cast<std::uint32_t>(std::bit_width(Count - 1));
@@ -142,7 +146,8 @@
     gossipTo(Members, Peers[Chosen], Out);
     Peers.erase(Peers.begin() + static_cast<std::ptrdiff_t>(Chosen));
   }
-  if (!Members.Overlay_.RemoteReaders_.empty())
+  bool Remote = Members.GossipRound_++ % RemoteRounds == 0;
+  if (Remote && !Members.Overlay_.RemoteReaders_.empty())
     for (const auto &[DataCentre, Readers] : Members.Overlay_.Readers_)
       if (DataCentre != Members.Config_.DataCentre_ && !Readers.empty())
         gossipAbroad(Members, DataCentre, Readers, Rng, Out);
--- a/src/MembershipSync.cpp
+++ b/src/MembershipSync.cpp
@@ -74,7 +74,8 @@
   return hash64(toBytes(Buckets));
 }
 
-/// Positions whose hashes differ from those received.
+/// Positions whose hashes differ from those received; none when a table was
+/// left out because it is the same.
 std::vector<std::uint32_t> differing(const BucketHashes &Own,
                                      const std::string &Received) {
   std::vector<std::uint32_t> Out;
@@ -160,14 +161,16 @@
   Members.Joined_ = true;
   BucketHashes Servers = serverBuckets(Members);
   BucketHashes Targets = targetBuckets(Members);
-  if ((tableHash(Servers) == Digest.servers_hash() &&
-       tableHash(Targets) == Digest.targets_hash()) ||
-      !mayRepair(Members, Message.sender()))
+  bool SameServers = tableHash(Servers) == Digest.servers_hash();
+  bool SameTargets = tableHash(Targets) == Digest.targets_hash();
+  if ((SameServers && SameTargets) || !mayRepair(Members, Message.sender()))
     return;
   wire::SyncDigest &Answer =
       *append(Members, Out, Message.sender()).mutable_sync_digest();
-  Answer.set_server_buckets(toBytes(Servers));
-  Answer.set_target_buckets(toBytes(Targets));
+  if (!SameServers)
+    Answer.set_server_buckets(toBytes(Servers));
+  if (!SameTargets)
+    Answer.set_target_buckets(toBytes(Targets));
 }
 
 void compareBuckets(const Membership &Members, const wire::PeerMessage &Message,
@@ -266,7 +269,7 @@
     sendTable(Members, Message.sender(), Out);
   if (Digest.servers_hash() != 0)
     compareHashes(Members, Message, Out);
-  if (!Digest.server_buckets().empty())
+  if (!Digest.server_buckets().empty() || !Digest.target_buckets().empty())
     compareBuckets(Members, Message, Out);
   if (!Digest.differing_servers().empty() ||
       !Digest.differing_targets().empty())
