Split the options of the simulated fleet from its runs

Change: options, seed and mutation move to test/support/FleetOptions.h. Ruled out: nothing else was considered. Conclusion: unit and failure tests pass after the move.

--- /dev/null
+++ b/test/support/FleetOptions.h
@@ -0,0 +1,70 @@
+// Options of a simulated fleet, with the seed and the mutation that environment
+// variables set.
+#pragma once
+
+#include "sycamore/Bootstrap.h"
+#include "sycamore/Dissemination.h"
+
+#include <cstdlib>
+#include <iostream>
+
+namespace sycamore::test {
+
+/// SYCAMORE_TEST_SEED, or Default; printed so that a run can be repeated.
+inline std::uint64_t testSeed(std::uint64_t Default) {
+  const char *Text = std::getenv("SYCAMORE_TEST_SEED");
+  std::uint64_t Seed = Text ? std::strtoull(Text, nullptr, 10) : Default;
+  std::cout << "SYCAMORE_TEST_SEED=" << Seed << std::endl;
+  return Seed;
+}
+
+/// Whether SYCAMORE_TEST_MUTATION names this rule; see test/mutations.txt.
+inline bool mutated(std::string_view Rule) {
+  const char *Text = std::getenv("SYCAMORE_TEST_MUTATION");
+  return Text && Text == Rule;
+}
+
+struct FleetOptions {
+  std::uint64_t Seed_ = 1;
+  std::size_t DataCentres_ = 3;
+  std::size_t PerDataCentre_ = 5;
+  double Loss_ = 0;
+  double Duplicates_ = 0;
+  Duration LocalDelay_ = microseconds(500);
+  Duration RemoteDelay_ = milliseconds(8);
+  Duration ExtraDelay_ = Duration(0); ///< Uniform on top; reorders messages.
+  Duration Tick_ = milliseconds(20);
+  bool ClockSkew_ = false; ///< Up to 0.5 s in both directions.
+  MembershipConfig Membership_;
+  ConfigReplicaConfig Replica_;
+  DisseminationConfig Dissemination_;
+  BootstrapConfig Bootstrap_;
+  AcceptanceRequest Acceptance_; ///< Signs tickets when set.
+};
+
+/// Switches off the rule that SYCAMORE_TEST_MUTATION names.
+inline FleetOptions withMutation(FleetOptions Options) {
+  MembershipConfig &Members = Options.Membership_;
+  const std::pair<const char *, bool *> Rules[] = {
+      {"refutation", &Members.RefuteForTest_},
+      {"owner-only", &Members.OwnerOnlyForTest_},
+      {"indirect-probes", &Members.IndirectForTest_},
+      {"transit-time", &Members.CountTransitForTest_},
+      {"monotone", &Options.Replica_.MonotoneForTest_},
+      {"signatures", &Options.Replica_.SignaturesForTest_},
+      {"anti-entropy", &Options.Dissemination_.AntiEntropyForTest_},
+      {"serve-cap", &Options.Dissemination_.ServeCapForTest_},
+      {"other-sources", &Options.Dissemination_.OtherSourcesForTest_},
+      {"start-jitter", &Options.Bootstrap_.JitterForTest_},
+      {"wait-for-all", &Options.Bootstrap_.WaitForAllForTest_},
+      {"combined-reads", &Options.Bootstrap_.CombineReadsForTest_},
+      {"verify-by-read", &Options.Bootstrap_.VerifyByReadForTest_}};
+  for (const auto &[Name, Flag] : Rules)
+    if (mutated(Name))
+      *Flag = false;
+  if (mutated("gone-retention"))
+    Members.GoneRetention_ = Duration(0);
+  return Options;
+}
+
+} // namespace sycamore::test
