--- a/bench/NestedCapacity.cpp
+++ b/bench/NestedCapacity.cpp
@@ -79,6 +79,13 @@
               0,
               false,
               std::nullopt};
+  Measure Conflicts{Name + ": calls refused to end a circular wait",
+                    Where.Name_,
+                    "per second",
+                    0,
+                    0,
+                    false,
+                    std::nullopt};
   for (bool IsProduct : {true, false}) {
     RunConfig Config;
     Config.Site_ = Where;
@@ -100,8 +107,10 @@
     auto Set = IsProduct ? &Measure::Product_ : &Measure::Baseline_;
     Goodput.*Set = static_cast<double>(Ends.size() - 2) / Span * 1e6 / Total;
     Gap.*Set = static_cast<double>(Longest.count()) / 1e3;
+    Conflicts.*Set = static_cast<double>(Result.ConflictRefusals_) * 1e6 /
+                     static_cast<double>(Config.Length_.count());
   }
-  return {Goodput, Gap};
+  return {Goodput, Gap, Conflicts};
 }
 
 std::vector<Measure> allMeasures(const ScenarioOptions &Options,
