Believe and dial only servers that the settings allow

Cause: a server without an allowed key could list itself in the store's seeds, and the others dialled it with the key that it named there. Change: with CURVE on, seeds are filtered and peers resolved by allowed_keys_file. Ruled out: relying on the refusal of the stranger's own handshakes, which does not cover links that the others dial.

--- a/src/ControlPlane.cpp
+++ b/src/ControlPlane.cpp
@@ -40,6 +40,10 @@
     Out.Peers_.push_back(Peer.Name_);
   Out.HeadInterval_ = Config.Timing_.HeadReadInterval_;
   Out.MaxReadDelay_ = Config.Timing_.StartJitter_;
+  // A herd needs about the time of its own reads to find itself; until then
+  // every daemon would take itself for a reader.
+  Out.ReaderDelay_ =
+      std::max<Duration>(seconds(1), Config.Timing_.StartJitter_);
   return Out;
 }
 
@@ -291,7 +295,12 @@
   for (const KeyValue &Entry : Seeds.Values_) {
     if (Entry.Key_ == OwnKey)
       SeedsRevision_ = Entry.ModRevision_;
-    learnSeeds(Members_, parseSeeds(Entry), Time);
+    std::vector<wire::ServerRecord> Listed = parseSeeds(Entry);
+    if (SeedFilter_)
+      std::erase_if(Listed, [this](const wire::ServerRecord &Seed) {
+        return !SeedFilter_(Seed);
+      });
+    learnSeeds(Members_, Listed, Time);
   }
 }
 
--- a/src/ControlPlane.h
+++ b/src/ControlPlane.h
@@ -30,6 +30,10 @@
                const std::string &PublicKey, std::uint64_t Process,
                Store &Platform, Random &Rng, OutboxSender Send, Now Time);
 
+  /// Decides which servers of the store's seeds are believed.
+  using SeedFilter = std::function<bool(const wire::ServerRecord &)>;
+  void setSeedFilter(SeedFilter Filter) { SeedFilter_ = std::move(Filter); }
+
   /// Called every 20 ms.
   void tick(Now Time);
 
@@ -74,6 +78,7 @@
   Store &Store_;
   Random &Rng_;
   OutboxSender Send_;
+  SeedFilter SeedFilter_;
   Membership Members_;
   ConfigReplica Replica_;
   Dissemination Spread_;
--- a/src/Daemon.cpp
+++ b/src/Daemon.cpp
@@ -126,6 +126,8 @@
   Control_ = std::make_unique<ControlPlane>(Settings_, PeerAddress,
                                             Keys_.Own_.PublicKey_, Process_,
                                             *Store_, Rng_, Send, Time);
+  Control_->setSeedFilter(
+      [this](const wire::ServerRecord &Seed) { return isAllowedPeer(Seed); });
   Targets_ =
       std::make_unique<TargetProxy>(Settings_, *Client_, *Control_, Marks_,
                                     Spans_, Rng_, Process_, Reply, Time);
@@ -135,9 +137,8 @@
   Keyed_ = std::make_unique<KeyedProxy>(
       Settings_, *Control_, *Entry_, *Targets_, *Store_, Rng_, Process_, Send);
   Entry_->setKeyedHandler(
-      [this](AcceptedRequest Request, HttpExchangePointer Exchange, Now At) {
-        Keyed_->receive(std::move(Request), std::move(Exchange), At);
-      });
+      [this](AcceptedRequest Request, const HttpExchangePointer &Exchange,
+             Now At) { Keyed_->receive(std::move(Request), Exchange, At); });
 }
 
 Result<void> DaemonImpl::startHttp() {
@@ -158,8 +159,8 @@
   if (!Caller)
     return tl::unexpected<Error>(Caller.error());
   CallerServer_ = std::move(*Caller);
-  CallerServer_->setHandler([this](HttpExchangePointer Exchange) {
-    Entry_->receive(std::move(Exchange), readClocks());
+  CallerServer_->setHandler([this](const HttpExchangePointer &Exchange) {
+    Entry_->receive(Exchange, readClocks());
   });
   auto CallerBound = CallerServer_->listen(Settings_.CallerListen_);
   if (!CallerBound)
@@ -343,9 +344,17 @@
     Peers_->reply(Route, Message, Body);
 }
 
+bool DaemonImpl::isAllowedPeer(const wire::ServerRecord &Record) const {
+  if (!Settings_.Curve_)
+    return true;
+  // The store's seeds and gossip name keys too; only the settings are trusted.
+  auto Found = Keys_.Allowed_.find(Record.public_key());
+  return Found != Keys_.Allowed_.end() && Found->second == Record.name();
+}
+
 std::optional<PeerAddress> DaemonImpl::resolve(const std::string &Peer) const {
   const wire::ServerRecord *Record = findServer(Control_->members(), Peer);
-  if (!Record || Peer == Settings_.Server_)
+  if (!Record || Peer == Settings_.Server_ || !isAllowedPeer(*Record))
     return std::nullopt;
   return PeerAddress{Record->peer_address(), Record->public_key()};
 }
@@ -410,7 +419,8 @@
   auto Keys = loadPeerKeys(Settings_);
   if (!Keys)
     return tl::unexpected<Error>(Keys.error());
-  Peers_->setAllowedKeys(Keys->Allowed_);
+  Keys_.Allowed_ = Keys->Allowed_;
+  Peers_->setAllowedKeys(std::move(Keys->Allowed_));
   if (!Settings_.AdminTokensFile_.empty()) {
     auto Tokens = loadAdminTokens(Settings_.AdminTokensFile_);
     if (!Tokens)
--- a/src/DaemonImpl.h
+++ b/src/DaemonImpl.h
@@ -53,6 +53,8 @@
   void replyCall(const ReplyRoute &Route, wire::PeerMessage &Message,
                  std::string_view Body);
   void queueLocal(wire::PeerMessage &Message, std::string_view Body);
+  /// Whether the settings allow a server with this name and key.
+  bool isAllowedPeer(const wire::ServerRecord &Record) const;
   std::optional<PeerAddress> resolve(const std::string &Peer) const;
   void writeTraces(Now Time);
   void continueStop(Now Time);
--- a/src/EntryProxy.h
+++ b/src/EntryProxy.h
@@ -45,7 +45,7 @@
 
 /// Handles a request with an idempotency key.
 using KeyedHandler =
-    std::function<void(AcceptedRequest, HttpExchangePointer, Now)>;
+    std::function<void(AcceptedRequest, const HttpExchangePointer &, Now)>;
 
 class EntryProxy {
 public:
@@ -57,7 +57,7 @@
   void setKeyedHandler(KeyedHandler Handler) { Keyed_ = std::move(Handler); }
 
   /// A request of a caller.
-  void receive(HttpExchangePointer Exchange, Now Time);
+  void receive(const HttpExchangePointer &Exchange, Now Time);
 
   /// Begins a call; Done runs once, possibly before this returns. The sequence
   /// number identifies the call to abandon().
--- a/src/EntryRequests.cpp
+++ b/src/EntryRequests.cpp
@@ -45,7 +45,7 @@
   return std::nullopt;
 }
 
-void EntryProxy::receive(HttpExchangePointer Exchange, Now Time) {
+void EntryProxy::receive(const HttpExchangePointer &Exchange, Now Time) {
   Time_ = Time.Monotonic_;
   ++Counters_.Requests_;
   AcceptedRequest Request;
@@ -53,7 +53,7 @@
   if (!accept(Exchange, Request, Time))
     return;
   if (!Request.Key_.empty() && !Request.Call_.Idempotent_)
-    Keyed_(std::move(Request), std::move(Exchange), Time);
+    Keyed_(std::move(Request), Exchange, Time);
   else
     serve(std::move(Request), Exchange, Time);
 }
--- /dev/null
+++ b/test/failure/SecureDeploymentTest.cpp
@@ -0,0 +1,89 @@
+// Guards against a deployment whose links are open to servers that nobody
+// allowed, or whose operators' interface answers without a token.
+#include "Cluster.h"
+#include "sycamore/PeerTransport.h"
+#include "sycamore/Snapshot.h"
+
+#include <filesystem>
+#include <fstream>
+#include <gtest/gtest.h>
+
+using namespace sycamore;
+using namespace sycamore::test;
+
+namespace {
+
+class SecureDeployment : public testing::Test {
+protected:
+  SecureDeployment() {
+    std::string Template =
+        (std::filesystem::temp_directory_path() / "sycamore-keys-XXXXXX")
+            .string();
+    Folder_ = mkdtemp(Template.data());
+  }
+  ~SecureDeployment() override { std::filesystem::remove_all(Folder_); }
+
+  std::string writeSecret(const std::string &Name, const std::string &Text) {
+    std::string Path = Folder_ + "/" + Name;
+    std::ofstream(Path) << Text << "\n";
+    std::filesystem::permissions(Path, std::filesystem::perms::owner_read |
+                                           std::filesystem::perms::owner_write);
+    return Path;
+  }
+
+  /// Settings of a server with its own key; Allowed goes into the shared list.
+  Json curveSettings(const std::string &Server, bool Allowed) {
+    CurveKeys Keys = makeCurveKeys();
+    if (Allowed)
+      AllowedKeys_[Server] = Keys.PublicKey_;
+    std::string Secret = writeSecret(Server + ".curve", Keys.SecretKey_);
+    return {{"curve",
+             {{"secret_key_file", Secret},
+              {"allowed_keys_file", Folder_ + "/allowed.json"}}},
+            {"admin_tokens_file", Folder_ + "/tokens.json"}};
+  }
+
+  std::string Folder_;
+  Json AllowedKeys_ = Json::object();
+  Cluster Running_;
+};
+
+} // namespace
+
+TEST_F(SecureDeployment, ServesOnEncryptedLinksAndKeepsStrangersOut) {
+  writeSecret("tokens.json", Json{{"ana", sha256Hex("secret")}}.dump());
+  Json First = curveSettings("shelfview-1", true);
+  Json Second = curveSettings("reservedesk-2", true);
+  Json Stranger = curveSettings("shelfview-3", false);
+  writeSecret("allowed.json", AllowedKeys_.dump());
+
+  Running_.startStore();
+  Running_.addServer("shelfview", "dalseo", {}, First);
+  Running_.addServer("reservedesk", "dalseo", {}, Second);
+  std::uint64_t Number = Running_.acceptTicket();
+  ASSERT_NE(Number, 0U);
+  ASSERT_TRUE(Running_.waitForTargets());
+
+  Server &One = *Running_.Servers_[0];
+  EXPECT_EQ(Running_.call(One.Admin_, "GET", "/fleet").Status_, 401);
+  EXPECT_EQ(Running_
+                .call(One.Admin_, "GET", "/fleet", {},
+                      {{"authorization", "Bearer secret"}})
+                .Status_,
+            200);
+
+  Server &Three = Running_.addServer("shelfview", "dalseo", {}, Stranger);
+  EXPECT_TRUE(Running_.waitUntil([&] {
+    return Running_.metric(Three, "sycamore_handshakes_refused_total") > 0;
+  }));
+  // The stranger may write to the store, so it lists itself in the seeds; that
+  // must not make the others dial it or count it as a server.
+  ASSERT_TRUE(Running_.waitUntil([&] {
+    return Running_.metric(Three, "sycamore_seed_writes_total") > 0;
+  }));
+  double Reads = Running_.metric(One, "sycamore_head_reads_total");
+  ASSERT_TRUE(Running_.waitUntil([&] {
+    return Running_.metric(One, "sycamore_head_reads_total") > Reads + 1;
+  }));
+  EXPECT_EQ(Running_.metric(One, "sycamore_servers_known"), 2);
+}
