--- a/test/support/Cluster.cpp
+++ b/test/support/Cluster.cpp
@@ -326,7 +326,7 @@
           .count());
   std::uint64_t High = Rng();
   std::uint64_t Low = Rng();
-  std::array<char, 40> Text{};
+  std::array<char, 48> Text{};
   std::snprintf(
       Text.data(), Text.size(), "%08llx-%04llx-7%03llx-%04llx-%012llx",
       Milliseconds >> 16U, Milliseconds & 0xffffU,
