--- a/include/sycamore/ConfigReplica.h
+++ b/include/sycamore/ConfigReplica.h
@@ -6,6 +6,7 @@
 #include "sycamore/Snapshot.h"
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -17,6 +18,9 @@
   /// Public keys of the operators by name, 64 hex digits each. When not empty,
   /// every ticket needs the signature of its approver.
   std::map<std::string, std::string> Operators_;
+  /// Reads whole-state documents in the operators' own format. When set, they
+  /// take the place of heads, tickets and snapshots, and carry no signature.
+  std::function<Result<WholeState>(std::string_view Text)> ReadWhole_;
   /// Accepted tickets kept for peers that lag, in bytes of JSON.
   std::size_t RecentBytes_ = 256U << 10U;
 
@@ -64,6 +68,7 @@
   SnapshotPointer Current_ = std::make_shared<const Snapshot>();
   std::deque<KeptTicket> Recent_; ///< Ascending, gapless up to Current_.
   std::size_t RecentSize_ = 0;    ///< Bytes of JSON in Recent_.
+  std::string Document_; ///< Whole-state document in force, else empty.
   /// The last offer that failed a check; cleared when a ticket with its number
   /// or above is applied.
   std::optional<Rejection> Rejection_;
@@ -81,7 +86,11 @@
 OfferResult offerHead(ConfigReplica &Replica, const Head &Value,
                       const Snapshot *Base = nullptr);
 
-/// A whole snapshot in JSON, from a peer or the store.
+/// A whole-state document, from a peer or the store; Config_.ReadWhole_ is set.
+OfferResult offerWhole(ConfigReplica &Replica, std::string_view Text);
+
+/// A whole snapshot in JSON, or a whole-state document where those are used,
+/// from a peer or the store.
 OfferResult offerSnapshot(ConfigReplica &Replica, std::string_view Text,
                           std::string_view Source);
 
--- a/include/sycamore/Daemon.h
+++ b/include/sycamore/Daemon.h
@@ -18,12 +18,16 @@
   std::string Peer_;
 };
 
+class Integration;
+
 class Daemon {
 public:
-  /// Errors: InvalidSettings and PermissionDenied for key files, Unavailable
-  /// for addresses in use.
-  static Result<std::unique_ptr<Daemon>> create(event_base *Base,
-                                                const Settings &Config);
+  /// Adapter is the integration that the settings name, or null; it must
+  /// outlive the daemon. Errors: InvalidSettings and PermissionDenied for key
+  /// files, Unavailable for addresses in use.
+  static Result<std::unique_ptr<Daemon>>
+  create(event_base *Base, const Settings &Config,
+         const Integration *Adapter = nullptr);
 
   virtual ~Daemon() = default;
 
--- a/include/sycamore/EntryCalls.h
+++ b/include/sycamore/EntryCalls.h
@@ -36,6 +36,9 @@
   std::uint64_t Process_ = 0; ///< See ChosenTarget::Process_.
   AttemptState State_ = AttemptState::Queued;
   bool Hedge_ = false;
+  /// With NotRun: the target itself refused the call, so it counts as sent to
+  /// that target.
+  bool ReachedTarget_ = false;
   TimePoint SentAt_;
   TimePoint NextQuery_;
   std::uint32_t Queries_ = 0; ///< Since the last answer to one.
@@ -55,6 +58,8 @@
   /// only for keyed calls at their holder, whose record profits from it.
   TimePoint GiveUpAt_;
   std::uint32_t Depth_ = 0;
+  /// Targets that the call may reach; 0 for no limit but MaxAttempts_.
+  std::uint32_t MaxTargets_ = 0;
   bool Idempotent_ = false;
   /// The call goes on when its caller leaves: a keyed call at its holder.
   bool KeepWhenCallerGone_ = false;
@@ -85,7 +90,8 @@
   std::function<std::optional<ChosenTarget>(
       const EntryCall &Call, std::span<const std::string> Excluded)>
       ChooseTarget_;
-  /// Takes one retry from the budget; false when it is empty.
+  /// Takes one retry from the budget; false when it is empty. Not asked while
+  /// no target was reached, as such a retry costs no target anything.
   std::function<bool(const EntryCall &Call)> TakeRetry_;
   /// Time from the first attempt to the hedge; nothing for no hedge. Asked for
   /// idempotent calls only.
--- a/include/sycamore/Settings.h
+++ b/include/sycamore/Settings.h
@@ -2,6 +2,7 @@
 // describes every field.
 #pragma once
 
+#include "sycamore/HeaderNames.h"
 #include "sycamore/Json.h"
 #include "sycamore/Time.h"
 
@@ -76,6 +77,7 @@
   std::uint64_t MaxBodyBytes_ = 8U << 20U;
   std::uint64_t MaxCalls_ = 10000; ///< In flight at this daemon.
   std::uint64_t PeerLinks_ = 110;
+  std::uint64_t ReadersPerDataCentre_ = 2; ///< Daemons that watch the store.
 
   bool operator==(const LimitSettings &) const = default;
 };
@@ -91,13 +93,16 @@
   milliseconds StartJitter_{5000};
   milliseconds LinkDeadline_{2000};
   milliseconds AnnounceInterval_{1000};
+  /// A stopping daemon still takes requests for this long, so that the news of
+  /// its leaving has spread.
+  milliseconds LeaveNotice_{2000};
 
   bool operator==(const TimingSettings &) const = default;
 };
 
 /// Idempotency keys; equal on every daemon of the fleet.
 struct KeySettings {
-  std::uint64_t Buckets_ = 16;
+  std::uint64_t Buckets_ = 16; ///< 0 switches idempotency keys off.
   seconds Lease_{30};
   milliseconds ClockSkew_{1000};
   seconds ResendWindow_{600};
@@ -105,9 +110,29 @@
   bool operator==(const KeySettings &) const = default;
 };
 
+/// The target beside this daemon, when the settings name it.
+struct TargetSettings {
+  std::string Service_;
+  std::string Address_; ///< "IP:PORT".
+  /// Where the target announces itself through the integration; empty when it
+  /// uses the admin listener.
+  std::string AnnounceListen_;
+
+  bool operator==(const TargetSettings &) const = default;
+};
+
+/// Share of requests that may be sent to a second target, over the fleet.
+struct RetrySettings {
+  double Share_ = 0.1;          ///< Retries per success.
+  std::uint64_t Constant_ = 10; ///< Retries of a daemon without successes.
+
+  bool operator==(const RetrySettings &) const = default;
+};
+
 struct LogSettings {
   std::string Level_ = "info"; ///< "debug", "info", "warn" or "error".
-  std::string File_;           ///< Empty for standard error.
+  /// Empty for standard error, "-" for standard output.
+  std::string File_;
 
   bool operator==(const LogSettings &) const = default;
 };
@@ -129,6 +154,16 @@
   std::string PeerListen_;
   /// Address that other daemons use; empty for PeerListen_ as bound.
   std::string PeerAddress_;
+  /// Answers 200 to every GET while the daemon takes requests, else 503; empty
+  /// for none.
+  std::string ReadyListen_;
+  /// Name of the platform adapter; empty for the built-in store and
+  /// announcements.
+  std::string Integration_;
+  std::optional<TargetSettings> Target_;
+  HeaderNames Headers_;
+  /// Retry-After in fractions of a second, for callers that read them.
+  bool FractionalRetryAfter_ = false;
   StoreSettings Store_;
   std::vector<BootstrapPeer> BootstrapPeers_;
   std::optional<ServerTlsSettings> CallerTls_;
@@ -142,6 +177,7 @@
   LimitSettings Limits_;
   TimingSettings Timing_;
   KeySettings Keys_;
+  RetrySettings Retries_;
   milliseconds StopLimit_{30000};
   LogSettings Log_;
   TraceSettings Trace_;
--- a/include/sycamore/Snapshot.h
+++ b/include/sycamore/Snapshot.h
@@ -6,6 +6,7 @@
 
 #include <memory>
 #include <span>
+#include <unordered_map>
 
 namespace sycamore {
 
@@ -47,14 +48,25 @@
   State State_;
   /// The acceptance that led here; unset before the first ticket.
   std::optional<AcceptedTicket> Last_;
-  /// Names of routes, longest path prefix first, for matchRoute().
-  std::vector<std::string> RouteOrder_;
+  /// Names of routes by routeKey(host, path prefix), those with methods first.
+  std::unordered_map<std::string, std::vector<std::string>> RoutesByKey_;
   /// Names of admitted targets by service.
   std::map<std::string, std::vector<std::string>> TargetsOfService_;
 };
 
 using SnapshotPointer = std::shared_ptr<const Snapshot>;
 
+/// The number and the complete state of a configuration that its operators keep
+/// as one document in a format of their own.
+struct WholeState {
+  std::uint64_t Number_ = 0;
+  State State_;
+};
+
+/// Snapshot of a whole-state document; Text is the document, and its SHA-256
+/// the digest. Errors: InvalidTicket for dangling references.
+Result<Snapshot> snapshotOf(WholeState Value, std::string_view Text);
+
 /// SHA-256 in hex.
 std::string sha256Hex(std::string_view Bytes);
 
@@ -99,7 +111,12 @@
 /// Whether a request on this route may run more than once.
 bool isIdempotent(const Route &Matched, std::string_view Method);
 
-/// Route's own timeout, or its service's.
-milliseconds timeoutOf(const Snapshot &Current, const Route &Matched);
+/// Route's own timeout, or that of Service, which serves the request.
+milliseconds timeoutOf(const Snapshot &Current, const Route &Matched,
+                       const std::string &Service);
+
+/// The service for one request on a route: by weight where the route is split,
+/// with Draw uniform in [0, 1).
+const std::string &chooseService(const Route &Matched, double Draw);
 
 } // namespace sycamore
--- a/include/sycamore/Ticket.h
+++ b/include/sycamore/Ticket.h
@@ -21,18 +21,34 @@
 /// Longest name of a route, service, target, server or operator, in bytes.
 inline constexpr std::size_t MaxNameBytes = 128;
 
+/// The share of a route's requests that one service gets.
+struct RouteShare {
+  std::string Service_;
+  std::uint32_t Weight_ = 0; ///< Relative to the other shares of the route.
+
+  bool operator==(const RouteShare &) const = default;
+};
+
 /// Maps requests to a service.
 struct Route {
   std::string Host_;                 ///< Empty for every host.
   std::string PathPrefix_ = "/";     ///< The longest match wins.
   std::vector<std::string> Methods_; ///< Empty for every method.
-  std::string Service_;
+  std::string Service_; ///< Empty when Split_ is set.
+  /// Services that share the requests by weight; empty for Service_ alone.
+  std::vector<RouteShare> Split_;
   /// Targets that alone may serve this route; empty for all of the service.
   std::vector<std::string> Targets_;
   /// Whether a request may run twice. Unset: by method, as RFC 9110 says.
   std::optional<bool> Idempotent_;
   /// Time for the whole call; 0 takes the service's.
   milliseconds Timeout_{0};
+  /// Time within which an answer has its full value; 0 when none is stated.
+  milliseconds LatencyTarget_{0};
+  /// Targets that one request may be sent to; 0 leaves it to the daemon.
+  std::uint32_t MaxAttempts_ = 0;
+  /// Rank among the requests of a service; 0 is the most urgent.
+  std::uint32_t Priority_ = 0;
 
   bool operator==(const Route &) const = default;
 };
@@ -42,6 +58,9 @@
   milliseconds Timeout_{1000};
   std::uint32_t QueueLimit_ = 64; ///< Waiting requests per target.
   bool Hedging_ = true;           ///< Applies to idempotent routes only.
+  /// Admits every target that announces itself for the service; otherwise only
+  /// those that a ticket names.
+  bool AdmitAnnounced_ = false;
 
   bool operator==(const Service &) const = default;
 };
@@ -95,6 +114,9 @@
 TargetSpec readTargetSpec(const Json &Value, const std::string &Path,
                           std::vector<std::string> &Problems);
 
+/// The services that a route may send requests to.
+std::vector<std::string> servicesOf(const Route &Value);
+
 /// Whether Name may name an entity: 1 to MaxNameBytes of letters, digits,
 /// '-', '_' and '.'.
 bool isValidName(std::string_view Name);
--- /dev/null
+++ b/src/CallBudget.h
@@ -0,0 +1,33 @@
+// Bounds the calls that this process makes to the store.
+#pragma once
+
+#include "sycamore/Time.h"
+
+#include <algorithm>
+
+namespace sycamore {
+
+/// Calls allowed now, refilled over time, at most one second's worth.
+class CallBudget {
+public:
+  CallBudget(double PerSecond, TimePoint Now)
+      : PerSecond_(PerSecond), Tokens_(std::max(PerSecond, 1.0)), Last_(Now) {}
+
+  bool take(TimePoint Now) {
+    std::chrono::duration<double> Passed = Now - Last_;
+    Last_ = Now;
+    Tokens_ = std::min(Tokens_ + Passed.count() * PerSecond_,
+                       std::max(PerSecond_, 1.0));
+    if (Tokens_ < 1.0)
+      return false;
+    Tokens_ -= 1.0;
+    return true;
+  }
+
+private:
+  double PerSecond_;
+  double Tokens_;
+  TimePoint Last_;
+};
+
+} // namespace sycamore
--- a/src/CallMessages.cpp
+++ b/src/CallMessages.cpp
@@ -11,14 +11,14 @@
 namespace {
 
 /// Set anew by each daemon, or meant for the connection to it.
-constexpr std::array<std::string_view, 6> OwnHeaders = {
-    RunHeader,    DepthHeader,       DeadlineHeader,
-    TicketHeader, TraceparentHeader, "content-length"};
-
-bool isOwnHeader(std::string_view Name) {
-  return std::any_of(
-      OwnHeaders.begin(), OwnHeaders.end(),
-      [&](std::string_view Own) { return equalHeaderNames(Own, Name); });
+bool isOwnHeader(const HeaderNames &Names, std::string_view Name) {
+  const std::array<std::string_view, 8> Own = {
+      Names.Run_,           Names.Depth_,       Names.Deadline_,
+      Names.Ticket_,        Names.Traceparent_, Names.ExpectedTarget_,
+      Names.CallerService_, "content-length"};
+  return std::any_of(Own.begin(), Own.end(), [&](std::string_view Each) {
+    return !Each.empty() && equalHeaderNames(Each, Name);
+  });
 }
 
 /// Whether the Connection header names this header as hop-by-hop.
@@ -55,9 +55,9 @@
 }
 
 void addEndToEndHeaders(google::protobuf::RepeatedPtrField<wire::Header> &Out,
-                        const HttpHeaders &Headers) {
+                        const HttpHeaders &Headers, const HeaderNames &Names) {
   for (const HttpMessageHeader &Header : Headers) {
-    if (isHopByHopHeader(Header.Name_) || isOwnHeader(Header.Name_) ||
+    if (isHopByHopHeader(Header.Name_) || isOwnHeader(Names, Header.Name_) ||
         isNamedByConnection(Headers, Header.Name_))
       continue;
     wire::Header *Added = Out.Add();
@@ -66,6 +66,11 @@
   }
 }
 
+void addHeader(HttpHeaders &Out, const std::string &Name, std::string Value) {
+  if (!Name.empty())
+    Out.push_back({Name, std::move(Value)});
+}
+
 HttpHeaders
 toHttpHeaders(const google::protobuf::RepeatedPtrField<wire::Header> &Headers) {
   HttpHeaders Out;
@@ -105,6 +110,13 @@
   return std::to_string(std::max<std::int64_t>(Whole.count(), 1));
 }
 
+std::string fractionalSeconds(Duration RetryAfter) {
+  std::array<char, 32> Buffer{};
+  double Seconds = std::chrono::duration<double>(RetryAfter).count();
+  std::snprintf(Buffer.data(), Buffer.size(), "%.3f", Seconds);
+  return Buffer.data();
+}
+
 std::optional<std::uint64_t> numberHeader(const HttpHeaders &Headers,
                                           std::string_view Name) {
   const std::string *Text = findHeader(Headers, Name);
--- a/src/CallMessages.h
+++ b/src/CallMessages.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "sycamore/Error.h"
+#include "sycamore/HeaderNames.h"
 #include "sycamore/HttpMessage.h"
 #include "sycamore/PeerMessages.pb.h"
 #include "sycamore/PeerTransport.h"
@@ -13,14 +14,6 @@
 
 namespace sycamore {
 
-/// Headers of the calls themselves.
-inline constexpr std::string_view RunHeader = "sycamore-run";
-inline constexpr std::string_view DepthHeader = "sycamore-depth";
-inline constexpr std::string_view DeadlineHeader = "sycamore-deadline-ms";
-inline constexpr std::string_view TicketHeader = "sycamore-ticket";
-inline constexpr std::string_view TraceparentHeader = "traceparent";
-inline constexpr std::string_view IdempotencyKeyHeader = "idempotency-key";
-
 /// Sends a call message to a server by name; this server included.
 using CallSender = std::function<SendResult(
     const std::string &Server, wire::PeerMessage &, std::string_view Body)>;
@@ -32,9 +25,13 @@
 /// "not-run", "done" or "unknown".
 std::string_view runName(wire::RunOutcome Run);
 
-/// Passes on end-to-end headers only. The daemon's own headers are left out.
+/// Passes on end-to-end headers only. The headers that a daemon sets itself are
+/// left out, so that no caller can set them.
 void addEndToEndHeaders(google::protobuf::RepeatedPtrField<wire::Header> &Out,
-                        const HttpHeaders &Headers);
+                        const HttpHeaders &Headers, const HeaderNames &Names);
+
+/// Appends a header, unless its name is switched off.
+void addHeader(HttpHeaders &Out, const std::string &Name, std::string Value);
 HttpHeaders
 toHttpHeaders(const google::protobuf::RepeatedPtrField<wire::Header> &Headers);
 
@@ -48,9 +45,12 @@
                       std::string_view Remedy, wire::RunOutcome Run,
                       std::string_view TraceId);
 
-/// Whole seconds, rounded up, at least 1, as Retry-After wants them.
+/// Whole seconds, rounded up, at least 1, as RFC 9110 defines Retry-After.
 std::string retryAfterSeconds(Duration RetryAfter);
 
+/// Seconds with three decimals, for callers that read fractions.
+std::string fractionalSeconds(Duration RetryAfter);
+
 /// A header that holds a whole number; nothing when absent or malformed.
 std::optional<std::uint64_t> numberHeader(const HttpHeaders &Headers,
                                           std::string_view Name);
--- a/src/ConfigReplica.cpp
+++ b/src/ConfigReplica.cpp
@@ -151,8 +151,29 @@
   return finish(Replica, OfferOutcome::Applied);
 }
 
+OfferResult offerWhole(ConfigReplica &Replica, std::string_view Text) {
+  // Readers see the same document again and again.
+  if (Text == Replica.Document_ && !Text.empty())
+    return finish(Replica, OfferOutcome::AlreadyHave);
+  auto Read = Replica.Config_.ReadWhole_(Text);
+  if (!Read)
+    return reject(Replica, 0, Read.error());
+  if (Read->Number_ <= Replica.Current_->Number_ &&
+      Replica.Config_.MonotoneForTest_)
+    return finish(Replica, OfferOutcome::AlreadyHave);
+  std::uint64_t Number = Read->Number_;
+  auto Next = snapshotOf(std::move(*Read), Text);
+  if (!Next)
+    return reject(Replica, Number, Next.error());
+  swapSnapshot(Replica, std::move(*Next));
+  Replica.Document_ = Text;
+  return finish(Replica, OfferOutcome::Applied);
+}
+
 OfferResult offerSnapshot(ConfigReplica &Replica, std::string_view Text,
                           std::string_view Source) {
+  if (Replica.Config_.ReadWhole_)
+    return offerWhole(Replica, Text);
   JsonLimits Limits;
   Limits.MaxBytes_ = MaxStoreValueBytes;
   auto Document = parseJson(Text, Source, Limits);
--- a/src/ControlPlane.cpp
+++ b/src/ControlPlane.cpp
@@ -23,11 +23,18 @@
   Out.ProbeTimeout_ = Config.Timing_.ProbeTimeout_;
   Out.SuspicionTime_ = Config.Timing_.Suspect_;
   Out.SyncInterval_ = Config.Timing_.SyncInterval_;
+  Out.ReadersPerDataCentre_ =
+      static_cast<std::uint32_t>(Config.Limits_.ReadersPerDataCentre_);
   return Out;
 }
 
-ConfigReplicaConfig replicaConfig(const Settings &Config) {
+ConfigReplicaConfig replicaConfig(const Settings &Config,
+                                  const Integration *Adapter) {
   ConfigReplicaConfig Out;
+  if (Adapter)
+    Out.ReadWhole_ = [Adapter](std::string_view Text) {
+      return Adapter->readConfiguration(Text);
+    };
   for (const OperatorEntry &Entry : Config.Operators_)
     if (Entry.MayApprove_)
       Out.Operators_[Entry.Name_] = Entry.PublicKey_;
@@ -91,12 +98,13 @@
 ControlPlane::ControlPlane(const Settings &Config,
                            const std::string &PeerAddress,
                            const std::string &PublicKey, std::uint64_t Process,
-                           Store &Platform, Random &Rng, OutboxSender Send,
-                           Now Time)
-    : Settings_(Config), Store_(Platform), Rng_(Rng), Send_(std::move(Send)),
+                           Store &Platform, const Integration *Adapter,
+                           Random &Rng, OutboxSender Send, Now Time)
+    : Settings_(Config), Store_(Platform), Integration_(Adapter), Rng_(Rng),
+      Send_(std::move(Send)),
       Members_(makeMembership(
           membershipConfig(Config, PeerAddress, PublicKey, Process), Time)),
-      Replica_(makeConfigReplica(replicaConfig(Config))),
+      Replica_(makeConfigReplica(replicaConfig(Config, Adapter))),
       Spread_(makeDissemination({}, Time)),
       Boot_(makeBootstrap(bootstrapConfig(Config), Time, Rng)) {
   learnSeeds(Members_, bootstrapRecords(Config), Time);
@@ -190,7 +198,7 @@
   ++Counters_.HeadReads_;
   Txn Request;
   RangeRequest ReadHead;
-  ReadHead.Key_ = headKey();
+  ReadHead.Key_ = configurationKey();
   Request.Reads_ = {ReadHead, seedsRange()};
   TimePoint StartedAt = Time.Monotonic_;
   Store_.txn(Request, Settings_.Store_.Timeout_,
@@ -223,14 +231,7 @@
   noteStore(Answer, Usable);
   if (Usable) {
     takeSeeds(Answer->Reads_[1], Time);
-    std::string Value = Answer->Reads_[0].Values_.empty()
-                            ? std::string()
-                            : Answer->Reads_[0].Values_[0].Value_;
-    if (auto Parsed = parseHead(Value)) {
-      Read.Number_ = Parsed->Number_;
-      Read.Digest_ = Parsed->Digest_;
-    }
-    takeHead(Value, nullptr);
+    Read.Number_ = takeRead(Answer->Reads_[0], Read.Digest_);
   }
   if (!ForFloor)
     return;
@@ -239,6 +240,36 @@
   send(Out);
 }
 
+std::string ControlPlane::configurationKey() const {
+  return Integration_ ? Integration_->configurationKey() : headKey();
+}
+
+std::optional<std::uint64_t> ControlPlane::takeRead(const RangeResult &Read,
+                                                    std::string &Digest) {
+  std::string Value =
+      Read.Values_.empty() ? std::string() : Read.Values_[0].Value_;
+  std::optional<std::uint64_t> Out;
+  if (Integration_) {
+    if (!Value.empty())
+      takeConfiguration(Value);
+    // A document that was rejected says nothing about the one before it.
+    if (Replica_.Rejection_ && !Value.empty())
+      return std::nullopt;
+    Digest = Replica_.Current_->Digest_;
+    return Replica_.Current_->Number_;
+  }
+  if (auto Parsed = parseHead(Value)) {
+    Out = Parsed->Number_;
+    Digest = Parsed->Digest_;
+  }
+  takeHead(Value, nullptr);
+  return Out;
+}
+
+void ControlPlane::takeConfiguration(const std::string &Value) {
+  afterOffer(offerWhole(Replica_, Value), readClocks());
+}
+
 void ControlPlane::takeHead(const std::string &Value, const Snapshot *Base) {
   auto Parsed = parseHead(Value);
   if (!Parsed) {
@@ -335,10 +366,13 @@
     return;
   ++Counters_.WatchesStarted_;
   Watch_ = Store_.watch(
-      headKey(), 0,
+      configurationKey(), 0,
       [this](const KeyValue &Entry) {
         ++Counters_.WatchEvents_;
-        takeHead(Entry.Value_, nullptr);
+        if (!Integration_)
+          takeHead(Entry.Value_, nullptr);
+        else if (!Entry.Value_.empty())
+          takeConfiguration(Entry.Value_);
       },
       [this](const Error & /*Failure*/) { WatchFailed_ = true; });
 }
--- a/src/ControlPlane.h
+++ b/src/ControlPlane.h
@@ -2,6 +2,7 @@
 // membership, configuration replica, dissemination and bootstrap.
 #pragma once
 
+#include "sycamore/Integration.h"
 #include "sycamore/Bootstrap.h"
 #include "sycamore/Dissemination.h"
 #include "sycamore/Membership.h"
@@ -28,7 +29,8 @@
   /// key of this daemon or empty.
   ControlPlane(const Settings &Config, const std::string &PeerAddress,
                const std::string &PublicKey, std::uint64_t Process,
-               Store &Platform, Random &Rng, OutboxSender Send, Now Time);
+               Store &Platform, const Integration *Adapter, Random &Rng,
+               OutboxSender Send, Now Time);
 
   /// Decides which servers of the store's seeds are believed.
   using SeedFilter = std::function<bool(const wire::ServerRecord &)>;
@@ -47,7 +49,11 @@
   /// Spreads marks to all neighbours at once and then by gossip.
   void spreadQuarantine(std::span<const wire::QuarantineRecord> Marks);
 
-  bool mayServe() const { return hasFloor(Boot_); }
+  /// A daemon without any configuration cannot tell a route that does not exist
+  /// from one that it does not know.
+  bool mayServe() const {
+    return hasFloor(Boot_) && (!Integration_ || Replica_.Current_->Number_ > 0);
+  }
   const SnapshotPointer &snapshot() const { return Replica_.Current_; }
   /// When the ticket in force was applied here.
   WallTime appliedAt() const { return AppliedAt_; }
@@ -67,6 +73,11 @@
                      const Result<TxnResult> &Answer);
   void noteStore(const Result<TxnResult> &Answer, bool Usable);
   void takeHead(const std::string &Value, const Snapshot *Base);
+  void takeConfiguration(const std::string &Value);
+  std::string configurationKey() const;
+  /// What a read of the configuration says about the ticket in force.
+  std::optional<std::uint64_t> takeRead(const RangeResult &Read,
+                                        std::string &Digest);
   void readBase(std::uint64_t Number, const std::string &HeadValue);
   void takeSeeds(const RangeResult &Seeds, Now Time);
   void updateWatch(bool Wanted, Now Time);
@@ -76,6 +87,7 @@
 
   Settings Settings_;
   Store &Store_;
+  const Integration *Integration_; ///< Null for the built-in formats.
   Random &Rng_;
   OutboxSender Send_;
   SeedFilter SeedFilter_;
--- a/src/Daemon.cpp
+++ b/src/Daemon.cpp
@@ -12,12 +12,11 @@
 
 constexpr timeval TickInterval{0, 20'000};
 
-/// A leaving daemon stays reachable this long after its last call, so that the
-/// news of its leaving has spread before its listeners close.
-constexpr Duration LeaveNotice = seconds(2);
-
 constexpr Duration TraceWriteInterval = seconds(1);
 
+/// Paths come from outside; a log line keeps this much of one.
+constexpr std::size_t MaxLoggedPath = 200;
+
 HttpServerConfig serverConfig(const Settings &Config,
                               const std::optional<ServerTlsSettings> &Tls) {
   HttpServerConfig Out;
@@ -46,16 +45,18 @@
 } // namespace
 
 Result<std::unique_ptr<Daemon>> Daemon::create(event_base *Base,
-                                               const Settings &Config) {
-  auto Out = std::make_unique<DaemonImpl>(Base, Config);
+                                               const Settings &Config,
+                                               const Integration *Adapter) {
+  auto Out = std::make_unique<DaemonImpl>(Base, Config, Adapter);
   auto Started = Out->start();
   if (!Started)
     return tl::unexpected<Error>(Started.error());
   return Out;
 }
 
-DaemonImpl::DaemonImpl(event_base *Base, const Settings &Config)
-    : Base_(Base), Settings_(Config), Rng_(std::random_device{}()),
+DaemonImpl::DaemonImpl(event_base *Base, const Settings &Config,
+                       const Integration *Adapter)
+    : Base_(Base), Settings_(Config), Integration_(Adapter), Rng_(std::random_device{}()),
       Process_(unixMicroseconds(wallNow())) {}
 
 DaemonImpl::~DaemonImpl() {
@@ -74,9 +75,13 @@
   if (!Client)
     return tl::unexpected<Error>(Client.error());
   Client_ = std::move(*Client);
-  EtcdStoreConfig Platform = etcdStoreConfig(Settings_.Store_);
-  Platform.Counters_ = StoreCounters_;
-  Store_ = makeEtcdStore(Base_, Platform);
+  if (Integration_) {
+    Store_ = Integration_->makeStore(Base_, Settings_.Store_, StoreCounters_);
+  } else {
+    EtcdStoreConfig Platform = etcdStoreConfig(Settings_.Store_);
+    Platform.Counters_ = StoreCounters_;
+    Store_ = makeEtcdStore(Base_, Platform);
+  }
   LocalEvent_ = event_new(Base_, -1, 0, onLocal, this);
   return startPeers().and_then([this] { return startHttp(); }).map([this] {
     startTicking();
@@ -125,7 +130,8 @@
   };
   Control_ = std::make_unique<ControlPlane>(Settings_, PeerAddress,
                                             Keys_.Own_.PublicKey_, Process_,
-                                            *Store_, Rng_, Send, Time);
+                                            *Store_, Integration_, Rng_, Send,
+                                            Time);
   Control_->setSeedFilter(
       [this](const wire::ServerRecord &Seed) { return isAllowedPeer(Seed); });
   Targets_ =
@@ -154,34 +160,93 @@
                     Spans_, *Peers_, *StoreCounters_},
       std::move(Tokens));
 
-  auto Caller =
-      HttpServer::create(Base_, serverConfig(Settings_, Settings_.CallerTls_));
+  auto Caller = serveHttp(
+      Settings_.CallerListen_, Settings_.CallerTls_,
+      [this](const HttpExchangePointer &Exchange) {
+        Entry_->receive(Exchange, readClocks());
+      },
+      Addresses_.Caller_);
   if (!Caller)
     return tl::unexpected<Error>(Caller.error());
   CallerServer_ = std::move(*Caller);
-  CallerServer_->setHandler([this](const HttpExchangePointer &Exchange) {
-    Entry_->receive(Exchange, readClocks());
-  });
-  auto CallerBound = CallerServer_->listen(Settings_.CallerListen_);
-  if (!CallerBound)
-    return tl::unexpected<Error>(CallerBound.error());
-  Addresses_.Caller_ = *CallerBound;
-
-  auto Operators =
-      HttpServer::create(Base_, serverConfig(Settings_, Settings_.AdminTls_));
+  auto Operators = serveHttp(
+      Settings_.AdminListen_, Settings_.AdminTls_,
+      [this](const HttpExchangePointer &Exchange) {
+        Admin_->receive(Exchange, readClocks());
+      },
+      Addresses_.Admin_);
   if (!Operators)
     return tl::unexpected<Error>(Operators.error());
   AdminServer_ = std::move(*Operators);
-  AdminServer_->setHandler([this](const HttpExchangePointer &Exchange) {
-    Admin_->receive(Exchange, readClocks());
-  });
-  auto AdminBound = AdminServer_->listen(Settings_.AdminListen_);
-  if (!AdminBound)
-    return tl::unexpected<Error>(AdminBound.error());
-  Addresses_.Admin_ = *AdminBound;
+  return startNoticeListeners();
+}
+
+Result<void> DaemonImpl::startNoticeListeners() {
+  std::string Bound;
+  if (!Settings_.ReadyListen_.empty()) {
+    auto Ready = serveHttp(
+        Settings_.ReadyListen_, std::nullopt,
+        [this](const HttpExchangePointer &Exchange) {
+          Exchange->reply(isReady() ? 200 : 503, {}, "");
+        },
+        Bound);
+    if (!Ready)
+      return tl::unexpected<Error>(Ready.error());
+    ReadyServer_ = std::move(*Ready);
+  }
+  bool Announces = Integration_ && Settings_.Target_ &&
+                   !Settings_.Target_->AnnounceListen_.empty();
+  if (!Announces)
+    return {};
+  auto Notices = serveHttp(
+      Settings_.Target_->AnnounceListen_, std::nullopt,
+      [this](const HttpExchangePointer &Exchange) {
+        takeNotice(*Exchange, readClocks());
+      },
+      Bound);
+  if (!Notices)
+    return tl::unexpected<Error>(Notices.error());
+  AnnounceServer_ = std::move(*Notices);
   return {};
 }
 
+Result<std::unique_ptr<HttpServer>>
+DaemonImpl::serveHttp(const std::string &Address,
+                      const std::optional<ServerTlsSettings> &Tls,
+                      HttpHandler Handler, std::string &Bound) {
+  auto Server = HttpServer::create(Base_, serverConfig(Settings_, Tls));
+  if (!Server)
+    return Server;
+  (*Server)->setHandler(std::move(Handler));
+  auto Listening = (*Server)->listen(Address);
+  if (!Listening)
+    return tl::unexpected<Error>(Listening.error());
+  Bound = *Listening;
+  return Server;
+}
+
+bool DaemonImpl::isReady() const { return Control_->mayServe() && !Stopping_; }
+
+void DaemonImpl::takeNotice(HttpExchange &Exchange, Now Time) {
+  auto Notice = Integration_->readNotice(Exchange.request());
+  Result<void> Taken;
+  if (!Notice)
+    Taken = tl::unexpected<Error>(Notice.error());
+  else if (auto *News = std::get_if<TargetAnnouncement>(&*Notice))
+    Taken = Targets_->take(*News, Time);
+  else
+    Targets_->take(std::get<TargetDeparture>(*Notice), Time);
+  if (Taken) {
+    Exchange.reply(200, {{"content-type", "application/json"}}, "{}");
+    return;
+  }
+  logEvent(LogLevel::Warning, "notice-rejected",
+           {{"path", Exchange.request().Path_.substr(0, MaxLoggedPath)},
+            {"error", describe(Taken.error())}});
+  Exchange.reply(Taken.error().Kind_ == ErrorKind::NotFound ? 404 : 400, {},
+                 describe(Taken.error()));
+}
+
 void DaemonImpl::startTicking() {
   TickEvent_ = event_new(Base_, -1, EV_PERSIST, onTick, this);
   event_add(TickEvent_, &TickInterval);
@@ -391,11 +456,12 @@
 void DaemonImpl::continueStop(Now Time) {
   if (!isIdle())
     IdleSince_ = Time.Monotonic_;
-  bool Done = Time.Monotonic_ - IdleSince_ >= LeaveNotice;
+  bool Done = Time.Monotonic_ - IdleSince_ >= Settings_.Timing_.LeaveNotice_;
   CutShort_ = !Done && Time.Monotonic_ - StopStarted_ >= Settings_.StopLimit_;
   // Callers that dial this daemon are still served until the news has spread;
   // only then do its listeners close.
-  if (Time.Monotonic_ - StopStarted_ >= LeaveNotice && !ListenersClosed_) {
+  if (Time.Monotonic_ - StopStarted_ >= Settings_.Timing_.LeaveNotice_ &&
+      !ListenersClosed_) {
     ListenersClosed_ = true;
     Entry_->startLeaving();
     CallerServer_->stopAccepting();
--- a/src/DaemonImpl.h
+++ b/src/DaemonImpl.h
@@ -17,7 +17,8 @@
 
 class DaemonImpl : public Daemon {
 public:
-  DaemonImpl(event_base *Base, const Settings &Config);
+  DaemonImpl(event_base *Base, const Settings &Config,
+             const Integration *Adapter);
   ~DaemonImpl() override;
 
   Result<void> start();
@@ -36,6 +37,7 @@
 
   Result<void> startPeers();
   Result<void> startHttp();
+  Result<void> startNoticeListeners();
   void makeProxies(const std::string &PeerAddress);
   void startTicking();
   static void onTick(evutil_socket_t, short, void *Self);
@@ -60,8 +62,16 @@
   void continueStop(Now Time);
   bool isIdle() const;
 
+  Result<std::unique_ptr<HttpServer>>
+  serveHttp(const std::string &Address,
+            const std::optional<ServerTlsSettings> &Tls, HttpHandler Handler,
+            std::string &Bound);
+  void takeNotice(HttpExchange &Exchange, Now Time);
+  bool isReady() const;
+
   event_base *Base_;
   Settings Settings_;
+  const Integration *Integration_;
   Random Rng_;
   std::uint64_t Process_;
   PeerKeys Keys_;
@@ -80,6 +90,8 @@
   std::unique_ptr<AdminApi> Admin_;
   std::unique_ptr<HttpServer> CallerServer_;
   std::unique_ptr<HttpServer> AdminServer_;
+  std::unique_ptr<HttpServer> ReadyServer_;    ///< Null when not set.
+  std::unique_ptr<HttpServer> AnnounceServer_; ///< Null when not set.
   event *TickEvent_ = nullptr;
   event *LocalEvent_ = nullptr;
   std::deque<LocalMessage> Local_;
--- a/src/Dissemination.cpp
+++ b/src/Dissemination.cpp
@@ -161,9 +161,11 @@
     sendOffer(Spread, Replica, Sender, Time, Out);
 }
 
-/// Snapshot in JSON, made once for each ticket.
+/// Snapshot in JSON, made once for each ticket, or the whole-state document.
 const std::string &snapshotJson(Dissemination &Spread,
                                 const ConfigReplica &Replica) {
+  if (!Replica.Document_.empty())
+    return Replica.Document_;
   if (Spread.SnapshotJson_.empty())
     Spread.SnapshotJson_ = toJson(*Replica.Current_).dump();
   return Spread.SnapshotJson_;
--- a/src/EntryAnswers.cpp
+++ b/src/EntryAnswers.cpp
@@ -93,6 +93,7 @@
 void takeNotRun(Step &At, Match Found, const wire::CallAnswer &Answer) {
   if (mayVouch(*Found.Attempt_, Answer.process(), /*AllowUnnamed=*/true)) {
     Found.Attempt_->State_ = AttemptState::NotRun;
+    Found.Attempt_->ReachedTarget_ = Answer.reached_target();
     Found.Call_->Refusal_ = Answer;
   } else {
     ++At.Calls_.Counters_.ForeignProcesses_;
--- a/src/EntryCallsDetail.cpp
+++ b/src/EntryCallsDetail.cpp
@@ -23,6 +23,16 @@
                      });
 }
 
+/// Attempts that a target may have seen.
+std::uint32_t targetsReached(const EntryCall &Call) {
+  return static_cast<std::uint32_t>(
+      std::count_if(Call.Attempts_.begin(), Call.Attempts_.end(),
+                    [](const CallAttempt &Attempt) {
+                      return Attempt.State_ != AttemptState::NotRun ||
+                             Attempt.ReachedTarget_;
+                    }));
+}
+
 /// Whether the rules allow one more attempt now. An idempotent call may have
 /// several, but waits for one whose link is alive; any other call only after
 /// all earlier ones are proven not to have run.
@@ -30,6 +40,8 @@
   if (At.Now_ >= Call.Deadline_ ||
       Call.Attempts_.size() >= At.Calls_.Limits_.MaxAttempts_)
     return false;
+  if (Call.MaxTargets_ > 0 && targetsReached(Call) >= Call.MaxTargets_)
+    return false;
   if (!Call.Idempotent_ && !mutated(CallMutation::RetryInDoubt))
     return provenNotRun(Call);
   return std::none_of(Call.Attempts_.begin(), Call.Attempts_.end(),
@@ -154,8 +166,11 @@
 }
 
 void proceed(Step &At, EntryCall &Call) {
+  auto Free = [](const EntryCall & /*Call*/) { return true; };
+  bool Costs = targetsReached(Call) > 0 || Call.Request_.suspect();
   if (allowsAnother(At, Call) &&
-      sendAnother(At, Call, /*Hedge=*/false, At.Policy_.TakeRetry_)) {
+      sendAnother(At, Call, /*Hedge=*/false,
+                  Costs ? At.Policy_.TakeRetry_ : Free)) {
     ++At.Calls_.Counters_.Retries_;
     return;
   }
--- a/src/EntryProxy.cpp
+++ b/src/EntryProxy.cpp
@@ -46,6 +46,7 @@
   Calls_.Self_ = Config.Server_;
   Calls_.Incarnation_ = Process;
   Calls_.Limits_.LinkDeadline_ = Config.Timing_.LinkDeadline_;
+  Retries_.Options_ = {Config.Retries_.Share_, Config.Retries_.Constant_};
 }
 
 CallPolicy EntryProxy::makePolicy() {
--- a/src/EntryProxy.h
+++ b/src/EntryProxy.h
@@ -121,8 +121,8 @@
               Now Time);
   /// Sets route, service and deadline; the refusal when no route matches.
   std::optional<Finish> findRoute(const HttpRequest &Http, EntryCall &Call,
-                                  Now Time) const;
-  static void fillRequest(const HttpRequest &Http, AcceptedRequest &Request);
+                                  Now Time);
+  void fillRequest(const HttpRequest &Http, AcceptedRequest &Request) const;
   void inheritContext(const HttpRequest &Http, AcceptedRequest &Request,
                       Now Time);
   bool passQuarantine(AcceptedRequest &Request, Finish &Refusal, Now Time);
--- a/src/EntryRequests.cpp
+++ b/src/EntryRequests.cpp
@@ -83,7 +83,7 @@
 }
 
 std::optional<Finish> EntryProxy::findRoute(const HttpRequest &Http,
-                                            EntryCall &Call, Now Time) const {
+                                            EntryCall &Call, Now Time) {
   Call.Snapshot_ = Control_.snapshot();
   const Route *Matched = matchRoute(*Call.Snapshot_, Http.Host_, Http.Method_,
                                     pathOnly(Http.Path_), &Call.Route_);
@@ -95,10 +95,13 @@
                         std::to_string(Call.Snapshot_->Number_),
                     "correct the request, or file a ticket that adds a route"},
                    Duration(0));
-  Call.Service_ = Matched->Service_;
+  Call.Service_ = chooseService(*Matched, randomUnit(Rng_));
   Call.Idempotent_ = isIdempotent(*Matched, Http.Method_);
+  Call.MaxTargets_ = Matched->MaxAttempts_;
+  Call.Request_.set_priority(Matched->Priority_);
   TimePoint OwnDeadline =
-      Time.Monotonic_ + timeoutOf(*Call.Snapshot_, *Matched);
+      Time.Monotonic_ +
+      timeoutOf(*Call.Snapshot_, *Matched, Call.Service_);
   Call.Deadline_ = Call.Deadline_ == TimePoint{}
                        ? OwnDeadline
                        : std::min(Call.Deadline_, OwnDeadline);
@@ -106,7 +109,7 @@
 }
 
 void EntryProxy::fillRequest(const HttpRequest &Http,
-                             AcceptedRequest &Request) {
+                             AcceptedRequest &Request) const {
   EntryCall &Call = Request.Call_;
   Call.Body_ = std::make_shared<const std::string>(Http.Body_);
   wire::CallRequest &Wire = Call.Request_;
@@ -115,21 +118,27 @@
   Wire.set_route(Call.Route_);
   Wire.set_method(Http.Method_);
   Wire.set_path(Http.Path_);
-  addEndToEndHeaders(*Wire.mutable_headers(), Http.Headers_);
+  const HeaderNames &Names = Settings_.Headers_;
+  addEndToEndHeaders(*Wire.mutable_headers(), Http.Headers_, Names);
+  if (!Names.CallerService_.empty() && Settings_.Target_) {
+    wire::Header *Caller = Wire.add_headers();
+    Caller->set_name(Names.CallerService_);
+    Caller->set_value(Settings_.Target_->Service_);
+  }
   Wire.set_depth(Call.Depth_);
   Wire.set_idempotent(Call.Idempotent_);
   Wire.set_body_size(Http.Body_.size());
   Wire.set_body_hash(bodyHash(Http.Body_));
   Wire.set_fingerprint(
       fingerprintOf(Call.Service_, Http.Method_, Http.Path_, Http.Body_));
-  if (const std::string *Key = findHeader(Http.Headers_, IdempotencyKeyHeader))
+  if (const std::string *Key = findHeader(Http.Headers_, Names.IdempotencyKey_))
     Request.Key_ = *Key;
 }
 
 void EntryProxy::inheritContext(const HttpRequest &Http,
                                 AcceptedRequest &Request, Now Time) {
   EntryCall &Call = Request.Call_;
-  const std::string *Header = findHeader(Http.Headers_, TraceparentHeader);
+  const std::string *Header = findHeader(Http.Headers_, Settings_.Headers_.Traceparent_);
   auto Parent = Header ? parseTraceparent(*Header) : std::nullopt;
   if (Parent) {
     Request.ParentSpan_ = Parent->SpanId_;
@@ -137,7 +146,7 @@
   } else {
     Request.Span_ = startTrace(Rng_, Settings_.Trace_.SampleRatio_);
   }
-  if (auto DeadlineMs = numberHeader(Http.Headers_, DeadlineHeader)) {
+  if (auto DeadlineMs = numberHeader(Http.Headers_, Settings_.Headers_.Deadline_)) {
     constexpr std::uint64_t LongestMs = 600'000;
     Call.Deadline_ =
         Time.Monotonic_ + milliseconds(std::min(*DeadlineMs, LongestMs));
@@ -152,7 +161,7 @@
     Call.Deadline_ = Call.Deadline_ == TimePoint{}
                          ? Outer->Deadline_
                          : std::min(Call.Deadline_, Outer->Deadline_);
-  } else if (auto Depth = numberHeader(Http.Headers_, DepthHeader)) {
+  } else if (auto Depth = numberHeader(Http.Headers_, Settings_.Headers_.Depth_)) {
     constexpr std::uint64_t DeepestDepth = 1000;
     Call.Depth_ =
         static_cast<std::uint32_t>(std::min(*Depth, DeepestDepth)) + 1;
@@ -191,12 +200,15 @@
   if (Request.AloneFingerprint_)
     noteFinished(Marks_, *Request.AloneFingerprint_);
   HttpHeaders Headers = toHttpHeaders(Outcome.Answer_.headers());
-  Headers.push_back(
-      {std::string(RunHeader), std::string(runName(Outcome.Run_))});
+  const HeaderNames &Names = Settings_.Headers_;
+  addHeader(Headers, Names.Run_, std::string(runName(Outcome.Run_)));
   if (Outcome.RetryAfter_.count() > 0)
-    Headers.push_back({"retry-after", retryAfterSeconds(Outcome.RetryAfter_)});
-  Headers.push_back(
-      {std::string(TraceparentHeader), formatTraceparent(Request.Span_)});
+    Headers.push_back({"retry-after",
+                       Settings_.FractionalRetryAfter_
+                           ? fractionalSeconds(Outcome.RetryAfter_)
+                           : retryAfterSeconds(Outcome.RetryAfter_)});
+  if (!Names.Traceparent_.empty())
+    Headers.push_back({Names.Traceparent_, formatTraceparent(Request.Span_)});
   if (!Outcome.Error_) {
     Exchange->reply(static_cast<int>(Outcome.Status_), Headers, Outcome.Body_);
     return;
--- a/src/EtcdCodec.cpp
+++ b/src/EtcdCodec.cpp
@@ -2,7 +2,6 @@
 #include "EtcdCodec.h"
 
 #include <charconv>
-#include <openssl/evp.h>
 
 namespace sycamore {
 namespace {
@@ -150,38 +149,6 @@
 
 } // namespace
 
-std::string encodeBase64(std::string_view Bytes) {
-  std::string Out((Bytes.size() + 2) / 3 * 4 + 1, '\0');
-  int Length =
-      EVP_EncodeBlock(reinterpret_cast<unsigned char *>(Out.data()),
-                      reinterpret_cast<const unsigned char *>(Bytes.data()),
-                      static_cast<int>(Bytes.size()));
-  Out.resize(static_cast<std::size_t>(Length));
-  return Out;
-}
-
-std::optional<std::string> decodeBase64(std::string_view Text) {
-  if (Text.size() % 4 != 0)
-    return std::nullopt;
-  std::string Out(Text.size() / 4 * 3, '\0');
-  int Length =
-      EVP_DecodeBlock(reinterpret_cast<unsigned char *>(Out.data()),
-                      reinterpret_cast<const unsigned char *>(Text.data()),
-                      static_cast<int>(Text.size()));
-  if (Length != static_cast<int>(Out.size()))
-    return std::nullopt;
-  // The decoder counts padding as zero bytes.
-  std::size_t Padding = 0;
-  while (Padding < 2 && Padding < Text.size() &&
-         Text[Text.size() - 1 - Padding] == '=')
-    ++Padding;
-  Out.resize(Out.size() - Padding);
-  // It also takes white space and misplaced padding.
-  if (encodeBase64(Out) != Text)
-    return std::nullopt;
-  return Out;
-}
-
 Json encodeRange(const RangeRequest &Request) {
   Json Out{{"key", encodeBase64(Request.Key_)}};
   if (!Request.RangeEnd_.empty())
--- a/src/EtcdCodec.h
+++ b/src/EtcdCodec.h
@@ -2,6 +2,7 @@
 // 64-bit numbers as strings, fields with default values left out.
 #pragma once
 
+#include "Base64.h"
 #include "sycamore/Json.h"
 #include "sycamore/Store.h"
 
@@ -9,10 +10,6 @@
 
 namespace sycamore {
 
-std::string encodeBase64(std::string_view Bytes);
-/// Nothing for text that is not canonical base64 with padding.
-std::optional<std::string> decodeBase64(std::string_view Text);
-
 Json encodeRange(const RangeRequest &Request);
 Json encodeTxn(const Txn &Request);
 Json encodeWatch(const std::string &Key, std::int64_t FromRevision);
--- a/src/EtcdStore.cpp
+++ b/src/EtcdStore.cpp
@@ -1,6 +1,7 @@
 // Store over the JSON gateway of the etcd v3 protocol.
 #include "sycamore/EtcdStore.h"
 
+#include "CallBudget.h"
 #include "EtcdCodec.h"
 #include "EtcdWatch.h"
 #include "sycamore/Clock.h"
@@ -28,29 +29,6 @@
 
 constexpr int StatusTooManyRequests = 429;
 
-/// Calls allowed now, refilled over time, at most one second's worth.
-class CallBudget {
-public:
-  CallBudget(double PerSecond, TimePoint Now)
-      : PerSecond_(PerSecond), Tokens_(std::max(PerSecond, 1.0)), Last_(Now) {}
-
-  bool take(TimePoint Now) {
-    std::chrono::duration<double> Passed = Now - Last_;
-    Last_ = Now;
-    Tokens_ = std::min(Tokens_ + Passed.count() * PerSecond_,
-                       std::max(PerSecond_, 1.0));
-    if (Tokens_ < 1.0)
-      return false;
-    Tokens_ -= 1.0;
-    return true;
-  }
-
-private:
-  double PerSecond_;
-  double Tokens_;
-  TimePoint Last_;
-};
-
 struct EtcdCall {
   std::string Kind_;
   std::string Path_;
--- a/src/HttpClientPool.cpp
+++ b/src/HttpClientPool.cpp
@@ -67,6 +67,8 @@
       Answer.Status_ == 304 || findHeader(Answer.Headers_, "transfer-encoding"))
     return {};
   const std::string *Length = findHeader(Answer.Headers_, "content-length");
+  if (!Length && Request.AcceptUnframed_)
+    return {};
   if (!Length)
     return "the answer has no length, so it may have been cut";
   std::size_t Expected = 0;
@@ -204,6 +206,9 @@
     copyHeaders(evhttp_request_get_input_headers(Request), Answer.Headers_);
     Answer.Body_ = takeBody(evhttp_request_get_input_buffer(Request));
     Reason = incompleteness(Answer, Call->Request_);
+    if (Reason.empty() && Call->Request_.Accepts_ &&
+        !Call->Request_.Accepts_(Answer))
+      Reason = "the answer belongs to another request";
     if (Reason.empty())
       Answer.Outcome_ = HttpOutcome::Answered;
   }
--- a/src/Log.cpp
+++ b/src/Log.cpp
@@ -57,9 +57,10 @@
   serverName() = Server;
   auto Layout = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%m%n"));
   log4cxx::AppenderPtr Appender;
-  if (File.empty())
+  if (File.empty() || File == "-")
     Appender = std::make_shared<log4cxx::ConsoleAppender>(
-        Layout, log4cxx::ConsoleAppender::getSystemErr());
+        Layout, File.empty() ? log4cxx::ConsoleAppender::getSystemErr()
+                             : log4cxx::ConsoleAppender::getSystemOut());
   else
     Appender = std::make_shared<log4cxx::FileAppender>(Layout, File, true);
   log4cxx::BasicConfigurator::resetConfiguration();
--- a/src/MembershipViews.cpp
+++ b/src/MembershipViews.cpp
@@ -21,19 +21,22 @@
          Members.Time_.Monotonic_ - Heard < Members.Config_.StaleAfter_;
 }
 
+void addIfUsable(const Membership &Members, const wire::TargetRecord &Record,
+                 std::vector<EligibleTarget> &Out) {
+  auto Server = Members.Servers_.find(Record.server());
+  if (Record.gone() || Record.leaving() || Server == Members.Servers_.end() ||
+      Record.incarnation() < Server->second.Record_.started() ||
+      !isUsable(Members, Server->first, Server->second))
+    return;
+  Out.push_back({Record.name(), Server->first,
+                 Server->second.Record_.data_centre(), Record.slots()});
+}
+
 void addEligible(const Membership &Members, const std::string &Target,
                  std::vector<EligibleTarget> &Out) {
   for (auto Item = Members.Targets_.lower_bound({Target, ""});
-       Item != Members.Targets_.end() && Item->first.first == Target; ++Item) {
-    const wire::TargetRecord &Record = Item->second.Record_;
-    auto Server = Members.Servers_.find(Record.server());
-    if (Record.gone() || Record.leaving() || Server == Members.Servers_.end() ||
-        Record.incarnation() < Server->second.Record_.started() ||
-        !isUsable(Members, Server->first, Server->second))
-      continue;
-    Out.push_back({Target, Server->first, Server->second.Record_.data_centre(),
-                   Record.slots()});
-  }
+       Item != Members.Targets_.end() && Item->first.first == Target; ++Item)
+    addIfUsable(Members, Item->second.Record_, Out);
 }
 
 } // namespace
@@ -83,6 +86,14 @@
                                             const Snapshot &Current,
                                             std::string_view Service) {
   std::vector<EligibleTarget> Out;
+  auto Entity = Current.State_.Services_.find(std::string(Service));
+  if (Entity != Current.State_.Services_.end() &&
+      Entity->second.AdmitAnnounced_) {
+    for (const auto &[Key, Row] : Members.Targets_)
+      if (Row.Record_.service() == Service)
+        addIfUsable(Members, Row.Record_, Out);
+    return Out;
+  }
   auto Admitted = Current.TargetsOfService_.find(std::string(Service));
   if (Admitted == Current.TargetsOfService_.end())
     return Out;
--- a/src/Settings.cpp
+++ b/src/Settings.cpp
@@ -1,6 +1,7 @@
 // Reads and checks the daemon's settings.
 #include "SettingsReader.h"
 #include "TicketMutations.h"
+#include "sycamore/Ticket.h"
 
 #include <algorithm>
 #include <array>
@@ -57,6 +58,7 @@
   Reader.count("max_calls", Out.MaxCalls_,
                mutated("settings-other-range") ? 2 : 1, 1'000'000);
   Reader.count("peer_links", Out.PeerLinks_, 4, 10'000);
+  Reader.count("readers_per_data_centre", Out.ReadersPerDataCentre_, 1, 100);
 }
 
 void readTiming(SettingsReader &Reader, TimingSettings &Out) {
@@ -69,6 +71,7 @@
   Reader.duration("start_jitter_ms", Out.StartJitter_, 0, 60'000);
   Reader.duration("link_deadline_ms", Out.LinkDeadline_, 100, 60'000);
   Reader.duration("announce_interval_ms", Out.AnnounceInterval_, 50, 60'000);
+  Reader.duration("leave_notice_ms", Out.LeaveNotice_, 0, 60'000);
   if (Out.ProbeTimeout_ >= Out.ProbeInterval_)
     Reader.problem("probe_timeout_ms",
                    "is not below probe_interval_ms (" +
@@ -76,7 +79,7 @@
 }
 
 void readKeys(SettingsReader &Reader, KeySettings &Out) {
-  Reader.count("buckets", Out.Buckets_, 1, 1024);
+  Reader.count("buckets", Out.Buckets_, 0, 1024);
   Reader.duration("lease_s", Out.Lease_, 3, 3600);
   Reader.duration("clock_skew_ms", Out.ClockSkew_, 0, 60'000);
   Reader.duration("resend_window_s", Out.ResendWindow_, 1, 86'400);
@@ -111,6 +114,59 @@
       Reader.problem(Entry.Field_, "is the address of another listener");
   }
   Reader.address("peer_address", Out.PeerAddress_, false);
+  Reader.address("ready_listen", Out.ReadyListen_, true);
+}
+
+void readHeaders(SettingsReader &Reader, HeaderNames &Out) {
+  struct Field {
+    std::string_view Name_;
+    std::string HeaderNames::*Value_;
+  };
+  constexpr std::array<Field, 11> Fields = {
+      {{"run", &HeaderNames::Run_},
+       {"depth", &HeaderNames::Depth_},
+       {"deadline", &HeaderNames::Deadline_},
+       {"ticket", &HeaderNames::Ticket_},
+       {"traceparent", &HeaderNames::Traceparent_},
+       {"idempotency_key", &HeaderNames::IdempotencyKey_},
+       {"request_id", &HeaderNames::RequestId_},
+       {"seal", &HeaderNames::Seal_},
+       {"not_run", &HeaderNames::NotRun_},
+       {"expected_target", &HeaderNames::ExpectedTarget_},
+       {"caller_service", &HeaderNames::CallerService_}}};
+  for (const Field &Entry : Fields) {
+    std::string &Name = Out.*Entry.Value_;
+    Reader.string(Entry.Name_, Name);
+    if (!Name.empty() && !isValidName(Name))
+      Reader.problem(Entry.Name_, "is not a header name");
+  }
+}
+
+void readTarget(SettingsReader &Reader, TargetSettings &Out) {
+  Reader.name("service", Out.Service_, true);
+  Reader.require("address");
+  Reader.address("address", Out.Address_, false);
+  Reader.address("announce_listen", Out.AnnounceListen_, true);
+}
+
+void readCalls(SettingsReader &Reader, Settings &Out) {
+  Reader.section("headers", [&](SettingsReader &Section) {
+    readHeaders(Section, Out.Headers_);
+  });
+  Reader.flag("fractional_retry_after", Out.FractionalRetryAfter_);
+  Reader.section("retries", [&](SettingsReader &Section) {
+    Section.number("share", Out.Retries_.Share_, 0.0, 1.0);
+    Section.count("constant", Out.Retries_.Constant_, 0, 100'000);
+  });
+}
+
+void readIntegration(SettingsReader &Reader, Settings &Out) {
+  Reader.string("integration", Out.Integration_);
+  TargetSettings Target;
+  if (Reader.section("target", [&](SettingsReader &Section) {
+        readTarget(Section, Target);
+      }))
+    Out.Target_ = Target;
 }
 
 void readTls(SettingsReader &Reader, Settings &Out) {
@@ -157,6 +213,8 @@
 void readSettings(SettingsReader &Reader, Settings &Out) {
   readIdentity(Reader, Out);
   readListeners(Reader, Out);
+  readIntegration(Reader, Out);
+  readCalls(Reader, Out);
   Reader.require("store");
   Reader.section("store", [&](SettingsReader &Section) {
     readStoreSettings(Section, Out.Store_);
@@ -173,6 +231,8 @@
   });
   Reader.section(
       "keys", [&](SettingsReader &Section) { readKeys(Section, Out.Keys_); });
+  if (Out.Keys_.Buckets_ == 0)
+    Out.Headers_.IdempotencyKey_.clear();
   readOutputs(Reader, Out);
   Reader.rejectUnknown();
 }
--- a/src/Snapshot.cpp
+++ b/src/Snapshot.cpp
@@ -45,36 +45,67 @@
     Out[Name] = Read(Entity, Reader.pathOf(Field) + "." + Name, Problems);
 }
 
+/// Key of a route in Snapshot::RoutesByKey_; a host holds no line break.
+std::string routeKey(std::string_view Host, std::string_view Prefix) {
+  std::string Out(Host);
+  Out += '\n';
+  Out += Prefix;
+  return Out;
+}
+
 void indexSnapshot(Snapshot &Value) {
-  for (const auto &[Name, Entity] : Value.State_.Routes_)
-    Value.RouteOrder_.push_back(Name);
-  auto Rank = [&](const std::string &Name) {
-    const Route &Entity = Value.State_.Routes_.at(Name);
-    return std::tuple(Entity.Host_.empty(), ~Entity.PathPrefix_.size(),
-                      Entity.Methods_.empty());
+  auto HasMethods = [&](const std::string &Name) {
+    return !Value.State_.Routes_.at(Name).Methods_.empty();
   };
-  std::stable_sort(Value.RouteOrder_.begin(), Value.RouteOrder_.end(),
-                   [&](const std::string &Left, const std::string &Right) {
-                     return Rank(Left) < Rank(Right);
-                   });
+  for (const auto &[Name, Entity] : Value.State_.Routes_) {
+    auto &Names =
+        Value.RoutesByKey_[routeKey(Entity.Host_, Entity.PathPrefix_)];
+    Names.push_back(Name);
+    std::stable_partition(Names.begin(), Names.end(), HasMethods);
+  }
   for (const auto &[Name, Entity] : Value.State_.Targets_)
     Value.TargetsOfService_[Entity.Service_].push_back(Name);
 }
 
-/// Whether Path lies under Prefix at a boundary of path segments.
-bool pathMatches(std::string_view Path, std::string_view Prefix) {
-  if (!Path.starts_with(Prefix))
-    return false;
-  return Prefix.ends_with('/') || Path.size() == Prefix.size() ||
-         Path[Prefix.size()] == '/' || Path[Prefix.size()] == '?';
-}
-
 bool methodMatches(const Route &Entity, std::string_view Method) {
   return Entity.Methods_.empty() ||
          std::find(Entity.Methods_.begin(), Entity.Methods_.end(), Method) !=
              Entity.Methods_.end();
 }
 
+/// Name of a route for exactly this host and prefix, or null.
+const std::string *routeAt(const Snapshot &Current, std::string_view Host,
+                           std::string_view Prefix, std::string_view Method) {
+  auto Found = Current.RoutesByKey_.find(routeKey(Host, Prefix));
+  if (Found == Current.RoutesByKey_.end())
+    return nullptr;
+  for (const std::string &Name : Found->second)
+    if (methodMatches(Current.State_.Routes_.at(Name), Method))
+      return &Name;
+  return nullptr;
+}
+
+/// Name of the route of one host whose prefix matches Path up to the last
+/// boundary of path segments, or null. The time does not depend on the number
+/// of routes.
+const std::string *longestMatch(const Snapshot &Current, std::string_view Host,
+                                std::string_view Method,
+                                std::string_view Path) {
+  Path = Path.substr(0, Path.find('?'));
+  if (const std::string *Whole = routeAt(Current, Host, Path, Method))
+    return Whole;
+  for (std::size_t End = Path.rfind('/'); End != std::string_view::npos;
+       End = End == 0 ? std::string_view::npos : Path.rfind('/', End - 1)) {
+    if (const std::string *Slash =
+            routeAt(Current, Host, Path.substr(0, End + 1), Method))
+      return Slash;
+    if (const std::string *Bare =
+            routeAt(Current, Host, Path.substr(0, End), Method))
+      return Bare;
+  }
+  return nullptr;
+}
+
 Error badChain(const AcceptedTicket &Accepted, const std::string &What) {
   return {ErrorKind::InvalidTicket,
           "ticket " + std::to_string(Accepted.Ticket_.Number_) + ": " + What,
@@ -173,9 +204,10 @@
 std::vector<std::string> danglingReferences(const State &Value) {
   std::vector<std::string> Problems;
   for (const auto &[Name, Entity] : Value.Routes_) {
-    if (!Value.Services_.contains(Entity.Service_))
-      Problems.push_back("routes." + Name + ".service: \"" + Entity.Service_ +
-                         "\" is not a service");
+    for (const std::string &Service : servicesOf(Entity))
+      if (!Value.Services_.contains(Service))
+        Problems.push_back("routes." + Name + ".service: \"" + Service +
+                           "\" is not a service");
     for (const std::string &Target : Entity.Targets_) {
       auto Found = Value.Targets_.find(Target);
       if (Found == Value.Targets_.end())
@@ -287,18 +319,14 @@
 const Route *matchRoute(const Snapshot &Current, std::string_view Host,
                         std::string_view Method, std::string_view Path,
                         std::string *RouteName) {
-  for (const std::string &Name : Current.RouteOrder_) {
-    const Route &Entity = Current.State_.Routes_.at(Name);
-    if (!Entity.Host_.empty() && Entity.Host_ != Host)
-      continue;
-    if (!pathMatches(Path, Entity.PathPrefix_) ||
-        !methodMatches(Entity, Method))
-      continue;
-    if (RouteName)
-      *RouteName = Name;
-    return &Entity;
-  }
-  return nullptr;
+  const std::string *Found = longestMatch(Current, Host, Method, Path);
+  if (!Found && !Host.empty())
+    Found = longestMatch(Current, "", Method, Path);
+  if (!Found)
+    return nullptr;
+  if (RouteName)
+    *RouteName = *Found;
+  return &Current.State_.Routes_.at(*Found);
 }
 
 bool isIdempotent(const Route &Matched, std::string_view Method) {
@@ -310,10 +338,40 @@
                    Method) != IdempotentMethods.end();
 }
 
-milliseconds timeoutOf(const Snapshot &Current, const Route &Matched) {
+milliseconds timeoutOf(const Snapshot &Current, const Route &Matched,
+                       const std::string &Service) {
   if (Matched.Timeout_.count() > 0)
     return Matched.Timeout_;
-  return Current.State_.Services_.at(Matched.Service_).Timeout_;
+  return Current.State_.Services_.at(Service).Timeout_;
+}
+
+const std::string &chooseService(const Route &Matched, double Draw) {
+  if (Matched.Split_.empty())
+    return Matched.Service_;
+  double Total = 0;
+  for (const RouteShare &Share : Matched.Split_)
+    Total += Share.Weight_;
+  double Left = Draw * Total;
+  for (const RouteShare &Share : Matched.Split_) {
+    if (Left < Share.Weight_)
+      return Share.Service_;
+    Left -= Share.Weight_;
+  }
+  return Matched.Split_.back().Service_;
+}
+
+Result<Snapshot> snapshotOf(WholeState Value, std::string_view Text) {
+  Snapshot Out;
+  Out.Number_ = Value.Number_;
+  if (auto Failure = problemsToError(
+          ErrorKind::InvalidTicket, "ticket " + std::to_string(Value.Number_),
+          danglingReferences(Value.State_),
+          "name existing services in the routes of the document"))
+    return tl::unexpected<Error>(*Failure);
+  Out.Digest_ = sha256Hex(Text);
+  Out.State_ = std::move(Value.State_);
+  indexSnapshot(Out);
+  return Out;
 }
 
 } // namespace sycamore
--- a/src/TargetAnnouncements.cpp
+++ b/src/TargetAnnouncements.cpp
@@ -29,29 +29,134 @@
           "announce {\"name\", \"service\", \"slots\", \"address\"}"))
     return tl::unexpected<Error>(*Failure);
 
+  TargetAnnouncement News;
+  News.Name_ = Name;
+  News.Service_ = Service;
+  News.Address_ = Address;
+  News.Slots_ = static_cast<std::uint32_t>(Slots);
+  return take(News, Time);
+}
+
+std::optional<Error>
+TargetProxy::checkPlace(const TargetAnnouncement &News) const {
+  if (!Settings_.Target_)
+    return std::nullopt;
+  auto Own = parseSocketAddress(Settings_.Target_->Address_);
+  auto Stated = parseSocketAddress(News.Address_);
+  const auto &Services = Control_.snapshot()->State_.Services_;
+  bool KnownService = News.Service_ == Settings_.Target_->Service_ ||
+                      Services.contains(News.Service_);
+  if (KnownService && Own && Stated && Own->Host_ == Stated->Host_)
+    return std::nullopt;
+  return Error{ErrorKind::InvalidArgument,
+               "target " + News.Name_ + " of service \"" + News.Service_ +
+                   "\" at " + News.Address_ + " is not beside this daemon",
+               "announce it to the daemon of its own host"};
+}
+
+// Two targets never share an address, so a newer process at the address shows
+// that the earlier one has ended.
+void TargetProxy::retireOthers(const TargetAnnouncement &News, Now Time) {
+  for (auto &[Name, Target] : Targets_) {
+    if (Name == News.Name_ || Target.Gone_ || Target.Address_ != News.Address_)
+      continue;
+    setLeaving(Target, Time);
+    Target.Gone_ = true;
+    logEvent(LogLevel::Info, "target-replaced",
+             {{"target", Name}, {"by", News.Name_}});
+  }
+}
+
+namespace {
+
+/// Whether a process that started at Stated is an earlier one than Known.
+bool isEarlier(const std::optional<std::int64_t> &Stated,
+               const std::optional<std::int64_t> &Known) {
+  return Stated && Known && *Stated < *Known;
+}
+
+bool isSameProcess(const TargetAnnouncement &News, const LocalTarget &Known) {
+  return News.StartedUnixMs_ == Known.StartedUnixMs_;
+}
+
+/// Whether the announcement was overtaken by one that is known already.
+bool isOvertaken(const TargetAnnouncement &News, const LocalTarget &Known) {
+  if (isEarlier(News.StartedUnixMs_, Known.StartedUnixMs_))
+    return true;
+  return isSameProcess(News, Known) && News.Sequence_ && Known.Sequence_ &&
+         *News.Sequence_ <= *Known.Sequence_;
+}
+
+} // namespace
+
+Result<void> TargetProxy::take(const TargetAnnouncement &News, Now Time) {
+  if (auto Failure = checkPlace(News)) {
+    ++Counters_.AnnouncementsRejected_;
+    return tl::unexpected<Error>(*Failure);
+  }
   ++Counters_.Announcements_;
-  bool New = !Targets_.contains(Name);
-  LocalTarget &Target = Targets_[Name];
-  if (New || (Target.Leaving_ && !Leaving_))
+  for (const auto &[Name, Target] : Targets_)
+    if (Name != News.Name_ && Target.Address_ == News.Address_ &&
+        isEarlier(News.StartedUnixMs_, Target.StartedUnixMs_)) {
+      ++Counters_.AnnouncementsIgnored_;
+      return {};
+    }
+  auto [Found, New] = Targets_.try_emplace(News.Name_);
+  LocalTarget &Target = Found->second;
+  if (!New && isOvertaken(News, Target)) {
+    ++Counters_.AnnouncementsIgnored_;
+    return {};
+  }
+  bool Reborn = !New && !isSameProcess(News, Target);
+  retireOthers(News, Time);
+  if (New || Reborn || Target.Unreachable_)
     logEvent(LogLevel::Info, "target-announced",
-             {{"target", Name}, {"service", Service}, {"address", Address}});
-  Target.Name_ = Name;
-  Target.Service_ = Service;
-  Target.Address_ = Address;
+             {{"target", News.Name_},
+              {"service", News.Service_},
+              {"address", News.Address_},
+              {"slots", News.Slots_},
+              {"restarted", Reborn}});
+  Target.Name_ = News.Name_;
+  Target.Service_ = News.Service_;
+  Target.Address_ = News.Address_;
   Target.AnnouncedAt_ = Time.Monotonic_;
-  Target.Leaving_ = Leaving_;
-  setSlots(Target.Admission_, static_cast<std::uint32_t>(Slots));
+  Target.Sequence_ = News.Sequence_;
+  Target.StartedUnixMs_ = News.StartedUnixMs_;
+  Target.Unreachable_ = false;
+  setSlots(Target.Admission_, News.Slots_);
   const auto &Services = Control_.snapshot()->State_.Services_;
-  if (auto Found = Services.find(Service); Found != Services.end())
-    setQueueLimit(Target.Admission_, Found->second.QueueLimit_);
-  if (!Leaving_) {
+  if (auto Service = Services.find(News.Service_); Service != Services.end())
+    setQueueLimit(Target.Admission_, Service->second.QueueLimit_);
+  // A target that states its process leaves once and for all; one that does not
+  // takes its leaving back by announcing itself again.
+  if (!News.StartedUnixMs_ || New || Reborn) {
+    Target.Leaving_ = Leaving_;
+    Target.Gone_ = false;
+  }
+  if (News.Leaving_)
+    setLeaving(Target, Time);
+  if (!Target.Leaving_) {
     Target.Admission_.Admitting_ = true;
-    announceTarget(Control_.members(), Name, Service,
-                   static_cast<std::uint32_t>(Slots), Time);
+    announceTarget(Control_.members(), News.Name_, News.Service_, News.Slots_,
+                   Time);
   }
   return {};
 }
 
+void TargetProxy::take(const TargetDeparture &News, Now Time) {
+  auto [Found, New] = Targets_.try_emplace(News.Name_);
+  LocalTarget &Target = Found->second;
+  if (!New && isEarlier(News.StartedUnixMs_, Target.StartedUnixMs_))
+    return;
+  if (New) {
+    // Keeps a late announcement of the same process from being taken.
+    Target.Name_ = News.Name_;
+    Target.AnnouncedAt_ = Time.Monotonic_;
+    Target.StartedUnixMs_ = News.StartedUnixMs_;
+  }
+  setLeaving(Target, Time);
+}
+
 void TargetProxy::setLeaving(LocalTarget &Target, Now Time) {
   if (Target.Leaving_)
     return;
@@ -90,7 +195,7 @@
       logEvent(LogLevel::Warning, "target-silent", {{"target", Entry->first}});
       setLeaving(Target, Time);
     }
-    if (Expired && Idle) {
+    if ((Expired || Target.Gone_) && Idle) {
       withdrawTarget(Control_.members(), Entry->first, Time);
       Entry = Targets_.erase(Entry);
     } else {
@@ -99,8 +204,21 @@
   }
 }
 
+void TargetProxy::noteUnreachable(std::string_view Name, Now Time) {
+  auto Found = Targets_.find(Name);
+  if (Found == Targets_.end() || Found->second.Unreachable_)
+    return;
+  Found->second.Unreachable_ = true;
+  logEvent(LogLevel::Warning, "target-unreachable", {{"target", Name}});
+  withdrawTarget(Control_.members(), Name, Time);
+}
+
 void TargetProxy::askHealth(LocalTarget &Target, Now Time) {
-  if (Target.Leaving_ || Time.Monotonic_ - Target.HealthAskedAt_ <
+  // A target that announces itself through the integration states there that it
+  // drains.
+  bool StatesItself =
+      Settings_.Target_ && !Settings_.Target_->AnnounceListen_.empty();
+  if (StatesItself || Target.Leaving_ || Time.Monotonic_ - Target.HealthAskedAt_ <
                              Settings_.Timing_.AnnounceInterval_)
     return;
   Target.HealthAskedAt_ = Time.Monotonic_;
--- a/src/TargetProxy.cpp
+++ b/src/TargetProxy.cpp
@@ -11,11 +11,22 @@
 /// Bound on the question whether a target still accepts connections.
 constexpr Duration LossCheckDeadline = milliseconds(500);
 
+constexpr int StatusMisdirected = 421;
 constexpr std::uint32_t StatusTooManyRequests = 429;
 constexpr std::uint32_t StatusBadGateway = 502;
 constexpr std::uint32_t StatusUnavailable = 503;
 constexpr std::uint32_t StatusGatewayTimeout = 504;
 
+/// Whether a target's answer states that it did not run the request.
+bool saysNotRun(const HeaderNames &Names, const HttpAnswer &Answer) {
+  if (!Names.NotRun_.empty())
+    return findHeader(Answer.Headers_, Names.NotRun_) != nullptr ||
+           Answer.Status_ == StatusMisdirected;
+  const std::string *Run = findHeader(Answer.Headers_, Names.Run_);
+  return Answer.Status_ == static_cast<int>(StatusUnavailable) && Run &&
+         *Run == "not-run";
+}
+
 auto keyOf(const wire::CallId &Id) {
   return std::tuple(Id.entry(), Id.incarnation(), Id.ordinal());
 }
@@ -131,7 +142,8 @@
 std::optional<Error>
 TargetProxy::checkRunnable(const wire::CallRequest &Request, Now Time) {
   auto Found = Targets_.find(Request.target());
-  if (Found == Targets_.end() || Found->second.Service_ != Request.service()) {
+  if (Found == Targets_.end() || Found->second.Unreachable_ ||
+      Found->second.Service_ != Request.service()) {
     ++Counters_.UnknownTargets_;
     return Error{ErrorKind::NotFound,
                  "target " + Request.target() + " is not beside this daemon",
@@ -178,7 +190,25 @@
     start(Id, Time);
 }
 
-HttpClientRequest TargetProxy::makeRequest(const PendingCall &Call,
+bool TargetProxy::isOwnAnswer(const wire::CallRequest &Request,
+                              const HttpAnswer &Answer) const {
+  const HeaderNames &Names = Settings_.Headers_;
+  bool Success = Answer.Status_ / 100 == 2;
+  if (Success && !Names.Seal_.empty() &&
+      !findHeader(Answer.Headers_, Names.Seal_))
+    return false;
+  const std::string *Stated = findHeader(Answer.Headers_, Names.RequestId_);
+  if (Names.RequestId_.empty() || !Stated)
+    return true;
+  return std::any_of(Request.headers().begin(), Request.headers().end(),
+                     [&](const wire::Header &Each) {
+                       return equalHeaderNames(Each.name(), Names.RequestId_) &&
+                              Each.value() == *Stated;
+                     });
+}
+
+HttpClientRequest TargetProxy::makeRequest(std::uint64_t Id,
+                                           const PendingCall &Call,
                                            Now Time) const {
   HttpClientRequest Out;
   Out.Method_ = Call.Request_.method();
@@ -187,13 +217,22 @@
   Out.Body_ = Call.Body_;
   Out.Deadline_ =
       std::max<Duration>(Call.Deadline_ - Time.Monotonic_, milliseconds(1));
-  auto Add = [&](std::string_view Name, std::string Value) {
-    Out.Headers_.push_back({std::string(Name), std::move(Value)});
+  const HeaderNames &Names = Settings_.Headers_;
+  auto Add = [&](const std::string &Name, std::string Value) {
+    addHeader(Out.Headers_, Name, std::move(Value));
+  };
+  Add(Names.Depth_, std::to_string(Call.Request_.depth()));
+  Add(Names.Deadline_, std::to_string(toMilliseconds(Out.Deadline_)));
+  Add(Names.Ticket_, std::to_string(Call.Request_.ticket()));
+  if (!Names.Traceparent_.empty())
+    Add(Names.Traceparent_, formatTraceparent(Call.Span_));
+  Add(Names.ExpectedTarget_, Call.Target_);
+  Out.AcceptUnframed_ = !Names.Seal_.empty();
+  Out.Accepts_ = [this, Id](const HttpAnswer &Answer) {
+    auto Found = Pending_.find(Id);
+    return Found != Pending_.end() &&
+           isOwnAnswer(Found->second.Request_, Answer);
   };
-  Add(DepthHeader, std::to_string(Call.Request_.depth()));
-  Add(DeadlineHeader, std::to_string(toMilliseconds(Out.Deadline_)));
-  Add(TicketHeader, std::to_string(Call.Request_.ticket()));
-  Add(TraceparentHeader, formatTraceparent(Call.Span_));
   return Out;
 }
 
@@ -214,7 +253,7 @@
   }
   IdOfSpan_[Call.Span_.SpanId_] = Id;
   Call.Sent_ = Client_.send(
-      Targets_.find(Call.Target_)->second.Address_, makeRequest(Call, Time),
+      Targets_.find(Call.Target_)->second.Address_, makeRequest(Id, Call, Time),
       [this, Id](HttpAnswer Answer) { onHttpAnswer(Id, std::move(Answer)); });
 }
 
@@ -226,19 +265,24 @@
   PendingCall &Call = Found->second;
   wire::CallId CallId = Call.Request_.id();
   if (Answer.Outcome_ == HttpOutcome::Answered) {
-    const std::string *Run = findHeader(Answer.Headers_, RunHeader);
     wire::CallAnswer Out;
     *Out.mutable_id() = CallId;
     // Only the target itself can say that it has shed a request unrun.
-    Out.set_run(Answer.Status_ == StatusUnavailable && Run && *Run == "not-run"
-                    ? wire::RUN_NOT_RUN
-                    : wire::RUN_DONE);
+    Out.set_run(saysNotRun(Settings_.Headers_, Answer) ? wire::RUN_NOT_RUN
+                                                       : wire::RUN_DONE);
+    Out.set_reached_target(true);
     Out.set_status(static_cast<std::uint32_t>(Answer.Status_));
-    addEndToEndHeaders(*Out.mutable_headers(), Answer.Headers_);
+    addEndToEndHeaders(*Out.mutable_headers(), Answer.Headers_,
+                       Settings_.Headers_);
+    if (Answer.Status_ == StatusMisdirected)
+      noteUnreachable(Call.Target_, Time);
+    if (auto Beside = Targets_.find(Call.Target_); Beside != Targets_.end())
+      Beside->second.AnnouncedAt_ = Time.Monotonic_;
     complete(Id, std::move(Out), std::move(Answer.Body_), Time);
     return;
   }
   if (!Answer.Sent_) {
+    noteUnreachable(Call.Target_, Time);
     complete(Id,
              errorAnswer(CallId, wire::RUN_NOT_RUN, StatusUnavailable,
                          {ErrorKind::Unavailable,
@@ -312,6 +356,8 @@
   IdOfCall_.erase(keyOf(Call.Request_.id()));
   IdOfSpan_.erase(Call.Span_.SpanId_);
   Duration ServiceTime = Time.Monotonic_ - Call.StartedAt_;
+  Answer.set_reached_target(Answer.reached_target() ||
+                            Answer.run() != wire::RUN_NOT_RUN);
   if (Answer.run() == wire::RUN_DONE) {
     ++Counters_.Done_;
     ServiceTimes_.record(ServiceTime);
--- a/src/TargetProxy.h
+++ b/src/TargetProxy.h
@@ -6,6 +6,7 @@
 #include "ControlPlane.h"
 #include "sycamore/Admission.h"
 #include "sycamore/HttpClient.h"
+#include "sycamore/Integration.h"
 #include "sycamore/Metrics.h"
 #include "sycamore/Quarantine.h"
 #include "sycamore/RouteCost.h"
@@ -19,9 +20,14 @@
   std::string Name_;
   std::string Service_;
   std::string Address_; ///< "IP:PORT" for requests.
-  TimePoint AnnouncedAt_;
+  TimePoint AnnouncedAt_; ///< Last announcement or answer.
   TimePoint HealthAskedAt_;
   bool Leaving_ = false;
+  bool Gone_ = false; ///< Forgotten once nothing runs on it.
+  /// It refused a connection and has not announced itself since.
+  bool Unreachable_ = false;
+  std::optional<std::uint64_t> Sequence_; ///< Of the last announcement.
+  std::optional<std::int64_t> StartedUnixMs_;
   Admission Admission_;
 };
 
@@ -57,6 +63,8 @@
   std::uint64_t Announcements_ = 0;
   std::uint64_t MissedAnnouncements_ = 0;
   std::uint64_t Requests_ = 0;
+  std::uint64_t AnnouncementsIgnored_ = 0; ///< Older than what is known.
+  std::uint64_t AnnouncementsRejected_ = 0;
   std::uint64_t UnknownTargets_ = 0;
   std::uint64_t DamagedBodies_ = 0;
   std::uint64_t Done_ = 0;
@@ -76,6 +84,15 @@
   /// with the field.
   Result<void> announce(const Json &Document, Now Time);
 
+  /// Takes an announcement. One that is older than what is known changes
+  /// nothing. Errors: InvalidArgument when it names another service or host than
+  /// the settings.
+  Result<void> take(const TargetAnnouncement &News, Now Time);
+
+  /// The target ends: it gets no new work from now on, also if it has not
+  /// announced itself here.
+  void take(const TargetDeparture &News, Now Time);
+
   /// The target leaves; false when it is not known.
   bool withdraw(std::string_view Name, Now Time);
 
@@ -123,7 +140,8 @@
               Now Time);
   void refusePending(std::uint64_t Id, Now Time);
   void start(std::uint64_t Id, Now Time);
-  HttpClientRequest makeRequest(const PendingCall &Call, Now Time) const;
+  HttpClientRequest makeRequest(std::uint64_t Id, const PendingCall &Call,
+                                Now Time) const;
   void onHttpAnswer(std::uint64_t Id, HttpAnswer Answer);
   void askWhetherLost(std::uint64_t Id);
   void settleBroken(std::uint64_t Id, bool Lost);
@@ -136,6 +154,11 @@
   void askHealth(LocalTarget &Target, Now Time);
   void onHealth(const std::string &Name, const HttpAnswer &Answer);
   void setLeaving(LocalTarget &Target, Now Time);
+  std::optional<Error> checkPlace(const TargetAnnouncement &News) const;
+  void retireOthers(const TargetAnnouncement &News, Now Time);
+  void noteUnreachable(std::string_view Name, Now Time);
+  bool isOwnAnswer(const wire::CallRequest &Request,
+                   const HttpAnswer &Answer) const;
 
   const Settings &Settings_;
   HttpClient &Client_;
--- a/src/Ticket.cpp
+++ b/src/Ticket.cpp
@@ -11,6 +11,9 @@
 constexpr std::uint64_t MaxSlots = 10000;
 constexpr std::uint64_t MaxQueue = 100000;
 constexpr std::size_t MaxMethodBytes = 32;
+constexpr std::uint64_t MaxWeight = 1'000'000;
+constexpr std::uint64_t MaxAttemptLimit = 16;
+constexpr std::uint64_t MaxPriority = 1000;
 /// Numbers are padded to 12 digits in store keys.
 constexpr std::uint64_t MaxTicketNumber = 999'999'999'999;
 
@@ -41,6 +44,31 @@
                                 "letters, such as \"GET\"");
 }
 
+void readShares(ObjectReader &Reader, std::vector<RouteShare> &Out,
+                std::vector<std::string> &Problems) {
+  const Json *Value = Reader.find("split");
+  if (!Value)
+    return;
+  if (!Value->is_array() || Value->empty()) {
+    Reader.problem("split", "is not an array of services with weights");
+    return;
+  }
+  for (std::size_t I = 0; I < Value->size(); ++I) {
+    ObjectReader Item((*Value)[I],
+                      Reader.pathOf("split") + "[" + std::to_string(I) + "]",
+                      Problems);
+    RouteShare Share;
+    std::uint64_t Weight = 0;
+    Item.require("service");
+    readName(Item, "service", Share.Service_);
+    Item.require("weight");
+    Item.readUnsigned("weight", Weight, 1, MaxWeight);
+    Item.rejectUnknown();
+    Share.Weight_ = static_cast<std::uint32_t>(Weight);
+    Out.push_back(std::move(Share));
+  }
+}
+
 template <typename T, typename ReadEntity>
 void readChanges(ObjectReader &Reader, std::string_view Field, Changes<T> &Out,
                  std::vector<std::string> &Problems, ReadEntity Read) {
@@ -72,6 +100,15 @@
 
 } // namespace
 
+std::vector<std::string> servicesOf(const Route &Value) {
+  if (Value.Split_.empty())
+    return {Value.Service_};
+  std::vector<std::string> Out;
+  for (const RouteShare &Share : Value.Split_)
+    Out.push_back(Share.Service_);
+  return Out;
+}
+
 bool isValidName(std::string_view Name) {
   return !Name.empty() && Name.size() <= MaxNameBytes &&
          std::all_of(Name.begin(), Name.end(), [](unsigned char Character) {
@@ -89,7 +126,11 @@
   if (!Out.PathPrefix_.starts_with('/'))
     Reader.problem("path_prefix", "does not start with '/'");
   readMethods(Reader, Out.Methods_);
-  Reader.require("service");
+  readShares(Reader, Out.Split_, Problems);
+  if (Out.Split_.empty())
+    Reader.require("service");
+  else if (Reader.find("service"))
+    Reader.problem("service", "cannot stand beside split");
   readName(Reader, "service", Out.Service_);
   readDistinct(Reader, "targets", Out.Targets_);
   if (Reader.find("idempotent")) {
@@ -100,6 +141,15 @@
   std::uint64_t TimeoutMs = 0;
   Reader.readUnsigned("timeout_ms", TimeoutMs, 1, MaxTimeoutMs);
   Out.Timeout_ = milliseconds(TimeoutMs);
+  std::uint64_t LatencyTargetMs = 0;
+  Reader.readUnsigned("latency_target_ms", LatencyTargetMs, 1, MaxTimeoutMs);
+  Out.LatencyTarget_ = milliseconds(LatencyTargetMs);
+  std::uint64_t MaxAttempts = 0;
+  Reader.readUnsigned("max_attempts", MaxAttempts, 1, MaxAttemptLimit);
+  Out.MaxAttempts_ = static_cast<std::uint32_t>(MaxAttempts);
+  std::uint64_t Priority = 0;
+  Reader.readUnsigned("priority", Priority, 0, MaxPriority);
+  Out.Priority_ = static_cast<std::uint32_t>(Priority);
   Reader.rejectUnknown();
   return Out;
 }
@@ -115,6 +165,7 @@
   Reader.readUnsigned("queue_limit", QueueLimit, 0, MaxQueue);
   Out.QueueLimit_ = static_cast<std::uint32_t>(QueueLimit);
   Reader.readBool("hedging", Out.Hedging_);
+  Reader.readBool("admit_announced", Out.AdmitAnnounced_);
   Reader.rejectUnknown();
   return Out;
 }
@@ -177,7 +228,8 @@
   for (const auto &[Name, Entity] : Value.Routes_) {
     if (!Entity)
       continue;
-    CheckService("routes." + Name, Entity->Service_);
+    for (const std::string &Service : servicesOf(*Entity))
+      CheckService("routes." + Name, Service);
     for (const std::string &Target : Entity->Targets_) {
       auto Found = Value.Targets_.find(Target);
       if (Found == Value.Targets_.end())
@@ -194,7 +246,12 @@
 }
 
 Json toJson(const Route &Value) {
-  Json Out = {{"path_prefix", Value.PathPrefix_}, {"service", Value.Service_}};
+  Json Out = {{"path_prefix", Value.PathPrefix_}};
+  if (Value.Split_.empty())
+    Out["service"] = Value.Service_;
+  for (const RouteShare &Share : Value.Split_)
+    Out["split"].push_back(
+        {{"service", Share.Service_}, {"weight", Share.Weight_}});
   if (!Value.Host_.empty())
     Out["host"] = Value.Host_;
   if (!Value.Methods_.empty())
@@ -205,13 +262,22 @@
     Out["idempotent"] = *Value.Idempotent_;
   if (Value.Timeout_.count() > 0)
     Out["timeout_ms"] = Value.Timeout_.count();
+  if (Value.LatencyTarget_.count() > 0)
+    Out["latency_target_ms"] = Value.LatencyTarget_.count();
+  if (Value.MaxAttempts_ > 0)
+    Out["max_attempts"] = Value.MaxAttempts_;
+  if (Value.Priority_ > 0)
+    Out["priority"] = Value.Priority_;
   return Out;
 }
 
 Json toJson(const Service &Value) {
-  return {{"timeout_ms", Value.Timeout_.count()},
-          {"queue_limit", Value.QueueLimit_},
-          {"hedging", Value.Hedging_}};
+  Json Out = {{"timeout_ms", Value.Timeout_.count()},
+              {"queue_limit", Value.QueueLimit_},
+              {"hedging", Value.Hedging_}};
+  if (Value.AdmitAnnounced_)
+    Out["admit_announced"] = true;
+  return Out;
 }
 
 Json toJson(const TargetSpec &Value) {
--- a/test/correctness/ParserPropertyTest.cpp
+++ b/test/correctness/ParserPropertyTest.cpp
@@ -244,7 +244,7 @@
   auto Read = parseSnapshot(Json::parse(toJson(Current).dump()), "x").value();
   RC_ASSERT(Read.State_ == Current.State_);
   RC_ASSERT(Read.Last_ == Current.Last_);
-  RC_ASSERT(Read.RouteOrder_ == Current.RouteOrder_);
+  RC_ASSERT(Read.RoutesByKey_ == Current.RoutesByKey_);
 }
 
 RC_GTEST_PROP(ParserProperty, ChangedAcceptancesDoNotApply, ()) {
--- a/tools/sycamored.cpp
+++ b/tools/sycamored.cpp
@@ -1,4 +1,5 @@
 // The daemon beside each target; thin over the library.
+#include "KvPlatform.h"
 #include "sycamore/Daemon.h"
 #include "sycamore/Log.h"
 
@@ -122,9 +123,21 @@
              {{"error", describe(Done.error())}});
 }
 
+/// Null for the built-in adapters. Errors: InvalidSettings.
+Result<const Integration *> findIntegration(const std::string &Name) {
+  if (Name.empty())
+    return nullptr;
+  if (Name == platform::KvPlatformName)
+    return &platform::kvPlatform();
+  return fail(ErrorKind::InvalidSettings,
+              "integration: \"" + Name + "\" is not known",
+              "use \"" + std::string(platform::KvPlatformName) +
+                  "\" or leave the field out");
+}
+
 int runDaemon(event_base *Base, const Settings &Config,
-              const Options &CommandLine) {
-  auto Running = Daemon::create(Base, Config);
+              const Integration *Adapter, const Options &CommandLine) {
+  auto Running = Daemon::create(Base, Config, Adapter);
   if (!Running) {
     printError(Running.error());
     bool BadInput = Running.error().Kind_ == ErrorKind::InvalidSettings ||
@@ -156,6 +169,11 @@
     printError(Config.error());
     return ExitBadInput;
   }
+  auto Adapter = findIntegration(Config->Integration_);
+  if (!Adapter) {
+    printError(Adapter.error());
+    return ExitBadInput;
+  }
   auto Level = parseLogLevel(Config->Log_.Level_);
   if (!Level) {
     printError(Level.error());
@@ -166,7 +184,7 @@
   event_base *Base = event_base_new();
   if (!Base)
     return ExitInternal;
-  int Exit = runDaemon(Base, *Config, CommandLine);
+  int Exit = runDaemon(Base, *Config, *Adapter, CommandLine);
   event_base_free(Base);
   return Exit;
 }
