Order the queue beside a target by latency target; place by pace

Change: requests carry the time left to their latency target. Admission runs those in time first, then by priority; an attempt that would be late is refused so that another target can take it, and only the last attempt accepts it. A hedge runs only in a free slot. Nested calls are recognised by the id of the request that made them. Placement weighs targets by their mean time in the slot. Records and the hold of answers about lost targets are settings.

--- a/include/sycamore/Admission.h
+++ b/include/sycamore/Admission.h
@@ -4,13 +4,18 @@
 // long requests of depth 0 hold at most a share of them; calls of depth d and
 // less hold together at most depthCap(d), which leaves one slot for every
 // deeper level that was seen lately; and at most one suspect runs at a time.
-// Others wait in a short queue ordered by depth (deeper first), then deadline.
+// Others wait in a short queue. Deeper requests run first, because requests
+// elsewhere wait for them. Among the rest, those that can still be answered
+// within their latency target run before those that cannot, so that a crest
+// makes only its surplus late; then the more urgent route runs first, then the
+// earlier target or deadline.
 #pragma once
 
 #include "sycamore/Time.h"
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace sycamore {
@@ -25,6 +30,12 @@
   Duration Expected_{0};    ///< Expected time in the slot (RouteCost).
   bool Long_ = false;       ///< See isLong().
   bool Suspect_ = false;    ///< Suspected of crashing targets (Quarantine).
+  std::uint32_t Priority_ = 0; ///< Of the route; 0 is the most urgent.
+  /// By which the answer must leave to have its full value; unset for none.
+  std::optional<TimePoint> TargetAt_;
+  /// Whether to queue the request although it would miss TargetAt_.
+  bool AcceptLate_ = true;
+  bool SpareOnly_ = false; ///< Refused unless a slot is open to it now.
 };
 
 enum class AdmissionDecision { Run, Queued, Refused };
@@ -33,6 +44,8 @@
   None,
   QueueFull,     ///< The queue is at its limit.
   TooLate,       ///< Cannot be answered before its deadline.
+  PastTarget,    ///< Would miss its latency target, and was not to be late.
+  NoSpareSlot,   ///< Wanted a slot that is free, and none is.
   Leaving,       ///< The target admits no new work.
   NoSlots,       ///< The target announced no slots.
   DepthConflict, ///< May wait for a slot that its own callers hold.
@@ -54,6 +67,10 @@
   /// A request is refused when its deadline leaves less than this factor of
   /// its expected time after the expected wait.
   double DeadlineMargin_ = 1.5;
+  /// A request that misses its latency target waits at most this share of the
+  /// time that it had on arrival: while requests that are in time take all
+  /// slots it would wait in vain, and its caller could do better.
+  double LateWaitShare_ = 0.25;
   /// How long a level keeps its slot after its last call.
   Duration DepthMemory_ = seconds(60);
   /// A nested call that waits this long while no request in its way finishes
@@ -69,6 +86,8 @@
   std::uint64_t Cancelled_ = 0;
   std::uint64_t RefusedQueueFull_ = 0;
   std::uint64_t RefusedTooLate_ = 0;
+  std::uint64_t RefusedPastTarget_ = 0;
+  std::uint64_t RefusedNoSpareSlot_ = 0;
   std::uint64_t RefusedLeaving_ = 0;
   std::uint64_t RefusedNoSlots_ = 0;
   std::uint64_t RefusedDepthConflict_ = 0;
@@ -124,6 +143,7 @@
 
 /// Load for the answer (wire::CallAnswer).
 struct AdmissionLoad {
+  Duration MeanService_{0}; ///< 0 before the first request has finished.
   std::uint32_t Running_ = 0;
   std::uint32_t Queued_ = 0;
   std::uint32_t Slots_ = 0;
--- a/include/sycamore/EntryCalls.h
+++ b/include/sycamore/EntryCalls.h
@@ -58,6 +58,8 @@
   /// only for keyed calls at their holder, whose record profits from it.
   TimePoint GiveUpAt_;
   std::uint32_t Depth_ = 0;
+  /// By which the answer has its full value; unset when the route names none.
+  std::optional<TimePoint> TargetAt_;
   /// Targets that the call may reach; 0 for no limit but MaxAttempts_.
   std::uint32_t MaxTargets_ = 0;
   bool Idempotent_ = false;
@@ -186,6 +188,11 @@
   Duration QueryPauseMax_ = milliseconds(400);
   /// Attempts in one call, the first included.
   std::uint32_t MaxAttempts_ = 4;
+  /// Attempts that a target refuses rather than answers late. The one after
+  /// them may be late.
+  std::uint32_t InTimeAttempts_ = 3;
+  /// Part of a latency target that the way between caller and daemon takes.
+  Duration CallerWay_ = milliseconds(15);
   /// Damaged answers after which another copy is no longer asked for.
   std::uint32_t MaxDamagedAnswers_ = 2;
   /// Hint to callers that were refused when the refusal names none.
--- a/include/sycamore/Placement.h
+++ b/include/sycamore/Placement.h
@@ -37,6 +37,7 @@
   std::uint32_t Queued_ = 0;
   std::uint32_t Slots_ = 0; ///< 0 when the answer carries no load.
   Duration ServiceTime_{0}; ///< Time in the slot; 0 if it did not run.
+  Duration MeanService_{0}; ///< Of its latest requests; 0 when not known.
 };
 
 /// How one attempt at a target ended.
@@ -87,6 +88,10 @@
   /// First and longest ejection after a refused connection; doubles between.
   Duration EjectionBase_ = milliseconds(500);
   Duration EjectionLimit_ = seconds(30);
+  /// A target's mean time in the slot counts within these ratios to the median
+  /// of the candidates: the means follow single long requests.
+  double FastestRatio_ = 0.5;
+  double SlowestRatio_ = 4.0;
   /// Targets kept; the longest unused is forgotten first.
   std::size_t MaxTargets_ = 4096;
   /// Targets that were no candidate for this long are forgotten.
@@ -99,6 +104,7 @@
   double OthersLoad_ = 0;      ///< Requests of others at ReportedAt_.
   TimePoint ReportedAt_{};
   RunningQuantile Latency_{}; ///< Median in microseconds.
+  double MeanServiceUs_ = 0;  ///< As last reported; 0 when not known.
   TimePoint LastSample_{};    ///< Last latency noted.
   TimePoint WaitingSince_{};  ///< Last answer, or first dispatch after.
   TimePoint FirstSeen_{};     ///< Start of the ramp.
--- a/include/sycamore/Settings.h
+++ b/include/sycamore/Settings.h
@@ -129,6 +129,17 @@
   bool operator==(const RetrySettings &) const = default;
 };
 
+/// Records that daemons keep about calls.
+struct RecordSettings {
+  /// Answers and tombstones; longer than any caller's deadline.
+  milliseconds Keep_{30'000};
+  /// How long the answer about a lost target is held back, so that the mark on
+  /// its request reaches the fleet before the caller sends it again.
+  milliseconds LossHold_{1000};
+
+  bool operator==(const RecordSettings &) const = default;
+};
+
 struct LogSettings {
   std::string Level_ = "info"; ///< "debug", "info", "warn" or "error".
   /// Empty for standard error, "-" for standard output.
@@ -178,6 +189,7 @@
   TimingSettings Timing_;
   KeySettings Keys_;
   RetrySettings Retries_;
+  RecordSettings Records_;
   milliseconds StopLimit_{30000};
   LogSettings Log_;
   TraceSettings Trace_;
--- a/src/Admission.cpp
+++ b/src/Admission.cpp
@@ -24,6 +24,10 @@
     return Counters.RefusedQueueFull_;
   case RefusalReason::TooLate:
     return Counters.RefusedTooLate_;
+  case RefusalReason::PastTarget:
+    return Counters.RefusedPastTarget_;
+  case RefusalReason::NoSpareSlot:
+    return Counters.RefusedNoSpareSlot_;
   case RefusalReason::Leaving:
     return Counters.RefusedLeaving_;
   case RefusalReason::NoSlots:
@@ -70,9 +74,10 @@
   return Now + Wait + Duration(std::llround(Needed)) > Request.Deadline_;
 }
 
-/// Whether the queue has room, after the last request made way for a deeper
-/// one if need be.
-bool makeRoom(Admission &Table, const AdmissionRequest &Request) {
+/// Whether the queue has room, after the last request made way for one that
+/// runs before it if need be.
+bool makeRoom(Admission &Table, const AdmissionRequest &Request,
+              TimePoint Now) {
   if (isLimitedAsLong(Request)) {
     // Long requests wait longer, so they would fill the queue in the end.
     auto Longs = static_cast<std::size_t>(
@@ -87,7 +92,7 @@
   if (Table.Queue_.size() < Table.QueueLimit_)
     return true;
   if (Table.Queue_.empty() ||
-      Table.Queue_.back().Request_.Depth_ >= Request.Depth_)
+      !displaces(Table, Request, Table.Queue_.back().Request_, Now))
     return false;
   Table.Displaced_.push_back(Table.Queue_.back().Request_.Id_);
   Table.Queue_.pop_back();
@@ -97,12 +102,12 @@
 
 AdmissionVerdict enqueue(Admission &Table, const AdmissionRequest &Request,
                          TimePoint Now) {
-  if (!makeRoom(Table, Request))
+  if (!makeRoom(Table, Request, Now))
     return refuse(Table, RefusalReason::QueueFull);
   auto Place = std::upper_bound(
       Table.Queue_.begin(), Table.Queue_.end(), Request,
-      [](const AdmissionRequest &New, const QueuedRequest &Each) {
-        return runsBefore(New, Each.Request_);
+      [&](const AdmissionRequest &New, const QueuedRequest &Each) {
+        return runsBefore(Table, New, Each.Request_, Now);
       });
   Table.Queue_.insert(Place, QueuedRequest{Request, Now});
   ++Table.Counters_.Queued_;
@@ -123,8 +128,19 @@
   Level.LastSeen_ = Now;
   Level.Seen_ = true;
   SlotView View = slotView(Table, Now);
-  if (isTooLate(Table, Request, expectedWait(Table, View, Request), Now))
+  if (mayRun(View, Request) &&
+      !isTooLate(Table, Request, Duration{0}, Now)) {
+    start(Table, Request, Now);
+    return {AdmissionDecision::Run, RefusalReason::None, Duration{0}};
+  }
+  if (Request.SpareOnly_)
+    return refuse(Table, RefusalReason::NoSpareSlot);
+  sortQueue(Table, Now);
+  Duration Wait = expectedWait(Table, View, Request, Now);
+  if (isTooLate(Table, Request, Wait, Now))
     return refuse(Table, RefusalReason::TooLate);
+  if (!Request.AcceptLate_ && isPastTarget(Table, Request, Now + Wait))
+    return refuse(Table, RefusalReason::PastTarget);
   if (!mayRun(View, Request))
     return enqueue(Table, Request, Now);
   start(Table, Request, Now);
@@ -162,6 +178,17 @@
 
 namespace {
 
+/// Whether a late request has used up the share of its time for waiting.
+bool hasWaitedInVain(const Admission &Table, const QueuedRequest &Waiting,
+                     TimePoint Now) {
+  if (!isPastTarget(Table, Waiting.Request_, Now))
+    return false;
+  auto Had = static_cast<double>(
+      (Waiting.Request_.Deadline_ - Waiting.Queued_).count());
+  return static_cast<double>((Now - Waiting.Queued_).count()) >
+         Had * Table.Options_.LateWaitShare_;
+}
+
 /// Why a waiting request is to be refused, or None.
 RefusalReason refusalOf(const Admission &Table, const SlotView &View,
                         const QueuedRequest &Waiting, TimePoint Now) {
@@ -169,7 +196,8 @@
     return RefusalReason::Leaving;
   if (Table.Slots_ == 0)
     return RefusalReason::NoSlots;
-  if (isTooLate(Table, Waiting.Request_, Duration{0}, Now))
+  if (isTooLate(Table, Waiting.Request_, Duration{0}, Now) ||
+      hasWaitedInVain(Table, Waiting, Now))
     return RefusalReason::TooLate;
   if (!mayRun(View, Waiting.Request_) &&
       isInConflict(Table, View, Waiting, Now))
@@ -202,6 +230,7 @@
     Refused.push_back(Id);
     noteRefusal(Table, RefusalReason::QueueFull);
   }
+  sortQueue(Table, Now);
   SlotView View = slotView(Table, Now);
   std::vector<QueuedRequest> Waiting;
   Waiting.reserve(Table.Queue_.size());
@@ -243,7 +272,8 @@
 }
 
 AdmissionLoad load(const Admission &Table) {
-  return {static_cast<std::uint32_t>(Table.Running_.size()),
+  return {Duration(std::llround(Table.MeanServiceUs_)),
+          static_cast<std::uint32_t>(Table.Running_.size()),
           static_cast<std::uint32_t>(Table.Queue_.size()), Table.Slots_};
 }
 
--- a/src/AdmissionSlots.cpp
+++ b/src/AdmissionSlots.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 
 namespace sycamore {
 namespace {
@@ -100,7 +101,7 @@
 }
 
 Duration expectedWait(const Admission &Table, const SlotView &View,
-                      const AdmissionRequest &Request) {
+                      const AdmissionRequest &Request, TimePoint Now) {
   if (mayRun(View, Request))
     return Duration{0};
   bool IsLimited = isLimitedAsLong(Request);
@@ -114,7 +115,7 @@
   }
   for (const QueuedRequest &Each : Table.Queue_)
     if (isLimitedAsLong(Each.Request_) == IsLimited &&
-        runsBefore(Each.Request_, Request))
+        runsBefore(Table, Each.Request_, Request, Now))
       Work += costOf(Table, Each.Request_);
   std::uint32_t Open = View.Cap_[levelOf(Request)];
   Open = IsLimited ? std::min(Open, View.LongCap_)
@@ -142,10 +143,46 @@
   return Now - Last >= Limit;
 }
 
-bool runsBefore(const AdmissionRequest &Left, const AdmissionRequest &Right) {
-  if (Left.Depth_ != Right.Depth_)
-    return Left.Depth_ > Right.Depth_;
-  return Left.Deadline_ < Right.Deadline_;
+bool isPastTarget(const Admission &Table, const AdmissionRequest &Request,
+                  TimePoint Start) {
+  return Request.TargetAt_ && Request.Depth_ == 0 &&
+         Start + costOf(Table, Request) > *Request.TargetAt_;
+}
+
+namespace {
+
+/// What displaces() compares; a smaller rank runs first.
+std::tuple<std::uint32_t, bool, std::uint32_t>
+rankOf(const Admission &Table, const AdmissionRequest &Request, TimePoint Now) {
+  return {~Request.Depth_, isPastTarget(Table, Request, Now),
+          Request.Priority_};
+}
+
+} // namespace
+
+bool runsBefore(const Admission &Table, const AdmissionRequest &Left,
+                const AdmissionRequest &Right, TimePoint Now) {
+  auto LeftRank = rankOf(Table, Left, Now);
+  auto RightRank = rankOf(Table, Right, Now);
+  if (LeftRank != RightRank)
+    return LeftRank < RightRank;
+  if (std::get<1>(LeftRank))
+    return Left.Deadline_ < Right.Deadline_;
+  return Left.TargetAt_.value_or(Left.Deadline_) <
+         Right.TargetAt_.value_or(Right.Deadline_);
+}
+
+bool displaces(const Admission &Table, const AdmissionRequest &New,
+               const AdmissionRequest &Last, TimePoint Now) {
+  return rankOf(Table, New, Now) < rankOf(Table, Last, Now);
+}
+
+void sortQueue(Admission &Table, TimePoint Now) {
+  std::stable_sort(Table.Queue_.begin(), Table.Queue_.end(),
+                   [&](const QueuedRequest &Left, const QueuedRequest &Right) {
+                     return runsBefore(Table, Left.Request_, Right.Request_,
+                                       Now);
+                   });
 }
 
 } // namespace sycamore
--- a/src/AdmissionSlots.h
+++ b/src/AdmissionSlots.h
@@ -40,7 +40,13 @@
 /// Expected time until the request would start, with all queued requests
 /// before it that compete for the same slots.
 Duration expectedWait(const Admission &Table, const SlotView &View,
-                      const AdmissionRequest &Request);
+                      const AdmissionRequest &Request, TimePoint Now);
+
+/// Whether a request of depth 0 that starts at this time is expected to miss
+/// its latency target. The answers to nested calls count by their deadline only,
+/// as their callers' requests have the targets.
+bool isPastTarget(const Admission &Table, const AdmissionRequest &Request,
+                  TimePoint Start);
 
 /// Whether no request that keeps this one from running has finished for
 /// ConflictWait_. Only nested calls can be in conflict: a call of depth 0 has
@@ -48,7 +54,16 @@
 bool isInConflict(const Admission &Table, const SlotView &View,
                   const QueuedRequest &Waiting, TimePoint Now);
 
-/// Whether Left runs before Right: deeper first, then earlier deadline.
-bool runsBefore(const AdmissionRequest &Left, const AdmissionRequest &Right);
+/// Whether Left runs before Right at this time; see Admission.h.
+bool runsBefore(const Admission &Table, const AdmissionRequest &Left,
+                const AdmissionRequest &Right, TimePoint Now);
+
+/// Whether New takes the place of Last in a full queue: it is deeper, in time
+/// where Last is late, or of a more urgent route.
+bool displaces(const Admission &Table, const AdmissionRequest &New,
+               const AdmissionRequest &Last, TimePoint Now);
+
+/// Orders the queue by runsBefore(): requests become late while they wait.
+void sortQueue(Admission &Table, TimePoint Now);
 
 } // namespace sycamore
--- a/src/Daemon.cpp
+++ b/src/Daemon.cpp
@@ -118,6 +118,7 @@
 }
 
 void DaemonImpl::makeProxies(const std::string &PeerAddress) {
+  Marks_.Options_.SpreadTime_ = Settings_.Records_.LossHold_;
   Now Time = readClocks();
   auto Send = [this](Outbox &Out) { sendOutbox(Out); };
   auto SendCall = [this](const std::string &Server, wire::PeerMessage &Message,
--- a/src/EntryCalls.cpp
+++ b/src/EntryCalls.cpp
@@ -96,7 +96,7 @@
   Call.HedgeAt_.reset();
   auto Open =
       std::count_if(Call.Attempts_.begin(), Call.Attempts_.end(), isOpen);
-  if (Open != 1 || !Call.Idempotent_)
+  if (Open != 1 || !Call.Idempotent_ || !mayReachAnother(Call))
     return;
   if (sendAnother(At, Call, /*Hedge=*/true, At.Policy_.TakeHedge_))
     ++At.Calls_.Counters_.Hedges_;
--- a/src/EntryCallsDetail.cpp
+++ b/src/EntryCallsDetail.cpp
@@ -23,7 +23,8 @@
                      });
 }
 
-/// Attempts that a target may have seen.
+} // namespace
+
 std::uint32_t targetsReached(const EntryCall &Call) {
   return static_cast<std::uint32_t>(
       std::count_if(Call.Attempts_.begin(), Call.Attempts_.end(),
@@ -33,6 +34,12 @@
                     }));
 }
 
+bool mayReachAnother(const EntryCall &Call) {
+  return Call.MaxTargets_ == 0 || targetsReached(Call) < Call.MaxTargets_;
+}
+
+namespace {
+
 /// Whether the rules allow one more attempt now. An idempotent call may have
 /// several, but waits for one whose link is alive; any other call only after
 /// all earlier ones are proven not to have run.
@@ -40,7 +47,7 @@
   if (At.Now_ >= Call.Deadline_ ||
       Call.Attempts_.size() >= At.Calls_.Limits_.MaxAttempts_)
     return false;
-  if (Call.MaxTargets_ > 0 && targetsReached(Call) >= Call.MaxTargets_)
+  if (!mayReachAnother(Call))
     return false;
   if (!Call.Idempotent_ && !mutated(CallMutation::RetryInDoubt))
     return provenNotRun(Call);
@@ -90,13 +97,34 @@
 }
 
 wire::CallRequest requestFor(const Step &At, const EntryCall &Call,
-                             const CallAttempt &Attempt) {
+                             const CallAttempt &Attempt, bool Late) {
   wire::CallRequest Out = Call.Request_;
   *Out.mutable_id() = idOf(At.Calls_, Call, Attempt);
   Out.set_target(Attempt.Target_);
   Out.set_process(Attempt.Process_);
   Out.set_remaining_us(
       static_cast<std::uint64_t>((Call.Deadline_ - At.Now_).count()));
+  if (Call.TargetAt_)
+    Out.set_target_left_us(static_cast<std::uint64_t>(
+        std::max<Duration>(*Call.TargetAt_ - At.Now_, Duration(1)).count()));
+  Out.set_accept_late(Late);
+  Out.set_spare_only(Attempt.Hedge_);
+  return Out;
+}
+
+} // namespace
+
+namespace {
+
+/// Targets that the next attempt must not go to: all that were tried, or only
+/// those that may have seen the call.
+std::vector<std::string> excludedTargets(const EntryCall &Call,
+                                         bool ReachedOnly) {
+  std::vector<std::string> Out;
+  for (const CallAttempt &Attempt : Call.Attempts_)
+    if (!ReachedOnly || Attempt.State_ != AttemptState::NotRun ||
+        Attempt.ReachedTarget_)
+      Out.push_back(Attempt.Target_);
   return Out;
 }
 
@@ -120,10 +148,16 @@
 
 bool sendAnother(Step &At, EntryCall &Call, bool Hedge,
                  const std::function<bool(const EntryCall &)> &TakeBudget) {
-  std::vector<std::string> Excluded;
-  for (const CallAttempt &Attempt : Call.Attempts_)
-    Excluded.push_back(Attempt.Target_);
+  // Late answers are worth less than those in time but more than none, so the
+  // last attempt may go back to a target that refused to be late.
+  bool Late = Call.Attempts_.size() >= At.Calls_.Limits_.InTimeAttempts_;
+  std::vector<std::string> Excluded = excludedTargets(Call, Late);
   auto Chosen = At.Policy_.ChooseTarget_(Call, Excluded);
+  if (!Chosen && !Late && !Hedge) {
+    Late = true;
+    Excluded = excludedTargets(Call, Late);
+    Chosen = At.Policy_.ChooseTarget_(Call, Excluded);
+  }
   if (!Chosen)
     return false;
   // Without the process named, a second copy of the request could reach a
@@ -145,7 +179,7 @@
   Call.Attempts_.push_back(Attempt);
   ++At.Calls_.Counters_.Attempts_;
   At.Actions_.emplace_back(SendAttempt{Attempt.Server_,
-                                       requestFor(At, Call, Attempt),
+                                       requestFor(At, Call, Attempt, Late),
                                        Call.Body_, std::move(Excluded)});
   return true;
 }
--- a/src/EntryCallsDetail.h
+++ b/src/EntryCallsDetail.h
@@ -19,6 +19,12 @@
 wire::CallId idOf(const EntryCalls &Calls, const EntryCall &Call,
                   const CallAttempt &Attempt);
 
+/// Attempts that a target may have seen.
+std::uint32_t targetsReached(const EntryCall &Call);
+
+/// Whether the route allows the call to reach one more target.
+bool mayReachAnother(const EntryCall &Call);
+
 /// Sends another attempt if the rules, the budget and the targets allow it, or
 /// ends the call if nothing is left to wait for. The call may be gone
 /// afterwards.
--- a/src/EntryProxy.cpp
+++ b/src/EntryProxy.cpp
@@ -17,6 +17,7 @@
   Out.Queued_ = Answer.queued();
   Out.Slots_ = Answer.slots();
   Out.ServiceTime_ = Duration(Answer.service_time_us());
+  Out.MeanService_ = Duration(Answer.mean_service_us());
   return Out;
 }
 
--- a/src/EntryRequests.cpp
+++ b/src/EntryRequests.cpp
@@ -97,6 +97,11 @@
                    Duration(0));
   Call.Service_ = chooseService(*Matched, randomUnit(Rng_));
   Call.Idempotent_ = isIdempotent(*Matched, Http.Method_);
+  if (Matched->LatencyTarget_.count() > 0)
+    Call.TargetAt_ =
+        Time.Monotonic_ + std::max<Duration>(Matched->LatencyTarget_ -
+                                                 Calls_.Limits_.CallerWay_,
+                                             Duration(1));
   Call.MaxTargets_ = Matched->MaxAttempts_;
   Call.Request_.set_priority(Matched->Priority_);
   TimePoint OwnDeadline =
@@ -156,6 +161,10 @@
   std::optional<NestedContext> Outer;
   if (Parent)
     Outer = LocalTargets_.nestedContext(Parent->SpanId_);
+  const HeaderNames &Names = Settings_.Headers_;
+  if (const std::string *Id = findHeader(Http.Headers_, Names.RequestId_);
+      Id && !Outer)
+    Outer = LocalTargets_.nestedByRequestId(*Id);
   if (Outer) {
     Call.Depth_ = Outer->Depth_ + 1;
     Call.Deadline_ = Call.Deadline_ == TimePoint{}
--- a/src/Placement.cpp
+++ b/src/Placement.cpp
@@ -58,12 +58,45 @@
                   valueOf(Stats.Latency_) / Baseline);
 }
 
+/// Median of the mean service times that the candidates reported, 0 while fewer
+/// than two have.
+double typicalService(const std::vector<Option> &Options) {
+  std::vector<double> Means;
+  Means.reserve(Options.size());
+  for (const Option &Each : Options)
+    if (Each.Stats_->MeanServiceUs_ > 0)
+      Means.push_back(Each.Stats_->MeanServiceUs_);
+  if (Means.size() < 2)
+    return 0;
+  auto Middle =
+      Means.begin() + static_cast<std::ptrdiff_t>((Means.size() - 1) / 2);
+  std::nth_element(Means.begin(), Middle, Means.end());
+  return *Middle;
+}
+
+/// How long the target takes for a request in comparison with the others.
+double pace(const PlacementOptions &Options, const TargetStats &Stats,
+            double Typical) {
+  if (Typical <= 0 || Stats.MeanServiceUs_ <= 0)
+    return 1;
+  return std::clamp(Stats.MeanServiceUs_ / Typical, Options.FastestRatio_,
+                    Options.SlowestRatio_);
+}
+
+/// What the costs of all candidates are compared with.
+struct Baselines {
+  double LatencyUs_ = 0; ///< See judgeOutliers().
+  double ServiceUs_ = 0; ///< See typicalService().
+};
+
 double costOf(const Placement &Table, const Candidate &Target,
-              const TargetStats &Stats, double Baseline, TimePoint Now) {
+              const TargetStats &Stats, Baselines Usual, TimePoint Now) {
   double Slots = std::max<std::uint32_t>(Target.Slots_, 1);
   double Load = Stats.InFlight_ + othersLoad(Table.Options_, Stats, Now) + 1.0;
-  return Load / Slots * slowness(Table, Stats, Baseline, Now) /
-         rampWeight(Table.Options_, Stats, Now);
+  double Outlier = slowness(Table, Stats, Usual.LatencyUs_, Now);
+  double Pace = pace(Table.Options_, Stats, Usual.ServiceUs_);
+  double Slow = Outlier > 1 ? std::max(Outlier, Pace) : Pace;
+  return Load / Slots * Slow / rampWeight(Table.Options_, Stats, Now);
 }
 
 void forgetOne(Placement &Table) {
@@ -240,9 +273,10 @@
   }
   double Baseline = judgeOutliers(Table, Candidates, Options);
   dropEjected(Table, Options, Now);
+  Baselines Usual{Baseline, typicalService(Options)};
   for (Option &Each : Options)
     Each.Cost_ =
-        costOf(Table, Candidates[Each.Index_], *Each.Stats_, Baseline, Now);
+        costOf(Table, Candidates[Each.Index_], *Each.Stats_, Usual, Now);
   auto FarBegin =
       std::partition(Options.begin(), Options.end(), [&](const Option &Each) {
         return Candidates[Each.Index_].DataCentre_ == OwnDataCentre;
@@ -343,6 +377,8 @@
   if (isLatencySample(Stats, Latency, Outcome)) {
     noteSample(Table.Options_, Stats, Latency, Outcome, Now);
   }
+  if (Load.MeanService_ > Duration(0))
+    Stats.MeanServiceUs_ = inUnits(Load.MeanService_);
   if (Load.Slots_ > 0) {
     double Reported =
         std::min(static_cast<double>(Load.Running_) + Load.Queued_,
--- a/src/Settings.cpp
+++ b/src/Settings.cpp
@@ -154,6 +154,10 @@
     readHeaders(Section, Out.Headers_);
   });
   Reader.flag("fractional_retry_after", Out.FractionalRetryAfter_);
+  Reader.section("records", [&](SettingsReader &Section) {
+    Section.duration("keep_ms", Out.Records_.Keep_, 1000, 600'000);
+    Section.duration("loss_hold_ms", Out.Records_.LossHold_, 0, 10'000);
+  });
   Reader.section("retries", [&](SettingsReader &Section) {
     Section.number("share", Out.Retries_.Share_, 0.0, 1.0);
     Section.count("constant", Out.Retries_.Constant_, 0, 100'000);
--- a/src/TargetProxy.cpp
+++ b/src/TargetProxy.cpp
@@ -48,6 +48,12 @@
   Out.Long_ =
       Call.Request_.expected_long() || isLong(Costs, costKey(Call.Request_));
   Out.Suspect_ = Call.Request_.suspect();
+  Out.Priority_ = Call.Request_.priority();
+  if (Call.Request_.target_left_us() > 0)
+    Out.TargetAt_ = Call.ArrivedAt_ + Duration(Call.Request_.target_left_us());
+  Out.AcceptLate_ =
+      Call.Request_.accept_late() || Call.Request_.target_left_us() == 0;
+  Out.SpareOnly_ = Call.Request_.spare_only();
   return Out;
 }
 
@@ -61,6 +67,13 @@
     return {ErrorKind::Unavailable,
             "target " + Target + " cannot answer before the deadline",
             "send the request again later or allow it more time"};
+  case RefusalReason::PastTarget:
+    return {ErrorKind::Unavailable,
+            "target " + Target + " would miss the latency target",
+            "send the request again after the time in Retry-After"};
+  case RefusalReason::NoSpareSlot:
+    return {ErrorKind::Unavailable, "target " + Target + " has no free slot",
+            "wait for the first attempt"};
   case RefusalReason::NoSlots:
     return {ErrorKind::Unavailable, "target " + Target + " has no slots",
             "check the slots that it announces"};
@@ -79,6 +92,7 @@
     : Settings_(Config), Client_(Client), Control_(Control), Marks_(Marks),
       Spans_(Spans), Rng_(Rng), Reply_(std::move(Reply)) {
   Calls_.Process_ = Process;
+  Calls_.Limits_.KeepFor_ = Config.Records_.Keep_;
   Calls_.LastTick_ = Time.Monotonic_;
 }
 
@@ -91,6 +105,8 @@
   Answer.set_running(Load.Running_);
   Answer.set_queued(Load.Queued_);
   Answer.set_slots(Load.Slots_);
+  Answer.set_mean_service_us(
+      static_cast<std::uint64_t>(Load.MeanService_.count()));
   Answer.set_leaving(Found->second.Leaving_);
 }
 
@@ -198,13 +214,18 @@
       !findHeader(Answer.Headers_, Names.Seal_))
     return false;
   const std::string *Stated = findHeader(Answer.Headers_, Names.RequestId_);
-  if (Names.RequestId_.empty() || !Stated)
-    return true;
-  return std::any_of(Request.headers().begin(), Request.headers().end(),
-                     [&](const wire::Header &Each) {
-                       return equalHeaderNames(Each.name(), Names.RequestId_) &&
-                              Each.value() == *Stated;
-                     });
+  const std::string *Sent = requestIdOf(Request);
+  return !Stated || !Sent || *Stated == *Sent;
+}
+
+const std::string *
+TargetProxy::requestIdOf(const wire::CallRequest &Request) const {
+  const std::string &Name = Settings_.Headers_.RequestId_;
+  auto Found = std::find_if(Request.headers().begin(), Request.headers().end(),
+                            [&](const wire::Header &Each) {
+                              return equalHeaderNames(Each.name(), Name);
+                            });
+  return Found == Request.headers().end() ? nullptr : &Found->value();
 }
 
 HttpClientRequest TargetProxy::makeRequest(std::uint64_t Id,
@@ -252,6 +273,8 @@
     Call.Span_ = startTrace(Rng_, 0);
   }
   IdOfSpan_[Call.Span_.SpanId_] = Id;
+  if (const std::string *RequestId = requestIdOf(Call.Request_))
+    IdOfRequestId_[*RequestId] = Id;
   Call.Sent_ = Client_.send(
       Targets_.find(Call.Target_)->second.Address_, makeRequest(Id, Call, Time),
       [this, Id](HttpAnswer Answer) { onHttpAnswer(Id, std::move(Answer)); });
@@ -355,6 +378,8 @@
   Pending_.erase(Found);
   IdOfCall_.erase(keyOf(Call.Request_.id()));
   IdOfSpan_.erase(Call.Span_.SpanId_);
+  if (const std::string *RequestId = requestIdOf(Call.Request_))
+    IdOfRequestId_.erase(*RequestId);
   Duration ServiceTime = Time.Monotonic_ - Call.StartedAt_;
   Answer.set_reached_target(Answer.reached_target() ||
                             Answer.run() != wire::RUN_NOT_RUN);
@@ -478,6 +503,18 @@
   return NestedContext{Call.Request_.depth(), Call.Deadline_};
 }
 
+std::optional<NestedContext>
+TargetProxy::nestedByRequestId(std::string_view Id) const {
+  std::size_t Dot = Id.rfind('.');
+  if (Dot == std::string_view::npos)
+    return std::nullopt;
+  auto Found = IdOfRequestId_.find(Id.substr(0, Dot));
+  if (Found == IdOfRequestId_.end())
+    return std::nullopt;
+  const PendingCall &Call = Pending_.at(Found->second);
+  return NestedContext{Call.Request_.depth(), Call.Deadline_};
+}
+
 void TargetProxy::tick(Now Time) {
   tickTargetCalls(Calls_, Time.Monotonic_);
   expireAnnouncements(Time);
--- a/src/TargetProxy.h
+++ b/src/TargetProxy.h
@@ -121,6 +121,10 @@
   /// The call that a span of this daemon belongs to, while its target runs it.
   std::optional<NestedContext> nestedContext(const std::string &SpanId) const;
 
+  /// The call whose request id begins this id, while its target runs it; a
+  /// target that makes calls of its own puts a dot and another id behind it.
+  std::optional<NestedContext> nestedByRequestId(std::string_view Id) const;
+
   std::size_t inFlight() const { return Pending_.size(); }
   const std::map<std::string, LocalTarget, std::less<>> &targets() const {
     return Targets_;
@@ -157,6 +161,8 @@
   std::optional<Error> checkPlace(const TargetAnnouncement &News) const;
   void retireOthers(const TargetAnnouncement &News, Now Time);
   void noteUnreachable(std::string_view Name, Now Time);
+  /// The id that the caller gave the request, or null.
+  const std::string *requestIdOf(const wire::CallRequest &Request) const;
   bool isOwnAnswer(const wire::CallRequest &Request,
                    const HttpAnswer &Answer) const;
 
@@ -174,6 +180,7 @@
   std::map<std::tuple<std::string, std::uint64_t, std::uint64_t>, std::uint64_t>
       IdOfCall_;
   std::map<std::string, std::uint64_t> IdOfSpan_;
+  std::map<std::string, std::uint64_t, std::less<>> IdOfRequestId_;
   std::uint64_t NextId_ = 1;
   RouteCost Costs_;
   std::deque<HeldAnswer> Held_;
