--- a/include/sycamore/Admission.h
+++ b/include/sycamore/Admission.h
@@ -70,7 +70,7 @@
   /// A request that misses its latency target waits at most this share of the
   /// time that it had on arrival: while requests that are in time take all
   /// slots it would wait in vain, and its caller could do better.
-  double LateWaitShare_ = 0.25;
+  double LateWaitShare_ = 0.5;
   /// How long a level keeps its slot after its last call.
   Duration DepthMemory_ = seconds(60);
   /// A nested call that waits this long while no request in its way finishes
--- a/include/sycamore/EntryCalls.h
+++ b/include/sycamore/EntryCalls.h
@@ -190,13 +190,18 @@
   std::uint32_t MaxAttempts_ = 4;
   /// Attempts that a target refuses rather than answers late. The one after
   /// them may be late.
-  std::uint32_t InTimeAttempts_ = 3;
+  std::uint32_t InTimeAttempts_ = 1;
   /// Part of a latency target that the way between caller and daemon takes.
   Duration CallerWay_ = milliseconds(15);
   /// Damaged answers after which another copy is no longer asked for.
   std::uint32_t MaxDamagedAnswers_ = 2;
   /// Hint to callers that were refused when the refusal names none.
   Duration RetryAfter_ = milliseconds(100);
+  /// Least hint, as a share of the time that a call has left. A call that every
+  /// target refused to queue misses its latency target anyway, and callers try
+  /// only a few times: spread over their time, one of the tries is more likely
+  /// to come after the crest.
+  double RetryAfterShare_ = 0.3;
 };
 
 /// What is known of the link that carries requests to a server.
--- a/src/EntryCallsDetail.cpp
+++ b/src/EntryCallsDetail.cpp
@@ -4,6 +4,7 @@
 #include "CallMutation.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace sycamore::entrycalls {
 namespace {
@@ -87,6 +88,10 @@
   Out.RetryAfter_ = Refusal.retry_after_ms() != 0
                         ? milliseconds(Refusal.retry_after_ms())
                         : At.Calls_.Limits_.RetryAfter_;
+  auto Left = static_cast<double>((Call.Deadline_ - At.Now_).count());
+  Out.RetryAfter_ = std::max(
+      Out.RetryAfter_,
+      Duration(std::llround(Left * At.Calls_.Limits_.RetryAfterShare_)));
   if (!Out.Error_)
     Out.Error_ = Error{kindOf(Refusal, ErrorKind::Unavailable),
                        Refusal.error_message().empty()
