--- a/include/sycamore/Admission.h
+++ b/include/sycamore/Admission.h
@@ -24,12 +24,12 @@
 inline constexpr std::uint32_t MaxAdmissionDepth = 9;
 
 struct AdmissionRequest {
-  std::uint64_t Id_ = 0;    ///< Unique among running and queued requests.
-  std::uint32_t Depth_ = 0; ///< 0 for a call that no target made.
-  TimePoint Deadline_{};    ///< By which the answer must leave the target.
-  Duration Expected_{0};    ///< Expected time in the slot (RouteCost).
-  bool Long_ = false;       ///< See isLong().
-  bool Suspect_ = false;    ///< Suspected of crashing targets (Quarantine).
+  std::uint64_t Id_ = 0;       ///< Unique among running and queued requests.
+  std::uint32_t Depth_ = 0;    ///< 0 for a call that no target made.
+  TimePoint Deadline_{};       ///< By which the answer must leave the target.
+  Duration Expected_{0};       ///< Expected time in the slot (RouteCost).
+  bool Long_ = false;          ///< See isLong().
+  bool Suspect_ = false;       ///< Suspected of crashing targets (Quarantine).
   std::uint32_t Priority_ = 0; ///< Of the route; 0 is the most urgent.
   /// By which the answer must leave to have its full value; unset for none.
   std::optional<TimePoint> TargetAt_;
@@ -71,6 +71,9 @@
   /// time that it had on arrival: while requests that are in time take all
   /// slots it would wait in vain, and its caller could do better.
   double LateWaitShare_ = 0.5;
+  /// For this long after a request was refused for its latency target, requests
+  /// that miss theirs are refused too: those in time already take every slot.
+  Duration CrestMemory_ = milliseconds(300);
   /// How long a level keeps its slot after its last call.
   Duration DepthMemory_ = seconds(60);
   /// A nested call that waits this long while no request in its way finishes
@@ -136,6 +139,7 @@
   std::vector<std::uint64_t> Displaced_; ///< For the next takeRunnable().
   std::array<DepthLevel, MaxAdmissionDepth + 1> Levels_{};
   double MeanServiceUs_ = 0; ///< Of finished requests; 0 before the first.
+  std::optional<TimePoint> PastTargetRefusedAt_; ///< The last one.
   std::uint64_t RefusedInOverload_ = 0;
   bool Overloaded_ = false;
   std::vector<AdmissionEvent> Events_; ///< See takeEvents().
--- a/include/sycamore/EntryCalls.h
+++ b/include/sycamore/EntryCalls.h
@@ -36,6 +36,7 @@
   std::uint64_t Process_ = 0; ///< See ChosenTarget::Process_.
   AttemptState State_ = AttemptState::Queued;
   bool Hedge_ = false;
+  bool Late_ = false; ///< Accepts an answer after the latency target.
   /// With NotRun: the target itself refused the call, so it counts as sent to
   /// that target.
   bool ReachedTarget_ = false;
@@ -187,7 +188,7 @@
   Duration QueryPause_ = milliseconds(50);
   Duration QueryPauseMax_ = milliseconds(400);
   /// Attempts in one call, the first included.
-  std::uint32_t MaxAttempts_ = 4;
+  std::uint32_t MaxAttempts_ = 3;
   /// Attempts that a target refuses rather than answers late. The one after
   /// them may be late.
   std::uint32_t InTimeAttempts_ = 1;
--- a/include/sycamore/HttpClient.h
+++ b/include/sycamore/HttpClient.h
@@ -26,8 +26,8 @@
   /// When set, receives the body as it arrives, and HttpAnswer::Body_ stays
   /// empty. Such a body has no size limit.
   std::function<void(std::string_view)> OnPart_ = nullptr;
-  /// When set, a whole answer that it rejects is Broken and ends the connection,
-  /// because bytes of another answer may follow.
+  /// When set, a whole answer that it rejects is Broken and ends the
+  /// connection, because bytes of another answer may follow.
   std::function<bool(const HttpAnswer &)> Accepts_ = nullptr;
   /// Takes an answer without a length as whole when its connection ends in
   /// order. Set it when something else shows that an answer was cut.
@@ -94,8 +94,9 @@
   /// Sends a request to "IP:PORT". Done runs exactly once unless the call is
   /// cancelled, never before send() returns. A call goes on when its handle is
   /// dropped. An answer whose end only the closing of the connection marks is
-  /// Broken, as it may have been cut, unless AcceptUnframed_ is set. So is an answer that arrives on a
-  /// connection that closes before the request is written.
+  /// Broken, as it may have been cut, unless AcceptUnframed_ is set. So is an
+  /// answer that arrives on a connection that closes before the request is
+  /// written.
   virtual std::shared_ptr<HttpCall> send(const std::string &Address,
                                          HttpClientRequest Request,
                                          Callback Done) = 0;
--- a/include/sycamore/Integration.h
+++ b/include/sycamore/Integration.h
@@ -49,8 +49,7 @@
   virtual std::string configurationKey() const = 0;
 
   /// Reads that document. Errors: InvalidTicket.
-  virtual Result<WholeState>
-  readConfiguration(std::string_view Text) const = 0;
+  virtual Result<WholeState> readConfiguration(std::string_view Text) const = 0;
 
   /// Reads a request to target.announce_listen. Errors: InvalidArgument,
   /// NotFound for a request that is no notice.
--- a/include/sycamore/Placement.h
+++ b/include/sycamore/Placement.h
@@ -180,6 +180,18 @@
                   const TargetLoad &Load, Duration Latency,
                   AttemptOutcome Outcome, TimePoint Now);
 
+/// What the table knows of a target, for logs.
+struct TargetView {
+  std::uint32_t InFlight_ = 0;        ///< Own calls.
+  double OthersLoad_ = 0;             ///< Calls of others, as last reported.
+  std::optional<Duration> ReportAge_; ///< Unset before the first report.
+  Duration MeanService_{0};
+  bool Ejected_ = false;
+  bool Slow_ = false;
+};
+
+TargetView viewOf(const Placement &Table, std::string_view Name, TimePoint Now);
+
 /// Forgets one target, for example when Membership reports it gone.
 void forgetTarget(Placement &Table, std::string_view Name);
 
--- a/include/sycamore/Settings.h
+++ b/include/sycamore/Settings.h
@@ -77,6 +77,8 @@
   std::uint64_t MaxBodyBytes_ = 8U << 20U;
   std::uint64_t MaxCalls_ = 10000; ///< In flight at this daemon.
   std::uint64_t PeerLinks_ = 110;
+  /// Share of a target's slots that long requests may hold.
+  double LongShare_ = 0.34;
   std::uint64_t ReadersPerDataCentre_ = 2; ///< Daemons that watch the store.
 
   bool operator==(const LimitSettings &) const = default;
--- a/include/sycamore/Ticket.h
+++ b/include/sycamore/Ticket.h
@@ -34,7 +34,7 @@
   std::string Host_;                 ///< Empty for every host.
   std::string PathPrefix_ = "/";     ///< The longest match wins.
   std::vector<std::string> Methods_; ///< Empty for every method.
-  std::string Service_; ///< Empty when Split_ is set.
+  std::string Service_;              ///< Empty when Split_ is set.
   /// Services that share the requests by weight; empty for Service_ alone.
   std::vector<RouteShare> Split_;
   /// Targets that alone may serve this route; empty for all of the service.
--- a/src/Admission.cpp
+++ b/src/Admission.cpp
@@ -128,8 +128,7 @@
   Level.LastSeen_ = Now;
   Level.Seen_ = true;
   SlotView View = slotView(Table, Now);
-  if (mayRun(View, Request) &&
-      !isTooLate(Table, Request, Duration{0}, Now)) {
+  if (mayRun(View, Request) && !isTooLate(Table, Request, Duration{0}, Now)) {
     start(Table, Request, Now);
     return {AdmissionDecision::Run, RefusalReason::None, Duration{0}};
   }
@@ -139,8 +138,16 @@
   Duration Wait = expectedWait(Table, View, Request, Now);
   if (isTooLate(Table, Request, Wait, Now))
     return refuse(Table, RefusalReason::TooLate);
-  if (!Request.AcceptLate_ && isPastTarget(Table, Request, Now + Wait))
-    return refuse(Table, RefusalReason::PastTarget);
+  if (isPastTarget(Table, Request, Now + Wait)) {
+    bool InTime = !isPastTarget(Table, Request, Now);
+    bool Crest =
+        Table.PastTargetRefusedAt_ &&
+        Now - *Table.PastTargetRefusedAt_ < Table.Options_.CrestMemory_;
+    if (!Request.AcceptLate_ && InTime)
+      Table.PastTargetRefusedAt_ = Now;
+    if (!Request.AcceptLate_ || Crest)
+      return refuse(Table, RefusalReason::PastTarget);
+  }
   if (!mayRun(View, Request))
     return enqueue(Table, Request, Now);
   start(Table, Request, Now);
--- a/src/AdmissionSlots.h
+++ b/src/AdmissionSlots.h
@@ -43,8 +43,8 @@
                       const AdmissionRequest &Request, TimePoint Now);
 
 /// Whether a request of depth 0 that starts at this time is expected to miss
-/// its latency target. The answers to nested calls count by their deadline only,
-/// as their callers' requests have the targets.
+/// its latency target. The answers to nested calls count by their deadline
+/// only, as their callers' requests have the targets.
 bool isPastTarget(const Admission &Table, const AdmissionRequest &Request,
                   TimePoint Start);
 
--- a/src/ControlPlane.cpp
+++ b/src/ControlPlane.cpp
@@ -54,35 +54,79 @@
   return Out;
 }
 
-void logMembership(const MembershipEvents &Events) {
+LogEvent lineOf(MembershipEventKind Kind) {
+  switch (Kind) {
+  case MembershipEventKind::ServerJoined:
+    return LogEvent::ServerJoined;
+  case MembershipEventKind::ServerAlive:
+    return LogEvent::ServerAlive;
+  case MembershipEventKind::ServerSuspect:
+    return LogEvent::ServerSuspect;
+  case MembershipEventKind::ServerLeaving:
+    return LogEvent::ServerLeaving;
+  case MembershipEventKind::ServerLeft:
+    return LogEvent::ServerLeft;
+  case MembershipEventKind::ServerDead:
+    return LogEvent::ServerDead;
+  case MembershipEventKind::TargetChanged:
+    return LogEvent::TargetChanged;
+  case MembershipEventKind::OwnIncarnationRaised:
+    return LogEvent::IncarnationRaised;
+  case MembershipEventKind::WokeFromFreeze:
+    return LogEvent::WokeFromFreeze;
+  }
+  return LogEvent::ServerJoined;
+}
+
+/// What is believed of a target on each server that has announced it.
+Json targetFields(const Membership &Members, const std::string &Name) {
+  Json Out = {{"target", Name}};
+  for (auto Item = Members.Targets_.lower_bound({Name, ""});
+       Item != Members.Targets_.end() && Item->first.first == Name; ++Item) {
+    const wire::TargetRecord &Record = Item->second.Record_;
+    Out["on"].push_back({{"peer", Record.server()},
+                         {"service", Record.service()},
+                         {"state", Record.gone()      ? "gone"
+                                   : Record.leaving() ? "leaving"
+                                                      : "usable"},
+                         {"incarnation", Record.incarnation()},
+                         {"version", Record.version()}});
+  }
+  return Out;
+}
+
+void logMembership(const Membership &Members, const MembershipEvents &Events) {
   for (const MembershipEvent &Event : Events) {
-    bool Loss = Event.Kind_ == MembershipEventKind::ServerSuspect ||
-                Event.Kind_ == MembershipEventKind::ServerDead;
-    logEvent(Loss ? LogLevel::Warning : LogLevel::Info,
-             membershipEventName(Event.Kind_), {{"name", Event.Name_}});
+    LogEvent Line = lineOf(Event.Kind_);
+    if (Event.Kind_ == MembershipEventKind::TargetChanged) {
+      if (wantsEvent(Line))
+        writeEvent(Line, targetFields(Members, Event.Name_));
+      continue;
+    }
+    const wire::ServerRecord *Record = findServer(Members, Event.Name_);
+    logEvent(Line, {{"peer", Event.Name_},
+                    {"incarnation", Record ? Record->incarnation() : 0}});
   }
 }
 
 void logBootstrap(const std::vector<BootstrapEvent> &Events) {
   for (const BootstrapEvent &Event : Events)
     logEvent(
-        LogLevel::Info,
-        Event.Kind_ == BootstrapEventKind::FloorReached ? "floor-reached"
-                                                        : "floor-known",
+        Event.Kind_ == BootstrapEventKind::FloorReached ? LogEvent::FloorReached
+                                                        : LogEvent::FloorKnown,
         {{"basis", floorBasisName(Event.Basis_)}, {"ticket", Event.Number_}});
 }
 
 void logRejection(std::uint64_t Number, std::string_view Source,
                   const std::optional<Error> &Failure) {
-  logEvent(LogLevel::Warning, "ticket-rejected",
+  logEvent(LogEvent::TicketRejected,
            {{"ticket", Number},
             {"from", Source},
             {"error", Failure ? describe(*Failure) : ""}});
 }
 
 void logApplied(std::uint64_t Number, std::string_view Source) {
-  logEvent(LogLevel::Info, "ticket-applied",
-           {{"ticket", Number}, {"from", Source}});
+  logEvent(LogEvent::TicketApplied, {{"ticket", Number}, {"from", Source}});
 }
 
 Result<Snapshot> parseStoredSnapshot(const std::string &Text) {
@@ -117,7 +161,7 @@
 
 void ControlPlane::tick(Now Time) {
   Outbox Out;
-  logMembership(tickMembership(Members_, Time, Rng_, Out));
+  logMembership(Members_, tickMembership(Members_, Time, Rng_, Out));
   tickDissemination(Spread_, Replica_, neighbours(Members_),
                     Members_.Overlay_.RemoteReaders_, Time, Rng_, Out);
   BootstrapStep Step =
@@ -126,6 +170,12 @@
   if (Step.ReadStore_)
     readStore(/*ForFloor=*/true, Time);
   ReaderStep Reading = tickReader(Boot_, Members_, Time, Rng_);
+  if (Reading.WatchHead_ != Reader_) {
+    Reader_ = Reading.WatchHead_;
+    logEvent(Reader_ ? LogEvent::ReaderBegan : LogEvent::ReaderEnded,
+             {{"data_centre", Settings_.DataCentre_},
+              {"servers", Members_.Servers_.size()}});
+  }
   if (Reading.ReadHead_)
     readStore(/*ForFloor=*/false, Time);
   if (Reading.WriteSeeds_)
@@ -136,7 +186,8 @@
 
 void ControlPlane::receive(const wire::PeerMessage &Message, Now Time) {
   Outbox Out;
-  logMembership(receiveMembership(Members_, Message, Time, Rng_, Out));
+  logMembership(Members_,
+                receiveMembership(Members_, Message, Time, Rng_, Out));
   auto Events = receiveDissemination(Spread_, Replica_, neighbours(Members_),
                                      Message, Time, Rng_, Out);
   for (const DisseminationEvent &Event : Events) {
@@ -213,12 +264,15 @@
   if (Usable == StoreUp_)
     return;
   StoreUp_ = Usable;
+  TimePoint Time = monotonicNow();
   if (Usable)
-    logEvent(LogLevel::Info, "store-reachable");
+    logEvent(LogEvent::StoreReachable,
+             {{"away_ms", toMilliseconds(Time - StoreLostAt_)}});
   else
-    logEvent(LogLevel::Warning, "store-unreachable",
+    logEvent(LogEvent::StoreUnreachable,
              {{"error", Answer ? std::string("incomplete answer")
                                : describe(Answer.error())}});
+  StoreLostAt_ = Time;
 }
 
 void ControlPlane::onStoreAnswer(bool ForFloor, TimePoint StartedAt,
@@ -273,8 +327,7 @@
 void ControlPlane::takeHead(const std::string &Value, const Snapshot *Base) {
   auto Parsed = parseHead(Value);
   if (!Parsed) {
-    logEvent(LogLevel::Error, "head-unreadable",
-             {{"error", describe(Parsed.error())}});
+    logEvent(LogEvent::HeadUnreadable, {{"error", describe(Parsed.error())}});
     return;
   }
   OfferResult Offer = offerHead(Replica_, *Parsed, Base);
@@ -297,7 +350,7 @@
                  if (Base)
                    takeHead(HeadValue, &*Base);
                  else
-                   logEvent(LogLevel::Error, "snapshot-unreadable",
+                   logEvent(LogEvent::SnapshotUnreadable,
                             {{"error", describe(Base.error())}});
                });
 }
--- a/src/ControlPlane.h
+++ b/src/ControlPlane.h
@@ -2,9 +2,9 @@
 // membership, configuration replica, dissemination and bootstrap.
 #pragma once
 
-#include "sycamore/Integration.h"
 #include "sycamore/Bootstrap.h"
 #include "sycamore/Dissemination.h"
+#include "sycamore/Integration.h"
 #include "sycamore/Membership.h"
 #include "sycamore/Settings.h"
 #include "sycamore/Store.h"
@@ -102,6 +102,8 @@
   std::int64_t SeedsRevision_ = 0;
   WallTime AppliedAt_;
   bool StoreUp_ = true;
+  bool Reader_ = false;
+  TimePoint StoreLostAt_;
   bool HeadReadUnderway_ = false;
 };
 
--- a/src/Daemon.cpp
+++ b/src/Daemon.cpp
@@ -1,6 +1,7 @@
 // Connects the modules to the loop.
 #include "DaemonImpl.h"
 
+#include "SettingsReport.h"
 #include "StoreConnect.h"
 #include "sycamore/Clock.h"
 #include "sycamore/Log.h"
@@ -14,6 +15,9 @@
 
 constexpr Duration TraceWriteInterval = seconds(1);
 
+constexpr Duration DropReportInterval = seconds(1);
+constexpr Duration TotalsInterval = seconds(10);
+
 /// Paths come from outside; a log line keeps this much of one.
 constexpr std::size_t MaxLoggedPath = 200;
 
@@ -56,8 +60,8 @@
 
 DaemonImpl::DaemonImpl(event_base *Base, const Settings &Config,
                        const Integration *Adapter)
-    : Base_(Base), Settings_(Config), Integration_(Adapter), Rng_(std::random_device{}()),
-      Process_(unixMicroseconds(wallNow())) {}
+    : Base_(Base), Settings_(Config), Integration_(Adapter),
+      Rng_(std::random_device{}()), Process_(unixMicroseconds(wallNow())) {}
 
 DaemonImpl::~DaemonImpl() {
   if (TickEvent_)
@@ -129,10 +133,9 @@
                       std::string_view Body) {
     replyCall(Route, Message, Body);
   };
-  Control_ = std::make_unique<ControlPlane>(Settings_, PeerAddress,
-                                            Keys_.Own_.PublicKey_, Process_,
-                                            *Store_, Integration_, Rng_, Send,
-                                            Time);
+  Control_ = std::make_unique<ControlPlane>(
+      Settings_, PeerAddress, Keys_.Own_.PublicKey_, Process_, *Store_,
+      Integration_, Rng_, Send, Time);
   Control_->setSeedFilter(
       [this](const wire::ServerRecord &Seed) { return isAllowedPeer(Seed); });
   Targets_ =
@@ -241,7 +244,7 @@
     Exchange.reply(200, {{"content-type", "application/json"}}, "{}");
     return;
   }
-  logEvent(LogLevel::Warning, "notice-rejected",
+  logEvent(LogEvent::NoticeRejected,
            {{"path", Exchange.request().Path_.substr(0, MaxLoggedPath)},
             {"error", describe(Taken.error())}});
   Exchange.reply(Taken.error().Kind_ == ErrorKind::NotFound ? 404 : 400, {},
@@ -251,11 +254,12 @@
 void DaemonImpl::startTicking() {
   TickEvent_ = event_new(Base_, -1, EV_PERSIST, onTick, this);
   event_add(TickEvent_, &TickInterval);
-  logEvent(LogLevel::Info, "started",
-           {{"version", SYCAMORE_VERSION},
-            {"caller_listen", Addresses_.Caller_},
-            {"admin_listen", Addresses_.Admin_},
-            {"peer_listen", Addresses_.Peer_}});
+  logEvent(LogEvent::Started, {{"version", SYCAMORE_VERSION},
+                               {"process", Process_},
+                               {"settings", describeSettings(Settings_)},
+                               {"caller_listen", Addresses_.Caller_},
+                               {"admin_listen", Addresses_.Admin_},
+                               {"peer_listen", Addresses_.Peer_}});
 }
 
 void DaemonImpl::onTick(evutil_socket_t /*Descriptor*/, short /*Events*/,
@@ -282,12 +286,13 @@
   Keyed_->tick(Time);
   expire(Marks_, Time.Wall_);
   for (const QuarantineEvent &Event : takeEvents(Marks_))
-    logEvent(LogLevel::Warning,
-             Event.Kind_ == QuarantineEventKind::Suspected ? "request-suspected"
+    logEvent(Event.Kind_ == QuarantineEventKind::Suspected
+                 ? LogEvent::RequestSuspected
              : Event.Kind_ == QuarantineEventKind::Quarantined
-                 ? "request-quarantined"
-                 : "quarantine-ended",
+                 ? LogEvent::RequestQuarantined
+                 : LogEvent::QuarantineEnded,
              {{"fingerprint", Event.Fingerprint_}, {"sample", Event.Sample_}});
+  report(Time);
   writeTraces(Time);
   if (Stopping_)
     continueStop(Time);
@@ -425,6 +430,30 @@
   return PeerAddress{Record->peer_address(), Record->public_key()};
 }
 
+void DaemonImpl::report(Now Time) {
+  if (Time.Monotonic_ >= NextDropReport_) {
+    NextDropReport_ = Time.Monotonic_ + DropReportInterval;
+    reportDroppedLines();
+  }
+  if (Time.Monotonic_ < NextTotals_)
+    return;
+  NextTotals_ = Time.Monotonic_ + TotalsInterval;
+  const EntryCallsCounters &Calls = Entry_->calls().Counters_;
+  const PeerTransportCounters &Peers = Peers_->counters();
+  logEvent(LogEvent::Totals, {{"requests", Entry_->counters().Requests_},
+                              {"attempts", Calls.Attempts_},
+                              {"retries", Calls.Retries_},
+                              {"hedges", Calls.Hedges_},
+                              {"done", Calls.Done_},
+                              {"not_run", Calls.NotRun_},
+                              {"unknown", Calls.Unknown_},
+                              {"in_flight", Entry_->inFlight()},
+                              {"peer_bytes_sent", Peers.BytesSent_},
+                              {"control_bytes_sent", Peers.ControlBytesSent_},
+                              {"store_calls", StoreCounters_->Sent_},
+                              {"ticket", Control_->snapshot()->Number_}});
+}
+
 void DaemonImpl::writeTraces(Now Time) {
   if (Settings_.Trace_.File_.empty() || Spans_.Spans_.empty() ||
       Time.Monotonic_ < NextTraceWrite_)
@@ -442,7 +471,7 @@
   Stopping_ = true;
   StopStarted_ = Time.Monotonic_;
   IdleSince_ = Time.Monotonic_;
-  logEvent(LogLevel::Info, "leaving",
+  logEvent(LogEvent::Leaving,
            {{"calls", Entry_->inFlight()}, {"requests", Targets_->inFlight()}});
   Control_->startLeaving(Time);
   Targets_->startLeaving();
@@ -473,8 +502,7 @@
     return;
   Keyed_->finishLeaving();
   Control_->finishLeaving(Time);
-  logEvent(CutShort_ ? LogLevel::Warning : LogLevel::Info, "left",
-           {{"cut_short", CutShort_}});
+  logEvent(LogEvent::Left, {{"cut_short", CutShort_}});
   // The last messages need a moment to leave.
   timeval Moment{0, 200'000};
   event_base_loopexit(Base_, &Moment);
--- a/src/DaemonImpl.h
+++ b/src/DaemonImpl.h
@@ -68,6 +68,7 @@
             std::string &Bound);
   void takeNotice(HttpExchange &Exchange, Now Time);
   bool isReady() const;
+  void report(Now Time);
 
   event_base *Base_;
   Settings Settings_;
@@ -101,6 +102,8 @@
   TimePoint StopStarted_;
   TimePoint IdleSince_;
   TimePoint NextTraceWrite_;
+  TimePoint NextDropReport_;
+  TimePoint NextTotals_;
 };
 
 } // namespace sycamore
--- a/src/EntryCallsDetail.cpp
+++ b/src/EntryCallsDetail.cpp
@@ -27,12 +27,11 @@
 } // namespace
 
 std::uint32_t targetsReached(const EntryCall &Call) {
-  return static_cast<std::uint32_t>(
-      std::count_if(Call.Attempts_.begin(), Call.Attempts_.end(),
-                    [](const CallAttempt &Attempt) {
-                      return Attempt.State_ != AttemptState::NotRun ||
-                             Attempt.ReachedTarget_;
-                    }));
+  return static_cast<std::uint32_t>(std::count_if(
+      Call.Attempts_.begin(), Call.Attempts_.end(),
+      [](const CallAttempt &Attempt) {
+        return Attempt.State_ != AttemptState::NotRun || Attempt.ReachedTarget_;
+      }));
 }
 
 bool mayReachAnother(const EntryCall &Call) {
@@ -121,14 +120,14 @@
 
 namespace {
 
-/// Targets that the next attempt must not go to: all that were tried, or only
-/// those that may have seen the call.
+/// Targets that the next attempt must not go to: all that were tried, or, for
+/// one that may be late, those that refused that or may have seen the call.
 std::vector<std::string> excludedTargets(const EntryCall &Call,
                                          bool ReachedOnly) {
   std::vector<std::string> Out;
   for (const CallAttempt &Attempt : Call.Attempts_)
-    if (!ReachedOnly || Attempt.State_ != AttemptState::NotRun ||
-        Attempt.ReachedTarget_)
+    if (!ReachedOnly || Attempt.Late_ ||
+        Attempt.State_ != AttemptState::NotRun || Attempt.ReachedTarget_)
       Out.push_back(Attempt.Target_);
   return Out;
 }
@@ -180,6 +179,7 @@
   Attempt.Target_ = Chosen->Target_;
   Attempt.Process_ = Chosen->Process_;
   Attempt.Hedge_ = Hedge;
+  Attempt.Late_ = Late;
   Attempt.SentAt_ = At.Now_;
   Call.Attempts_.push_back(Attempt);
   ++At.Calls_.Counters_.Attempts_;
--- a/src/EntryProxy.cpp
+++ b/src/EntryProxy.cpp
@@ -21,6 +21,20 @@
   return Out;
 }
 
+LogEvent lineOf(PlacementEventKind Kind) {
+  switch (Kind) {
+  case PlacementEventKind::OutlierFound:
+    return LogEvent::TargetSlow;
+  case PlacementEventKind::OutlierRecovered:
+    return LogEvent::TargetRecovered;
+  case PlacementEventKind::Ejected:
+    return LogEvent::TargetEjected;
+  case PlacementEventKind::Readmitted:
+    break;
+  }
+  return LogEvent::TargetReadmitted;
+}
+
 AttemptOutcome outcomeOf(const wire::CallAnswer &Answer) {
   if (Answer.target_lost())
     return AttemptOutcome::Lost;
@@ -137,6 +151,8 @@
     Now Later = readClocks();
     Time_ = Later.Monotonic_;
     ++Counters_.CallersGone_;
+    if (auto Info = Infos_.find(Sequence); Info != Infos_.end())
+      logAbandoned(Info->second.Trail_, Time_);
     carryOut(onCallerGone(Calls_, Sequence), Later);
     forgetCall(Sequence, AttemptOutcome::Cancelled, Later);
     if (Shared->AloneFingerprint_)
@@ -148,11 +164,66 @@
                                 CallFinished Done, Now Time) {
   Time_ = Time.Monotonic_;
   std::uint64_t Sequence = Calls_.NextSequence_;
-  Infos_[Sequence] = CallInfo{std::move(Done), Span, {}};
+  Infos_[Sequence] = CallInfo{std::move(Done), Span, {}, trailOf(Call, Time)};
   carryOut(beginCall(Calls_, std::move(Call), Policy_, Time.Monotonic_), Time);
   return Sequence;
 }
 
+CallTrail EntryProxy::trailOf(const EntryCall &Call, Now Time) const {
+  CallTrail Out;
+  const wire::CallRequest &Request = Call.Request_;
+  for (const wire::Header &Each : Request.headers())
+    if (equalHeaderNames(Each.name(), Settings_.Headers_.RequestId_))
+      Out.RequestId_ = Each.value();
+  Out.Route_ = Call.Route_;
+  Out.Service_ = Call.Service_;
+  Out.Ticket_ = Request.ticket();
+  Out.Depth_ = Call.Depth_;
+  Out.StartedAt_ = Time.Monotonic_;
+  Out.Deadline_ = Call.Deadline_;
+  return Out;
+}
+
+CallTrail EntryProxy::trailOf(const HttpRequest &Http, const EntryCall &Call,
+                              Now Time) const {
+  CallTrail Out = trailOf(Call, Time);
+  if (const std::string *Id =
+          findHeader(Http.Headers_, Settings_.Headers_.RequestId_))
+    Out.RequestId_ = *Id;
+  if (Call.Snapshot_)
+    Out.Ticket_ = Call.Snapshot_->Number_;
+  return Out;
+}
+
+void EntryProxy::noteAttemptSent(CallInfo &Call, const AttemptInfo &Info,
+                                 const wire::CallId &Id, Now Time) {
+  AttemptNote Note;
+  Note.Ordinal_ = Id.ordinal();
+  Note.Target_ = Info.Target_;
+  Note.Server_ = Info.Server_;
+  Note.Hedge_ = Info.Hedge_;
+  Note.Known_ = viewOf(Placement_, Info.Target_, Time.Monotonic_);
+  Note.SentAt_ = Time.Monotonic_;
+  Call.Trail_.Attempts_.push_back(std::move(Note));
+  logAttempt(Call.Trail_, Call.Trail_.Attempts_.back());
+}
+
+void EntryProxy::noteAttemptEnded(const AttemptInfo &Info,
+                                  AttemptOutcome Outcome,
+                                  const wire::CallAnswer *Answer, Now Time) {
+  auto Call = Infos_.find(Info.Id_.sequence());
+  if (Call == Infos_.end())
+    return;
+  for (AttemptNote &Note : Call->second.Trail_.Attempts_) {
+    if (Note.Ordinal_ != Info.Id_.ordinal())
+      continue;
+    Note.EndedAt_ = Time.Monotonic_;
+    Note.End_ = attemptEndName(Outcome);
+    if (Answer)
+      Note.Reason_ = Answer->error_message();
+  }
+}
+
 void EntryProxy::carryOut(CallActions Actions, Now Time) {
   for (CallAction &Action : Actions) {
     if (auto *Attempt = std::get_if<SendAttempt>(&Action))
@@ -201,6 +272,8 @@
     carryOut(onSendFailed(Calls_, Id, Policy_, Time.Monotonic_), Time);
     return;
   }
+  if (auto Call = Infos_.find(Id.sequence()); Call != Infos_.end())
+    noteAttemptSent(Call->second, Info, Id, Time);
   HeardAt_.try_emplace(Action.Server_, Time.Monotonic_);
   if (!Info.Target_.empty())
     noteDispatched(Placement_, Info.Target_, Time.Monotonic_);
@@ -231,6 +304,7 @@
     return;
   AttemptInfo Info = std::move(Found->second);
   Attempts_.erase(Found);
+  noteAttemptEnded(Info, Outcome, Answer, Time);
   Duration Latency = Time.Monotonic_ - Info.SentAt_;
   if (Info.Hedge_)
     noteHedgeEnded(Hedges_, Latency);
@@ -268,6 +342,7 @@
   if (Found == Infos_.end())
     return;
   CallFinished Done = std::move(Found->second.Done_);
+  logOutcome(Found->second.Trail_, Outcome, Time.Monotonic_);
   forgetCall(Outcome.Sequence_, AttemptOutcome::TimedOut, Time);
   Done(std::move(Outcome));
 }
@@ -374,17 +449,12 @@
   expireTargets(Placement_, Time.Monotonic_);
   for (const EntryCallEvent &Event : takeEvents(Calls_))
     if (const auto *Silent = std::get_if<LinkWentSilent>(&Event))
-      logEvent(LogLevel::Warning, "link-silent",
+      logEvent(LogEvent::PeerLinkSilent,
                {{"peer", Silent->Server_},
                 {"silence_ms", toMilliseconds(Silent->Silence_)}});
   for (const PlacementEvent &Event : takeEvents(Placement_))
-    logEvent(LogLevel::Info,
-             Event.Kind_ == PlacementEventKind::OutlierFound ? "target-slow"
-             : Event.Kind_ == PlacementEventKind::OutlierRecovered
-                 ? "target-recovered"
-             : Event.Kind_ == PlacementEventKind::Ejected ? "target-ejected"
-                                                          : "target-readmitted",
-             {{"target", Event.Target_}});
+    logEvent(lineOf(Event.Kind_), {{"target", Event.Target_},
+                                   {"span_ms", toMilliseconds(Event.Span_)}});
 }
 
 const DurationHistogram &EntryProxy::callTimes(wire::RunOutcome Run) const {
--- a/src/EntryProxy.h
+++ b/src/EntryProxy.h
@@ -4,6 +4,7 @@
 
 #include "CallMessages.h"
 #include "ControlPlane.h"
+#include "RequestLog.h"
 #include "TargetProxy.h"
 #include "sycamore/EntryCalls.h"
 #include "sycamore/HttpServer.h"
@@ -114,8 +115,16 @@
     CallFinished Done_;
     TraceContext Span_;
     std::vector<std::uint64_t> Ordinals_;
+    CallTrail Trail_;
   };
 
+  CallTrail trailOf(const EntryCall &Call, Now Time) const;
+  CallTrail trailOf(const HttpRequest &Http, const EntryCall &Call,
+                    Now Time) const;
+  void noteAttemptSent(CallInfo &Call, const AttemptInfo &Info,
+                       const wire::CallId &Id, Now Time);
+  void noteAttemptEnded(const AttemptInfo &Info, AttemptOutcome Outcome,
+                        const wire::CallAnswer *Answer, Now Time);
   std::optional<Finish> checkAcceptable() const;
   bool accept(const HttpExchangePointer &Exchange, AcceptedRequest &Request,
               Now Time);
--- a/src/EntryRequests.cpp
+++ b/src/EntryRequests.cpp
@@ -66,11 +66,13 @@
     ++(Leaving_              ? Counters_.RefusedLeaving_
        : Control_.mayServe() ? Counters_.RefusedLimit_
                              : Counters_.RefusedNoFloor_);
+    logRefusal(trailOf(Http, Request.Call_, Time), *Refusal);
     reply(Exchange, Request, *Refusal);
     return false;
   }
   if (auto Refusal = findRoute(Http, Request.Call_, Time)) {
     ++Counters_.NoRoute_;
+    logRefusal(trailOf(Http, Request.Call_, Time), *Refusal);
     reply(Exchange, Request, *Refusal);
     return false;
   }
@@ -78,6 +80,7 @@
   Finish Refusal;
   if (passQuarantine(Request, Refusal, Time))
     return true;
+  logRefusal(trailOf(Http, Request.Call_, Time), Refusal);
   reply(Exchange, Request, Refusal);
   return false;
 }
@@ -99,14 +102,13 @@
   Call.Idempotent_ = isIdempotent(*Matched, Http.Method_);
   if (Matched->LatencyTarget_.count() > 0)
     Call.TargetAt_ =
-        Time.Monotonic_ + std::max<Duration>(Matched->LatencyTarget_ -
-                                                 Calls_.Limits_.CallerWay_,
-                                             Duration(1));
+        Time.Monotonic_ +
+        std::max<Duration>(Matched->LatencyTarget_ - Calls_.Limits_.CallerWay_,
+                           Duration(1));
   Call.MaxTargets_ = Matched->MaxAttempts_;
   Call.Request_.set_priority(Matched->Priority_);
   TimePoint OwnDeadline =
-      Time.Monotonic_ +
-      timeoutOf(*Call.Snapshot_, *Matched, Call.Service_);
+      Time.Monotonic_ + timeoutOf(*Call.Snapshot_, *Matched, Call.Service_);
   Call.Deadline_ = Call.Deadline_ == TimePoint{}
                        ? OwnDeadline
                        : std::min(Call.Deadline_, OwnDeadline);
@@ -143,7 +145,8 @@
 void EntryProxy::inheritContext(const HttpRequest &Http,
                                 AcceptedRequest &Request, Now Time) {
   EntryCall &Call = Request.Call_;
-  const std::string *Header = findHeader(Http.Headers_, Settings_.Headers_.Traceparent_);
+  const std::string *Header =
+      findHeader(Http.Headers_, Settings_.Headers_.Traceparent_);
   auto Parent = Header ? parseTraceparent(*Header) : std::nullopt;
   if (Parent) {
     Request.ParentSpan_ = Parent->SpanId_;
@@ -151,7 +154,8 @@
   } else {
     Request.Span_ = startTrace(Rng_, Settings_.Trace_.SampleRatio_);
   }
-  if (auto DeadlineMs = numberHeader(Http.Headers_, Settings_.Headers_.Deadline_)) {
+  if (auto DeadlineMs =
+          numberHeader(Http.Headers_, Settings_.Headers_.Deadline_)) {
     constexpr std::uint64_t LongestMs = 600'000;
     Call.Deadline_ =
         Time.Monotonic_ + milliseconds(std::min(*DeadlineMs, LongestMs));
@@ -170,7 +174,8 @@
     Call.Deadline_ = Call.Deadline_ == TimePoint{}
                          ? Outer->Deadline_
                          : std::min(Call.Deadline_, Outer->Deadline_);
-  } else if (auto Depth = numberHeader(Http.Headers_, Settings_.Headers_.Depth_)) {
+  } else if (auto Depth =
+                 numberHeader(Http.Headers_, Settings_.Headers_.Depth_)) {
     constexpr std::uint64_t DeepestDepth = 1000;
     Call.Depth_ =
         static_cast<std::uint32_t>(std::min(*Depth, DeepestDepth)) + 1;
@@ -212,10 +217,10 @@
   const HeaderNames &Names = Settings_.Headers_;
   addHeader(Headers, Names.Run_, std::string(runName(Outcome.Run_)));
   if (Outcome.RetryAfter_.count() > 0)
-    Headers.push_back({"retry-after",
-                       Settings_.FractionalRetryAfter_
-                           ? fractionalSeconds(Outcome.RetryAfter_)
-                           : retryAfterSeconds(Outcome.RetryAfter_)});
+    Headers.push_back(
+        {"retry-after", Settings_.FractionalRetryAfter_
+                            ? fractionalSeconds(Outcome.RetryAfter_)
+                            : retryAfterSeconds(Outcome.RetryAfter_)});
   if (!Names.Traceparent_.empty())
     Headers.push_back({Names.Traceparent_, formatTraceparent(Request.Span_)});
   if (!Outcome.Error_) {
--- /dev/null
+++ b/src/Events.cpp
@@ -0,0 +1,160 @@
+// Everything that the daemon logs.
+#include "sycamore/Events.h"
+
+#include <array>
+#include <xxhash.h>
+
+namespace sycamore {
+namespace {
+
+constexpr auto Info = LogLevel::Info;
+constexpr auto Warning = LogLevel::Warning;
+constexpr auto Bad = LogLevel::Error;
+
+/// Lines a second of kinds that a busy fleet produces; the others are rare.
+constexpr std::uint32_t Rare = 50;
+constexpr std::uint32_t Frequent = 20;
+
+constexpr std::array<EventType, static_cast<std::size_t>(LogEvent::Count)>
+    Types = {{
+        {LogEvent::Started, "started", Info, Rare, false,
+         "the daemon listens; the effective settings without secrets"},
+        {LogEvent::Leaving, "leaving", Info, Rare, false,
+         "a planned stop began; calls still under way"},
+        {LogEvent::Left, "left", Info, Rare, false,
+         "the planned stop ended; cut_short: something was cut"},
+        {LogEvent::SettingsReloaded, "settings-reloaded", Info, Rare, false,
+         "SIGHUP: settings, keys and tokens were read again"},
+        {LogEvent::SettingsNotReloaded, "settings-not-reloaded", Bad, Rare,
+         false, "SIGHUP: the settings stay as they were"},
+        {LogEvent::StoreReachable, "store-reachable", Info, Rare, false,
+         "the store answers again; away_ms since the first failure"},
+        {LogEvent::StoreUnreachable, "store-unreachable", Warning, Rare, false,
+         "a call to the store failed after one that did not"},
+        {LogEvent::PeerLinkSilent, "link-silent", Warning, Rare, false,
+         "nothing came over a link with calls under way; it is replaced"},
+        {LogEvent::LinesDropped, "lines-dropped", Warning, Rare, false,
+         "lines beyond the budget of their kind, by kind"},
+        {LogEvent::Totals, "totals", Info, Rare, false,
+         "counters since the start, every 10 s"},
+        {LogEvent::TicketApplied, "ticket-applied", Info, Rare, false,
+         "this configuration is in force here from now on"},
+        {LogEvent::TicketRejected, "ticket-rejected", Warning, Rare, false,
+         "a configuration failed its checks; the one before stays in force"},
+        {LogEvent::HeadUnreadable, "head-unreadable", Bad, Rare, false,
+         "the store's head does not parse"},
+        {LogEvent::SnapshotUnreadable, "snapshot-unreadable", Bad, Rare, false,
+         "a stored snapshot does not parse"},
+        {LogEvent::FloorKnown, "floor-known", Info, Rare, false,
+         "the lowest configuration that this start may run is known"},
+        {LogEvent::FloorReached, "floor-reached", Info, Rare, false,
+         "the configuration is at the floor: requests are served"},
+        {LogEvent::ReaderBegan, "reader-began", Info, Rare, false,
+         "this daemon watches the store for its data centre"},
+        {LogEvent::ReaderEnded, "reader-ended", Info, Rare, false,
+         "other daemons watch the store for this data centre"},
+        {LogEvent::ServerJoined, "server-joined", Info, Rare, false,
+         "a daemon was heard of for the first time"},
+        {LogEvent::ServerAlive, "server-alive", Info, Rare, false,
+         "a daemon came back or refuted a suspicion"},
+        {LogEvent::ServerSuspect, "server-suspect", Warning, Rare, false,
+         "a daemon does not answer probes"},
+        {LogEvent::ServerLeaving, "server-leaving", Info, Rare, false,
+         "a daemon announced a planned stop"},
+        {LogEvent::ServerLeft, "server-left", Info, Rare, false,
+         "a daemon ended its planned stop"},
+        {LogEvent::ServerDead, "server-dead", Warning, Rare, false,
+         "a suspected daemon did not refute in time"},
+        {LogEvent::TargetChanged, "target-changed", Info, Rare, false,
+         "a target of another host changed: usable, leaving or gone"},
+        {LogEvent::IncarnationRaised, "own-incarnation-raised", Info, Rare,
+         false, "this daemon refuted news about itself"},
+        {LogEvent::WokeFromFreeze, "woke-from-freeze", Warning, Rare, false,
+         "this process did not run for a while"},
+        {LogEvent::TargetAnnounced, "target-announced", Info, Rare, false,
+         "a target beside this daemon may be used"},
+        {LogEvent::TargetReplaced, "target-replaced", Info, Rare, false,
+         "another target took the address"},
+        {LogEvent::TargetLeaving, "target-leaving", Info, Rare, false,
+         "a target beside this daemon gets no new requests from now on"},
+        {LogEvent::TargetSilent, "target-silent", Warning, Rare, false,
+         "a target missed its announcements"},
+        {LogEvent::TargetUnreachable, "target-unreachable", Warning, Rare,
+         false, "a target refused a connection or is another process"},
+        {LogEvent::NoticeRejected, "notice-rejected", Warning, Rare, false,
+         "an announcement could not be read or is not of this host"},
+        {LogEvent::TargetSlow, "target-slow", Info, Rare, false,
+         "a target is much slower than the others of its service"},
+        {LogEvent::TargetRecovered, "target-recovered", Info, Rare, false,
+         "a slow target answers in the usual time"},
+        {LogEvent::TargetEjected, "target-ejected", Info, Rare, false,
+         "a target that refused connections is passed over for a while"},
+        {LogEvent::TargetReadmitted, "target-readmitted", Info, Rare, false,
+         "an ejected target answered"},
+        {LogEvent::BucketTaken, "bucket-taken", Info, Rare, false,
+         "this daemon holds a bucket of idempotency keys"},
+        {LogEvent::BucketLost, "bucket-lost", Warning, Rare, false,
+         "another daemon holds the bucket"},
+        {LogEvent::LeaseLapsed, "lease-lapsed", Warning, Rare, false,
+         "the lease on the held buckets is no longer certain"},
+        {LogEvent::LeaseResumed, "lease-resumed", Info, Rare, false,
+         "the lease is certain again"},
+        {LogEvent::RequestSuspected, "request-suspected", Warning, Rare, false,
+         "a target was lost while it ran this request"},
+        {LogEvent::RequestQuarantined, "request-quarantined", Warning, Rare,
+         false, "requests like this one are refused"},
+        {LogEvent::QuarantineEnded, "quarantine-ended", Info, Rare, false,
+         "requests like this one are served again"},
+        {LogEvent::RequestNoRoute, "request-no-route", Info, Frequent, false,
+         "answered 404: no route of the ticket matches"},
+        {LogEvent::RequestRefused, "request-refused", Info, Rare, false,
+         "answered 429 or 503 with proof that it did not run"},
+        {LogEvent::RequestTimedOut, "request-timed-out", Info, Rare, false,
+         "answered 504: its time ended before an answer came"},
+        {LogEvent::RequestUnknown, "request-unknown", Warning, Rare, false,
+         "answered 502: it may have run"},
+        {LogEvent::RequestFailed, "request-failed", Info, Rare, false,
+         "the target's own status of 500 or above was passed on"},
+        {LogEvent::RequestAnswered, "request-answered", Info, Rare, true,
+         "the target's answer was passed on"},
+        {LogEvent::RequestAbandoned, "request-abandoned", Info, Frequent, false,
+         "the caller closed its connection first; the work is cancelled"},
+        {LogEvent::AttemptSent, "attempt-sent", Info, Rare, true,
+         "the first target was chosen"},
+        {LogEvent::AttemptRepeated, "attempt-repeated", Info, Rare, false,
+         "a further target was chosen: retry or hedge"},
+        {LogEvent::AttemptRefused, "attempt-refused", Info, Rare, false,
+         "the target's daemon did not admit the attempt"},
+        {LogEvent::AttemptRunning, "attempt-running", Info, Rare, true,
+         "the attempt was given to the target"},
+        {LogEvent::AttemptAnswered, "attempt-answered", Info, Rare, true,
+         "the target answered"},
+        {LogEvent::AttemptFailed, "attempt-failed", Warning, Rare, false,
+         "the target broke off, did not answer, or refused the request"},
+        {LogEvent::AttemptCancelled, "attempt-cancelled", Info, Frequent, false,
+         "the entry daemon gave the attempt up"},
+    }};
+
+constexpr bool isOrdered() {
+  for (std::size_t I = 0; I < Types.size(); ++I)
+    if (static_cast<std::size_t>(Types[I].Event_) != I ||
+        Types[I].Name_.empty())
+      return false;
+  return true;
+}
+static_assert(isOrdered(), "the rows must follow the enumeration");
+
+} // namespace
+
+std::span<const EventType> eventTypes() { return Types; }
+
+const EventType &typeOf(LogEvent Kind) {
+  return Types[static_cast<std::size_t>(Kind)];
+}
+
+bool isSampled(std::string_view RequestId) {
+  return !RequestId.empty() &&
+         XXH3_64bits(RequestId.data(), RequestId.size()) % SampleEvery == 0;
+}
+
+} // namespace sycamore
--- a/src/KeyedProxy.cpp
+++ b/src/KeyedProxy.cpp
@@ -62,16 +62,15 @@
 
 void logBucketEvent(const BucketEvent &Event) {
   if (const auto *Taken = std::get_if<BucketTaken>(&Event))
-    logEvent(LogLevel::Info, "bucket-taken",
-             {{"bucket", Taken->Bucket_},
-              {"fence", Taken->Fence_},
-              {"with_records", Taken->WithRecords_}});
+    logEvent(LogEvent::BucketTaken, {{"bucket", Taken->Bucket_},
+                                     {"fence", Taken->Fence_},
+                                     {"with_records", Taken->WithRecords_}});
   else if (const auto *Lost = std::get_if<BucketLost>(&Event))
-    logEvent(LogLevel::Warning, "bucket-lost", {{"bucket", Lost->Bucket_}});
+    logEvent(LogEvent::BucketLost, {{"bucket", Lost->Bucket_}});
   else if (const auto *Lapsed = std::get_if<LeaseLapsed>(&Event))
-    logEvent(LogLevel::Warning, "lease-lapsed", {{"lease", Lapsed->LeaseId_}});
+    logEvent(LogEvent::LeaseLapsed, {{"lease", Lapsed->LeaseId_}});
   else if (const auto *Resumed = std::get_if<LeaseResumed>(&Event))
-    logEvent(LogLevel::Info, "lease-resumed", {{"lease", Resumed->LeaseId_}});
+    logEvent(LogEvent::LeaseResumed, {{"lease", Resumed->LeaseId_}});
 }
 
 } // namespace
--- a/src/Log.cpp
+++ b/src/Log.cpp
@@ -1,14 +1,15 @@
 // Structured logs by log4cxx.
 #include "sycamore/Log.h"
 
+#include "LogOutput.h"
 #include "sycamore/Clock.h"
 
 #include <array>
 #include <log4cxx/basicconfigurator.h>
-#include <log4cxx/consoleappender.h>
 #include <log4cxx/fileappender.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
+#include <unistd.h>
 
 namespace sycamore {
 namespace {
@@ -16,9 +17,24 @@
 constexpr std::array<std::string_view, 4> LevelNames = {"debug", "info", "warn",
                                                         "error"};
 
-std::string &serverName() {
-  static std::string Name;
-  return Name;
+/// Lines of one kind in the present second, and those dropped.
+struct Budget {
+  std::int64_t Second_ = 0;
+  std::uint32_t Written_ = 0;
+  std::uint64_t Dropped_ = 0;
+};
+
+struct LogState {
+  std::string Server_;
+  LogLevel Level_ = LogLevel::Info;
+  std::array<Budget, static_cast<std::size_t>(LogEvent::Count)> Budgets_;
+  std::shared_ptr<LogOutput> Output_; ///< Null when a file is written.
+  std::uint64_t OutputDropped_ = 0;   ///< As reported last.
+};
+
+LogState &state() {
+  static LogState State;
+  return State;
 }
 
 log4cxx::LevelPtr libraryLevel(LogLevel Level) {
@@ -41,6 +57,30 @@
   return Buffer.data();
 }
 
+/// Takes one line of the kind's budget.
+bool takeLine(LogEvent Kind) {
+  Budget &Left = state().Budgets_[static_cast<std::size_t>(Kind)];
+  std::int64_t Second =
+      std::chrono::floor<seconds>(monotonicNow().time_since_epoch()).count();
+  if (Second != Left.Second_) {
+    Left.Second_ = Second;
+    Left.Written_ = 0;
+  }
+  if (Left.Written_ < typeOf(Kind).PerSecond_) {
+    ++Left.Written_;
+    return true;
+  }
+  ++Left.Dropped_;
+  return false;
+}
+
+Json shortened(const Json &Value) {
+  if (!Value.is_string() ||
+      Value.get_ref<const std::string &>().size() <= MaxLoggedText)
+    return Value;
+  return Value.get_ref<const std::string &>().substr(0, MaxLoggedText) + "...";
+}
+
 } // namespace
 
 Result<LogLevel> parseLogLevel(std::string_view Name) {
@@ -54,33 +94,67 @@
 
 void configureLog(LogLevel Level, const std::string &File,
                   std::string_view Server) {
-  serverName() = Server;
-  auto Layout = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%m%n"));
+  state().Server_ = Server;
+  state().Level_ = Level;
   log4cxx::AppenderPtr Appender;
-  if (File.empty() || File == "-")
-    Appender = std::make_shared<log4cxx::ConsoleAppender>(
-        Layout, File.empty() ? log4cxx::ConsoleAppender::getSystemErr()
-                             : log4cxx::ConsoleAppender::getSystemOut());
-  else
+  state().Output_.reset();
+  if (File.empty() || File == "-") {
+    state().Output_ = std::make_shared<LogOutput>(File.empty() ? STDERR_FILENO
+                                                               : STDOUT_FILENO);
+    Appender = state().Output_;
+  } else {
+    auto Layout = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%m%n"));
     Appender = std::make_shared<log4cxx::FileAppender>(Layout, File, true);
+  }
   log4cxx::BasicConfigurator::resetConfiguration();
   log4cxx::BasicConfigurator::configure(Appender);
   log4cxx::Logger::getRootLogger()->setLevel(libraryLevel(Level));
 }
 
-void logEvent(LogLevel Level, std::string_view Event, const Json &Fields) {
-  log4cxx::LoggerPtr Logger = log4cxx::Logger::getRootLogger();
-  if (!Logger->isEnabledFor(libraryLevel(Level)))
-    return;
+bool wantsEvent(LogEvent Kind, std::string_view RequestId) {
+  const EventType &Type = typeOf(Kind);
+  if (Type.Level_ < state().Level_)
+    return false;
+  if (Type.Routine_ && !isSampled(RequestId))
+    return false;
+  return takeLine(Kind);
+}
+
+void writeEvent(LogEvent Kind, const Json &Fields) {
+  const EventType &Type = typeOf(Kind);
   nlohmann::ordered_json Line;
   Line["time"] = formatTime(wallNow());
-  Line["level"] = LevelNames[static_cast<std::size_t>(Level)];
-  Line["server"] = serverName();
-  Line["event"] = Event;
+  Line["level"] = LevelNames[static_cast<std::size_t>(Type.Level_)];
+  Line["server"] = state().Server_;
+  Line["event"] = Type.Name_;
   for (const auto &[Name, Value] : Fields.items())
-    Line[Name] = Value;
+    Line[Name] = shortened(Value);
   std::string Text = Line.dump(-1, ' ', false, Json::error_handler_t::replace);
-  LOG4CXX_LOG(Logger, libraryLevel(Level), Text);
+  log4cxx::LoggerPtr Logger = log4cxx::Logger::getRootLogger();
+  LOG4CXX_LOG(Logger, libraryLevel(Type.Level_), Text);
+}
+
+void logEvent(LogEvent Kind, const Json &Fields) {
+  if (wantsEvent(Kind))
+    writeEvent(Kind, Fields);
+}
+
+void reportDroppedLines() {
+  Json Dropped = Json::object();
+  for (const EventType &Type : eventTypes()) {
+    Budget &Left = state().Budgets_[static_cast<std::size_t>(Type.Event_)];
+    if (std::uint64_t Count = std::exchange(Left.Dropped_, 0))
+      Dropped[std::string(Type.Name_)] = Count;
+  }
+  if (state().Output_) {
+    state().Output_->flush();
+    std::uint64_t Total = state().Output_->dropped();
+    if (std::uint64_t Count =
+            Total - std::exchange(state().OutputDropped_, Total))
+      Dropped["output_full"] = Count;
+  }
+  if (!Dropped.empty())
+    writeEvent(LogEvent::LinesDropped, {{"lines", Dropped}});
 }
 
 } // namespace sycamore
--- /dev/null
+++ b/src/LogOutput.cpp
@@ -0,0 +1,41 @@
+// Appender of log4cxx that never waits for the reader of its output.
+#include "LogOutput.h"
+
+#include <algorithm>
+#include <climits>
+#include <poll.h>
+#include <unistd.h>
+
+namespace sycamore {
+
+LogOutput::LogOutput(int Descriptor) : Descriptor_(Descriptor) {}
+
+void LogOutput::append(const log4cxx::spi::LoggingEventPtr &Line,
+                       log4cxx::helpers::Pool & /*Memory*/) {
+  log4cxx::LogString Text = Line->getRenderedMessage() + "\n";
+  if (Pending_.size() + Text.size() > MaxPendingLogBytes) {
+    ++Dropped_;
+    return;
+  }
+  Pending_ += Text;
+  flush();
+}
+
+// A pipe that is ready takes PIPE_BUF bytes at once, so the descriptor, which
+// other processes may share, need not be set to non-blocking.
+void LogOutput::flush() {
+  while (!Pending_.empty()) {
+    pollfd Ready{Descriptor_, POLLOUT, 0};
+    if (poll(&Ready, 1, 0) <= 0 || (Ready.revents & POLLOUT) == 0)
+      return;
+    ssize_t Written = write(Descriptor_, Pending_.data(),
+                            std::min<std::size_t>(Pending_.size(), PIPE_BUF));
+    if (Written <= 0)
+      return;
+    Pending_.erase(0, static_cast<std::size_t>(Written));
+  }
+}
+
+void LogOutput::close() { flush(); }
+
+} // namespace sycamore
--- a/src/Placement.cpp
+++ b/src/Placement.cpp
@@ -398,6 +398,23 @@
     noteReadmitted(Table, Name, Stats, Now);
 }
 
+TargetView viewOf(const Placement &Table, std::string_view Name,
+                  TimePoint Now) {
+  TargetView Out;
+  auto Found = Table.Targets_.find(Name);
+  if (Found == Table.Targets_.end())
+    return Out;
+  const TargetStats &Stats = Found->second;
+  Out.InFlight_ = Stats.InFlight_;
+  Out.OthersLoad_ = Stats.OthersLoad_;
+  if (Stats.ReportedAt_ != TimePoint{})
+    Out.ReportAge_ = Now - Stats.ReportedAt_;
+  Out.MeanService_ = Duration(std::llround(Stats.MeanServiceUs_));
+  Out.Ejected_ = Stats.EjectedUntil_ > Now;
+  Out.Slow_ = Stats.Outlier_;
+  return Out;
+}
+
 void forgetTarget(Placement &Table, std::string_view Name) {
   auto Found = Table.Targets_.find(Name);
   if (Found == Table.Targets_.end())
--- a/src/TargetAnnouncements.cpp
+++ b/src/TargetAnnouncements.cpp
@@ -62,8 +62,7 @@
       continue;
     setLeaving(Target, Time);
     Target.Gone_ = true;
-    logEvent(LogLevel::Info, "target-replaced",
-             {{"target", Name}, {"by", News.Name_}});
+    logEvent(LogEvent::TargetReplaced, {{"target", Name}, {"by", News.Name_}});
   }
 }
 
@@ -110,12 +109,11 @@
   bool Reborn = !New && !isSameProcess(News, Target);
   retireOthers(News, Time);
   if (New || Reborn || Target.Unreachable_)
-    logEvent(LogLevel::Info, "target-announced",
-             {{"target", News.Name_},
-              {"service", News.Service_},
-              {"address", News.Address_},
-              {"slots", News.Slots_},
-              {"restarted", Reborn}});
+    logEvent(LogEvent::TargetAnnounced, {{"target", News.Name_},
+                                         {"service", News.Service_},
+                                         {"address", News.Address_},
+                                         {"slots", News.Slots_},
+                                         {"restarted", Reborn}});
   Target.Name_ = News.Name_;
   Target.Service_ = News.Service_;
   Target.Address_ = News.Address_;
@@ -124,6 +122,7 @@
   Target.StartedUnixMs_ = News.StartedUnixMs_;
   Target.Unreachable_ = false;
   setSlots(Target.Admission_, News.Slots_);
+  Target.Admission_.Options_.LongShare_ = Settings_.Limits_.LongShare_;
   const auto &Services = Control_.snapshot()->State_.Services_;
   if (auto Service = Services.find(News.Service_); Service != Services.end())
     setQueueLimit(Target.Admission_, Service->second.QueueLimit_);
@@ -161,7 +160,7 @@
   if (Target.Leaving_)
     return;
   Target.Leaving_ = true;
-  logEvent(LogLevel::Info, "target-leaving", {{"target", Target.Name_}});
+  logEvent(LogEvent::TargetLeaving, {{"target", Target.Name_}});
   stopAdmitting(Target.Admission_);
   markTargetLeaving(Control_.members(), Target.Name_, Time);
   runQueue(Target, Time);
@@ -192,7 +191,7 @@
                 load(Target.Admission_).Queued_ == 0;
     if (Expired && !Target.Leaving_) {
       ++Counters_.MissedAnnouncements_;
-      logEvent(LogLevel::Warning, "target-silent", {{"target", Entry->first}});
+      logEvent(LogEvent::TargetSilent, {{"target", Entry->first}});
       setLeaving(Target, Time);
     }
     if ((Expired || Target.Gone_) && Idle) {
@@ -209,7 +208,7 @@
   if (Found == Targets_.end() || Found->second.Unreachable_)
     return;
   Found->second.Unreachable_ = true;
-  logEvent(LogLevel::Warning, "target-unreachable", {{"target", Name}});
+  logEvent(LogEvent::TargetUnreachable, {{"target", Name}});
   withdrawTarget(Control_.members(), Name, Time);
 }
 
@@ -218,8 +217,9 @@
   // drains.
   bool StatesItself =
       Settings_.Target_ && !Settings_.Target_->AnnounceListen_.empty();
-  if (StatesItself || Target.Leaving_ || Time.Monotonic_ - Target.HealthAskedAt_ <
-                             Settings_.Timing_.AnnounceInterval_)
+  if (StatesItself || Target.Leaving_ ||
+      Time.Monotonic_ - Target.HealthAskedAt_ <
+          Settings_.Timing_.AnnounceInterval_)
     return;
   Target.HealthAskedAt_ = Time.Monotonic_;
   HttpClientRequest Request;
--- a/src/TargetProxy.cpp
+++ b/src/TargetProxy.cpp
@@ -196,6 +196,8 @@
   AdmissionVerdict Verdict = admit(
       Target.Admission_, admissionRequest(Id, Call, Costs_), Time.Monotonic_);
   if (Verdict.Decision_ == AdmissionDecision::Refused) {
+    logAttemptRefused(describeAttempt(Call), Target.Admission_,
+                      refusalName(Verdict.Reason_), Time.Monotonic_);
     refuse(Request, Route, StatusUnavailable,
            admissionError(Verdict, Call.Target_), Verdict.RetryAfter_, Time);
     return;
@@ -206,6 +208,23 @@
     start(Id, Time);
 }
 
+bool TargetProxy::isFollowed(const PendingCall &Call) const {
+  const std::string *RequestId = requestIdOf(Call.Request_);
+  return RequestId && isSampled(*RequestId);
+}
+
+LocalAttempt TargetProxy::describeAttempt(const PendingCall &Call) const {
+  LocalAttempt Out;
+  if (const std::string *RequestId = requestIdOf(Call.Request_))
+    Out.RequestId_ = *RequestId;
+  Out.Target_ = Call.Target_;
+  Out.Entry_ = Call.Request_.id().entry();
+  Out.Ticket_ = Call.Request_.ticket();
+  Out.Request_ = admissionRequest(0, Call, Costs_);
+  Out.ArrivedAt_ = Call.ArrivedAt_;
+  return Out;
+}
+
 bool TargetProxy::isOwnAnswer(const wire::CallRequest &Request,
                               const HttpAnswer &Answer) const {
   const HeaderNames &Names = Settings_.Headers_;
@@ -266,6 +285,10 @@
   Call.StartedAt_ = Time.Monotonic_;
   Call.StartedWall_ = Time.Wall_;
   QueueTimes_.record(Call.StartedAt_ - Call.ArrivedAt_);
+  if (isFollowed(Call))
+    logAttemptRunning(describeAttempt(Call),
+                      Targets_.find(Call.Target_)->second.Admission_,
+                      Time.Monotonic_);
   if (auto Parent = parseTraceparent(Call.Request_.traceparent())) {
     Call.ParentSpan_ = Parent->SpanId_;
     Call.Span_ = childOf(*Parent, Rng_);
@@ -396,6 +419,10 @@
   Answer.set_body_size(Body.size());
   Answer.set_body_hash(bodyHash(Body));
   recordCallSpan(Call, Answer.run() != wire::RUN_DONE);
+  if (!Answer.error_message().empty() || isFollowed(Call))
+    logAttemptEnded(describeAttempt(Call), Answer.run(),
+                    static_cast<int>(Answer.status()), Answer.error_message(),
+                    Call.StartedAt_, Time.Monotonic_);
   LocalTarget *Target = nullptr;
   if (auto Beside = Targets_.find(Call.Target_); Beside != Targets_.end())
     Target = &Beside->second;
@@ -438,6 +465,8 @@
     if (!cancel(Beside->second.Admission_, Id))
       finish(Beside->second.Admission_, Id, Duration(0), Time.Monotonic_);
     Retry = retryAfter(Beside->second.Admission_);
+    logAttemptRefused(describeAttempt(Call), Beside->second.Admission_,
+                      "no-slot-in-time", Time.Monotonic_);
   }
   refuse(Call.Request_, Call.Route_, StatusUnavailable,
          {ErrorKind::Unavailable,
@@ -478,6 +507,8 @@
     return;
   std::uint64_t Id = Known->second;
   PendingCall &Call = Pending_.at(Id);
+  logAttemptCancelled(describeAttempt(Call), Outcome == CancelResult::Abort,
+                      Time.Monotonic_);
   if (Outcome == CancelResult::Abort) {
     if (Call.Sent_)
       Call.Sent_->cancel();
--- a/src/TargetProxy.h
+++ b/src/TargetProxy.h
@@ -4,6 +4,7 @@
 
 #include "CallMessages.h"
 #include "ControlPlane.h"
+#include "RequestLog.h"
 #include "sycamore/Admission.h"
 #include "sycamore/HttpClient.h"
 #include "sycamore/Integration.h"
@@ -19,7 +20,7 @@
 struct LocalTarget {
   std::string Name_;
   std::string Service_;
-  std::string Address_; ///< "IP:PORT" for requests.
+  std::string Address_;   ///< "IP:PORT" for requests.
   TimePoint AnnouncedAt_; ///< Last announcement or answer.
   TimePoint HealthAskedAt_;
   bool Leaving_ = false;
@@ -85,8 +86,8 @@
   Result<void> announce(const Json &Document, Now Time);
 
   /// Takes an announcement. One that is older than what is known changes
-  /// nothing. Errors: InvalidArgument when it names another service or host than
-  /// the settings.
+  /// nothing. Errors: InvalidArgument when it names another service or host
+  /// than the settings.
   Result<void> take(const TargetAnnouncement &News, Now Time);
 
   /// The target ends: it gets no new work from now on, also if it has not
@@ -161,6 +162,9 @@
   std::optional<Error> checkPlace(const TargetAnnouncement &News) const;
   void retireOthers(const TargetAnnouncement &News, Now Time);
   void noteUnreachable(std::string_view Name, Now Time);
+  /// Whether the ordinary progress of the request is logged.
+  bool isFollowed(const PendingCall &Call) const;
+  LocalAttempt describeAttempt(const PendingCall &Call) const;
   /// The id that the caller gave the request, or null.
   const std::string *requestIdOf(const wire::CallRequest &Request) const;
   bool isOwnAnswer(const wire::CallRequest &Request,
--- a/tools/sycamored.cpp
+++ b/tools/sycamored.cpp
@@ -117,9 +117,9 @@
                     void *Running) {
   auto Done = static_cast<Daemon *>(Running)->reload();
   if (Done)
-    logEvent(LogLevel::Info, "keys-reloaded");
+    logEvent(LogEvent::SettingsReloaded);
   else
-    logEvent(LogLevel::Error, "keys-not-reloaded",
+    logEvent(LogEvent::SettingsNotReloaded,
              {{"error", describe(Done.error())}});
 }
 
