Keep calls near, ask fewer targets, beat less often on links

Late attempts and the longer Retry-After apply only to routes with a latency target, as the product's own tests expect. The log's state is never destroyed: a daemon ended with SIGSEGV when log4cxx wrote after it was gone (RealProcess.StopOfADaemonCutsNothing).

--- a/include/sycamore/EntryCalls.h
+++ b/include/sycamore/EntryCalls.h
@@ -188,7 +188,10 @@
   Duration QueryPause_ = milliseconds(50);
   Duration QueryPauseMax_ = milliseconds(400);
   /// Attempts in one call, the first included.
-  std::uint32_t MaxAttempts_ = 3;
+  std::uint32_t MaxAttempts_ = 4;
+  /// The same for calls with a latency target: each further attempt carries the
+  /// body to another data centre for little.
+  std::uint32_t MaxAttemptsInTarget_ = 3;
   /// Attempts that a target refuses rather than answers late. The one after
   /// them may be late.
   std::uint32_t InTimeAttempts_ = 1;
--- a/include/sycamore/Placement.h
+++ b/include/sycamore/Placement.h
@@ -77,7 +77,7 @@
   Duration OutlierTestInterval_ = seconds(1);
   /// Cost of the best near target from which others are considered; 1 means
   /// that the call would take the last free slot.
-  double SpillCost_ = 1.0;
+  double SpillCost_ = 0.6;
   /// A far target without a free slot is taken only when it costs less than
   /// this share of the near one. When all are loaded alike, the way would be
   /// wasted, and a nested call holds its caller's slot on the way.
--- a/include/sycamore/Settings.h
+++ b/include/sycamore/Settings.h
@@ -79,6 +79,9 @@
   std::uint64_t PeerLinks_ = 110;
   /// Share of a target's slots that long requests may hold.
   double LongShare_ = 0.34;
+  /// Load per slot of the best near target from which targets of other data
+  /// centres are considered; 1 when its last free slot would be taken.
+  double SpillCost_ = 0.6;
   std::uint64_t ReadersPerDataCentre_ = 2; ///< Daemons that watch the store.
 
   bool operator==(const LimitSettings &) const = default;
--- a/src/EntryCallsDetail.cpp
+++ b/src/EntryCallsDetail.cpp
@@ -44,8 +44,10 @@
 /// several, but waits for one whose link is alive; any other call only after
 /// all earlier ones are proven not to have run.
 bool allowsAnother(const Step &At, const EntryCall &Call) {
-  if (At.Now_ >= Call.Deadline_ ||
-      Call.Attempts_.size() >= At.Calls_.Limits_.MaxAttempts_)
+  std::uint32_t MaxAttempts = Call.TargetAt_
+                                  ? At.Calls_.Limits_.MaxAttemptsInTarget_
+                                  : At.Calls_.Limits_.MaxAttempts_;
+  if (At.Now_ >= Call.Deadline_ || Call.Attempts_.size() >= MaxAttempts)
     return false;
   if (!mayReachAnother(Call))
     return false;
@@ -87,10 +89,12 @@
   Out.RetryAfter_ = Refusal.retry_after_ms() != 0
                         ? milliseconds(Refusal.retry_after_ms())
                         : At.Calls_.Limits_.RetryAfter_;
-  auto Left = static_cast<double>((Call.Deadline_ - At.Now_).count());
-  Out.RetryAfter_ = std::max(
-      Out.RetryAfter_,
-      Duration(std::llround(Left * At.Calls_.Limits_.RetryAfterShare_)));
+  if (Call.TargetAt_) {
+    auto Left = static_cast<double>((Call.Deadline_ - At.Now_).count());
+    Out.RetryAfter_ = std::max(
+        Out.RetryAfter_,
+        Duration(std::llround(Left * At.Calls_.Limits_.RetryAfterShare_)));
+  }
   if (!Out.Error_)
     Out.Error_ = Error{kindOf(Refusal, ErrorKind::Unavailable),
                        Refusal.error_message().empty()
@@ -154,10 +158,11 @@
                  const std::function<bool(const EntryCall &)> &TakeBudget) {
   // Late answers are worth less than those in time but more than none, so the
   // last attempt may go back to a target that refused to be late.
-  bool Late = Call.Attempts_.size() >= At.Calls_.Limits_.InTimeAttempts_;
+  bool Late = Call.TargetAt_ &&
+              Call.Attempts_.size() >= At.Calls_.Limits_.InTimeAttempts_;
   std::vector<std::string> Excluded = excludedTargets(Call, Late);
   auto Chosen = At.Policy_.ChooseTarget_(Call, Excluded);
-  if (!Chosen && !Late && !Hedge) {
+  if (!Chosen && Call.TargetAt_ && !Late && !Hedge) {
     Late = true;
     Excluded = excludedTargets(Call, Late);
     Chosen = At.Policy_.ChooseTarget_(Call, Excluded);
--- a/src/EntryProxy.cpp
+++ b/src/EntryProxy.cpp
@@ -8,8 +8,9 @@
 namespace sycamore {
 namespace {
 
-/// Servers with calls under way are asked for a sign of life this often.
-constexpr Duration HeartbeatInterval = milliseconds(100);
+/// Servers with calls under way are asked for a sign of life this many times
+/// before their link counts as silent.
+constexpr int HeartbeatsPerDeadline = 4;
 
 TargetLoad loadOf(const wire::CallAnswer &Answer) {
   TargetLoad Out;
@@ -61,6 +62,7 @@
   Calls_.Self_ = Config.Server_;
   Calls_.Incarnation_ = Process;
   Calls_.Limits_.LinkDeadline_ = Config.Timing_.LinkDeadline_;
+  Placement_.Options_.SpillCost_ = Config.Limits_.SpillCost_;
   Retries_.Options_ = {Config.Retries_.Share_, Config.Retries_.Constant_};
 }
 
@@ -428,6 +430,8 @@
 void EntryProxy::sendHeartbeats(Now Time) {
   if (Time.Monotonic_ < NextHeartbeat_)
     return;
+  Duration HeartbeatInterval =
+      Duration(Settings_.Timing_.LinkDeadline_) / HeartbeatsPerDeadline;
   NextHeartbeat_ = Time.Monotonic_ + HeartbeatInterval;
   std::set<std::string> Servers;
   for (const auto &[Ordinal, Info] : Attempts_)
--- a/src/Log.cpp
+++ b/src/Log.cpp
@@ -33,8 +33,9 @@
 };
 
 LogState &state() {
-  static LogState State;
-  return State;
+  // Never destroyed: log4cxx may still hold the output when statics end.
+  static auto *State = new LogState;
+  return *State;
 }
 
 log4cxx::LevelPtr libraryLevel(LogLevel Level) {
--- a/src/Settings.cpp
+++ b/src/Settings.cpp
@@ -58,6 +58,7 @@
   Reader.count("max_calls", Out.MaxCalls_,
                mutated("settings-other-range") ? 2 : 1, 1'000'000);
   Reader.count("peer_links", Out.PeerLinks_, 4, 10'000);
+  Reader.number("spill_cost", Out.SpillCost_, 0.0, 10.0);
   Reader.number("long_share", Out.LongShare_, 0.0, 1.0);
   Reader.count("readers_per_data_centre", Out.ReadersPerDataCentre_, 1, 100);
 }
--- a/test/correctness/AdmissionTest.cpp
+++ b/test/correctness/AdmissionTest.cpp
@@ -231,3 +231,84 @@
   RC_ASSERT(std::adjacent_find(All.begin(), All.end()) == All.end());
   RC_ASSERT(All.size() + Table.Queue_.size() + Cancelled == Id);
 }
+
+// Guards against a crest that makes every answer late instead of its surplus.
+TEST_F(AdmissionTest, RunsRequestsInTimeBeforeLateOnes) {
+  fill();
+  AdmissionRequest Late = request(0, seconds(1));
+  Late.TargetAt_ = Now_ + milliseconds(5);
+  AdmissionRequest InTime = request(0, seconds(2));
+  InTime.TargetAt_ = Now_ + milliseconds(200);
+  EXPECT_EQ(offer(Late), AdmissionDecision::Queued);
+  EXPECT_EQ(offer(InTime), AdmissionDecision::Queued);
+  EXPECT_EQ(Table_.Queue_.back().Request_.Id_, Late.Id_);
+}
+
+TEST_F(AdmissionTest, RunsMoreUrgentRoutesFirstAmongThoseInTime) {
+  fill();
+  AdmissionRequest Calm = request();
+  Calm.Priority_ = 2;
+  Calm.TargetAt_ = Now_ + milliseconds(100);
+  AdmissionRequest Urgent = request();
+  Urgent.Priority_ = 0;
+  Urgent.TargetAt_ = Now_ + milliseconds(300);
+  offer(Calm);
+  offer(Urgent);
+  auto Position = [&](std::uint64_t Id) {
+    return std::find_if(Table_.Queue_.begin(), Table_.Queue_.end(),
+                        [Id](const QueuedRequest &Each) {
+                          return Each.Request_.Id_ == Id;
+                        }) -
+           Table_.Queue_.begin();
+  };
+  EXPECT_LT(Position(Urgent.Id_), Position(Calm.Id_));
+}
+
+TEST_F(AdmissionTest, RefusesAnAttemptThatMayNotBeLate) {
+  fill();
+  AdmissionRequest Strict = request();
+  Strict.TargetAt_ = Now_ + milliseconds(5);
+  Strict.AcceptLate_ = false;
+  AdmissionVerdict Verdict = admit(Table_, Strict, Now_);
+  EXPECT_EQ(Verdict.Reason_, RefusalReason::PastTarget);
+}
+
+// While requests in time are refused, a late one would wait in vain.
+TEST_F(AdmissionTest, RefusesLateRequestsDuringACrest) {
+  fill();
+  for (int Each = 0; Each < 40; ++Each)
+    offer(request());
+  AdmissionRequest Strict = request();
+  Strict.TargetAt_ = Now_ + milliseconds(20);
+  Strict.AcceptLate_ = false;
+  ASSERT_EQ(admit(Table_, Strict, Now_).Reason_, RefusalReason::PastTarget);
+  AdmissionRequest Late = request();
+  Late.TargetAt_ = Now_ + milliseconds(20);
+  EXPECT_EQ(admit(Table_, Late, Now_).Reason_, RefusalReason::PastTarget);
+  Now_ += Table_.Options_.CrestMemory_;
+  Late = request();
+  Late.TargetAt_ = Now_ + milliseconds(20);
+  EXPECT_EQ(offer(Late), AdmissionDecision::Queued);
+}
+
+TEST_F(AdmissionTest, RefusesALateRequestThatHasWaitedInVain) {
+  fill();
+  AdmissionRequest Late = request(0, seconds(1));
+  Late.TargetAt_ = Now_ + milliseconds(5);
+  ASSERT_EQ(offer(Late), AdmissionDecision::Queued);
+  Now_ += milliseconds(510);
+  take();
+  EXPECT_NE(std::find(Refused_.begin(), Refused_.end(), Late.Id_),
+            Refused_.end());
+}
+
+// A hedge must not take a slot's turn from a request without another attempt.
+TEST_F(AdmissionTest, RunsAHedgeOnlyInAFreeSlot) {
+  AdmissionRequest Hedge = request();
+  Hedge.SpareOnly_ = true;
+  EXPECT_EQ(offer(Hedge), AdmissionDecision::Run);
+  fill();
+  Hedge = request();
+  Hedge.SpareOnly_ = true;
+  EXPECT_EQ(admit(Table_, Hedge, Now_).Reason_, RefusalReason::NoSpareSlot);
+}
--- a/test/correctness/EntryCallsTest.cpp
+++ b/test/correctness/EntryCallsTest.cpp
@@ -210,3 +210,62 @@
   ASSERT_NE(find<Finish>(Actions), nullptr);
   EXPECT_EQ(find<Finish>(Actions)->Run_, wire::RUN_NOT_RUN);
 }
+
+namespace {
+
+wire::CallAnswer refusal(const wire::CallId &Id, std::uint64_t Process,
+                         bool Reached) {
+  wire::CallAnswer Out;
+  *Out.mutable_id() = Id;
+  Out.set_run(wire::RUN_NOT_RUN);
+  Out.set_process(Process);
+  Out.set_reached_target(Reached);
+  return Out;
+}
+
+EntryCall callWithTarget(std::uint32_t MaxTargets) {
+  EntryCall Out;
+  Out.Deadline_ = at(1000);
+  Out.TargetAt_ = at(200);
+  Out.MaxTargets_ = MaxTargets;
+  Out.Idempotent_ = true;
+  return Out;
+}
+
+} // namespace
+
+// The budget is for arrivals at targets; a refusal by a daemon is none.
+TEST_F(Entry, RetriesWithoutBudgetWhileNoTargetWasReached) {
+  Policy_.TakeRetry_ = [](const EntryCall &) { return false; };
+  auto First = sent(beginCall(Calls_, callWithTarget(2), Policy_, at(0)), 0);
+  EXPECT_FALSE(First.accept_late());
+  auto Second = sent(onAnswer(Calls_, "s1", refusal(First.id(), 11, false), "",
+                              Policy_, at(1)),
+                     1);
+  EXPECT_TRUE(Second.accept_late());
+  CallActions Actions = onAnswer(Calls_, Second.target() == "t1" ? "s1" : "s2",
+                                 refusal(Second.id(), Second.process(), true),
+                                 "", Policy_, at(2));
+  ASSERT_NE(find<Finish>(Actions), nullptr);
+  EXPECT_EQ(find<Finish>(Actions)->Run_, wire::RUN_NOT_RUN);
+}
+
+// A route's limit of targets binds hedges as well as retries.
+TEST_F(Entry, SendsNoHedgeBeyondTheRoutesLimitOfTargets) {
+  sent(beginCall(Calls_, callWithTarget(1), Policy_, at(0)), 0);
+  EXPECT_EQ(find<SendAttempt>(tickEntryCalls(Calls_, Policy_, at(60))),
+            nullptr);
+}
+
+// A target that refused a late attempt has nothing else to offer.
+TEST_F(Entry, AsksNoTargetTwiceToBeLate) {
+  Targets_ = {{"s1", "t1", 11}};
+  auto First = sent(beginCall(Calls_, callWithTarget(2), Policy_, at(0)), 0);
+  auto Second = sent(onAnswer(Calls_, "s1", refusal(First.id(), 11, false), "",
+                              Policy_, at(1)),
+                     1);
+  CallActions Actions = onAnswer(Calls_, "s1", refusal(Second.id(), 11, false),
+                                 "", Policy_, at(2));
+  EXPECT_EQ(find<SendAttempt>(Actions), nullptr);
+  EXPECT_NE(find<Finish>(Actions), nullptr);
+}
--- /dev/null
+++ b/test/platform/ConfigDocumentTest.cpp
@@ -0,0 +1,128 @@
+// Guards against a configuration document that is read wrongly, applied in
+// part, or stops the daemon.
+#include "ConfigDocument.h"
+#include "sycamore/ConfigReplica.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace sycamore;
+using namespace sycamore::platform;
+
+namespace {
+
+Json document(std::uint64_t Version = 7) {
+  return Json::parse(R"({"version":)" + std::to_string(Version) + R"(,
+    "services":[{"name":"view","healthPath":"/health","connectionLimit":130},
+                {"name":"desk","healthPath":"/health","connectionLimit":130}],
+    "limits":{"maxHeaderBytes":16384},
+    "virtualHosts":[
+      {"host":"a.example","paths":[
+        {"name":"r-1","prefix":"/x/","kind":"idempotent","timeoutMs":1200,
+         "targetLatencyMs":200,"priority":2,"maxAttempts":2,
+         "trafficSplit":[{"service":"view","weight":90},
+                         {"service":"desk","weight":10}]},
+        {"name":"r-2","prefix":"/x/y/","kind":"non_idempotent","timeoutMs":800,
+         "priority":1,"service":"desk","maxAttempts":2}]},
+      {"host":"b.example","paths":[
+        {"name":"r-3","prefix":"/x/","kind":"idempotent","timeoutMs":500,
+         "service":"desk"}]}]})");
+}
+
+Result<WholeState> read(const Json &Document) {
+  return readConfigDocument(Document.dump());
+}
+
+} // namespace
+
+TEST(ConfigDocument, ReadsRoutesWithTheirPolicy) {
+  auto Read = read(document());
+  ASSERT_TRUE(Read.has_value()) << describe(Read.error());
+  EXPECT_EQ(Read->Number_, 7U);
+  const Route &Split = Read->State_.Routes_.at("r-1");
+  EXPECT_EQ(Split.Host_, "a.example");
+  EXPECT_EQ(Split.Split_.size(), 2U);
+  EXPECT_EQ(Split.Timeout_, milliseconds(1200));
+  EXPECT_EQ(Split.LatencyTarget_, milliseconds(200));
+  EXPECT_EQ(Split.MaxAttempts_, 2U);
+  EXPECT_EQ(Split.Priority_, 2U);
+  EXPECT_EQ(Split.Idempotent_, true);
+  EXPECT_EQ(Read->State_.Routes_.at("r-2").Idempotent_, false);
+  EXPECT_TRUE(Read->State_.Services_.at("view").AdmitAnnounced_);
+}
+
+TEST(ConfigDocument, MatchesTheLongestPrefixOfTheHost) {
+  auto Made = snapshotOf(*read(document()), "text");
+  ASSERT_TRUE(Made.has_value());
+  auto Name = [&](const char *Host, const char *Path) {
+    std::string Out;
+    matchRoute(*Made, Host, "GET", Path, &Out);
+    return Out;
+  };
+  EXPECT_EQ(Name("a.example", "/x/z"), "r-1");
+  EXPECT_EQ(Name("a.example", "/x/y/z"), "r-2");
+  EXPECT_EQ(Name("a.example", "/x/yy/z"), "r-1");
+  EXPECT_EQ(Name("b.example", "/x/y/z"), "r-3");
+  EXPECT_EQ(Name("a.example", "/xx/"), "");
+  EXPECT_EQ(Name("c.example", "/x/z"), "");
+}
+
+TEST(ConfigDocument, SharesRequestsByWeight) {
+  auto Read = read(document());
+  int Desk = 0;
+  for (int I = 0; I < 1000; ++I)
+    Desk += chooseService(Read->State_.Routes_.at("r-1"), (I + 0.5) / 1000) ==
+                    "desk"
+                ? 1
+                : 0;
+  EXPECT_EQ(Desk, 100);
+}
+
+TEST(ConfigDocument, NamesEachProblemWithItsField) {
+  Json Bad = document();
+  Bad["virtualHosts"][0]["paths"][0]["kind"] = "sometimes";
+  Bad["virtualHosts"][0]["paths"][1].erase("service");
+  auto Read = read(Bad);
+  ASSERT_FALSE(Read.has_value());
+  EXPECT_NE(Read.error().Message_.find("virtualHosts[0].paths[0].kind"),
+            std::string::npos);
+  EXPECT_NE(Read.error().Message_.find("virtualHosts[0].paths[1].service"),
+            std::string::npos);
+}
+
+TEST(ConfigDocument, TakesFieldsThatItDoesNotKnow) {
+  Json More = document();
+  More["news"] = 1;
+  More["virtualHosts"][0]["paths"][0]["news"] = Json::array();
+  EXPECT_TRUE(read(More).has_value());
+}
+
+TEST(ConfigDocument, ARejectedDocumentLeavesTheReplicaAsItWas) {
+  ConfigReplicaConfig Config;
+  Config.ReadWhole_ = readConfigDocument;
+  ConfigReplica Replica = makeConfigReplica(Config);
+  EXPECT_EQ(offerWhole(Replica, document(7).dump()).Outcome_,
+            OfferOutcome::Applied);
+  Json Dangling = document(8);
+  Dangling["virtualHosts"][1]["paths"][0]["service"] = "nowhere";
+  EXPECT_EQ(offerWhole(Replica, Dangling.dump()).Outcome_,
+            OfferOutcome::Rejected);
+  EXPECT_EQ(Replica.Current_->Number_, 7U);
+  EXPECT_EQ(offerWhole(Replica, document(6).dump()).Outcome_,
+            OfferOutcome::AlreadyHave);
+  EXPECT_EQ(offerWhole(Replica, document(9).dump()).Outcome_,
+            OfferOutcome::Applied);
+  EXPECT_EQ(Replica.Current_->Number_, 9U);
+}
+
+RC_GTEST_PROP(ConfigDocument, DamagedBytesAreAnErrorOrADocument, ()) {
+  std::string Text = document().dump();
+  auto Cuts = *rc::gen::container<std::vector<std::size_t>>(
+      rc::gen::inRange<std::size_t>(0, Text.size()));
+  for (std::size_t At : Cuts)
+    Text[At % Text.size()] = *rc::gen::arbitrary<char>();
+  auto Read = readConfigDocument(
+      Text.substr(0, *rc::gen::inRange<std::size_t>(0, Text.size() + 1)));
+  if (!Read)
+    RC_ASSERT(!Read.error().Message_.empty());
+}
--- /dev/null
+++ b/test/platform/KvStoreTest.cpp
@@ -0,0 +1,186 @@
+// Guards against a store client that takes a lost answer for a refusal, misses
+// a change after the history was dropped, or reads only the first page.
+#include "KvStore.h"
+#include "EventLoop.h"
+#include "KvStandin.h"
+
+#include <gtest/gtest.h>
+
+using namespace sycamore;
+using namespace sycamore::test;
+
+namespace {
+
+struct KvStoreTest : testing::Test {
+  EventLoop Loop_;
+  std::unique_ptr<KvStandin> Standin_ =
+      std::make_unique<KvStandin>(Loop_.base());
+  std::shared_ptr<StoreCounters> Counters_ = std::make_shared<StoreCounters>();
+  std::unique_ptr<Store> Store_ = open(1000);
+
+  ~KvStoreTest() override {
+    Store_.reset();
+    Standin_.reset();
+    Loop_.runFor(milliseconds(5));
+  }
+
+  std::unique_ptr<Store> open(std::uint64_t CallsPerSecond) {
+    StoreSettings Settings;
+    Settings.Endpoints_ = {Standin_->address()};
+    Settings.CallsPerSecond_ = CallsPerSecond;
+    return platform::makeKvStore(Loop_.base(), Settings, Counters_);
+  }
+
+  template <typename T, typename Start> Result<T> wait(Start Begin) {
+    auto Answer = std::make_shared<std::optional<Result<T>>>();
+    Begin([Answer](Result<T> Value) { *Answer = std::move(Value); });
+    if (!Loop_.runUntil([&] { return Answer->has_value(); }))
+      return fail(ErrorKind::Internal, "no answer", "");
+    return **Answer;
+  }
+
+  Result<RangeResult> range(const std::string &Key,
+                            const std::string &End = "") {
+    RangeRequest Request;
+    Request.Key_ = Key;
+    Request.RangeEnd_ = End;
+    return wait<RangeResult>([&](StoreCallback<RangeResult> Done) {
+      Store_->range(Request, Deadline_, std::move(Done));
+    });
+  }
+
+  Result<TxnResult> put(const std::string &Key, std::int64_t Revision,
+                        std::int64_t Lease = 0) {
+    Txn Request;
+    Request.Compares_ = {{Key, Revision}};
+    Request.Puts_ = {{Key, "value", Lease}};
+    return wait<TxnResult>([&](StoreCallback<TxnResult> Done) {
+      Store_->txn(Request, Deadline_, std::move(Done));
+    });
+  }
+
+  Duration Deadline_ = milliseconds(300);
+};
+
+} // namespace
+
+TEST_F(KvStoreTest, ReadsEveryPageOfARange) {
+  Standin_->Faults_.PageItems_ = 2;
+  for (const char *Key : {"a/1", "a/2", "a/3", "a/4", "a/5", "b/1"})
+    Standin_->put(Key, std::string("\0bytes", 6));
+  auto Read = range("a/", "a0");
+  ASSERT_TRUE(Read.has_value()) << describe(Read.error());
+  ASSERT_EQ(Read->Values_.size(), 5U);
+  EXPECT_EQ(Read->Values_[4].Key_, "a/5");
+  EXPECT_EQ(Read->Values_[4].Value_, std::string("\0bytes", 6));
+}
+
+TEST_F(KvStoreTest, AnAbsentKeyIsAnEmptyRange) {
+  auto Read = range("none");
+  ASSERT_TRUE(Read.has_value());
+  EXPECT_TRUE(Read->Values_.empty());
+}
+
+TEST_F(KvStoreTest, OneOfTwoWritersWins) {
+  auto First = put("key", 0);
+  auto Second = put("key", 0);
+  ASSERT_TRUE(First.has_value() && Second.has_value());
+  EXPECT_TRUE(First->Succeeded_);
+  EXPECT_FALSE(Second->Succeeded_);
+  EXPECT_TRUE(put("key", First->Revision_)->Succeeded_);
+}
+
+TEST_F(KvStoreTest, ALostAnswerToAWriteIsUnknown) {
+  Standin_->Faults_.LoseWrites_ = true;
+  auto Written = put("key", 0);
+  ASSERT_FALSE(Written.has_value());
+  EXPECT_EQ(Written.error().Kind_, ErrorKind::OutcomeUnknown);
+  EXPECT_TRUE(Standin_->Items_.contains("key"));
+}
+
+TEST_F(KvStoreTest, ARefusedWriteDidNotTakeEffect) {
+  Standin_->Faults_.Unavailable_ = true;
+  auto Written = put("key", 0);
+  ASSERT_FALSE(Written.has_value());
+  EXPECT_EQ(Written.error().Kind_, ErrorKind::Unavailable);
+  EXPECT_FALSE(Standin_->Items_.contains("key"));
+}
+
+TEST_F(KvStoreTest, ASilentStoreEndsWithTheDeadline) {
+  Standin_->Faults_.Silent_ = true;
+  auto Read = range("key");
+  ASSERT_FALSE(Read.has_value());
+  EXPECT_EQ(Read.error().Kind_, ErrorKind::Unavailable);
+  auto Written = put("key", 0);
+  ASSERT_FALSE(Written.has_value());
+  EXPECT_EQ(Written.error().Kind_, ErrorKind::OutcomeUnknown);
+}
+
+TEST_F(KvStoreTest, AWriteUnderAnEndedLeaseIsRefused) {
+  auto Granted = wait<Lease>([&](StoreCallback<Lease> Done) {
+    Store_->grantLease(seconds(10), Deadline_, std::move(Done));
+  });
+  ASSERT_TRUE(Granted.has_value());
+  EXPECT_TRUE(put("key", 0, Granted->Id_)->Succeeded_);
+  Standin_->endLease(Granted->Id_);
+  EXPECT_FALSE(Standin_->Items_.contains("key"));
+  auto Written = put("other", 0, Granted->Id_);
+  ASSERT_FALSE(Written.has_value());
+  EXPECT_EQ(Written.error().Kind_, ErrorKind::NotFound);
+  auto Kept = wait<Lease>([&](StoreCallback<Lease> Done) {
+    Store_->keepLeaseAlive(Granted->Id_, Deadline_, std::move(Done));
+  });
+  EXPECT_EQ(Kept->Ttl_, seconds(0));
+}
+
+TEST_F(KvStoreTest, AWatchReportsEachValueAfterTheFirst) {
+  Standin_->put("op/doc", "1");
+  std::vector<std::string> Seen;
+  auto Watch = Store_->watch(
+      "op/doc", 0, [&](const KeyValue &Entry) { Seen.push_back(Entry.Value_); },
+      [](const Error &Failure) { ADD_FAILURE() << describe(Failure); });
+  EXPECT_TRUE(Loop_.runUntil([&] { return Seen.size() == 1; }));
+  Standin_->put("op/doc", "2");
+  Standin_->put("op/doc2", "of another key");
+  EXPECT_TRUE(Loop_.runUntil([&] { return Seen.size() == 2; }));
+  Standin_->put("op/doc", "3");
+  EXPECT_TRUE(Loop_.runUntil([&] { return Seen.size() == 3; }));
+  EXPECT_EQ(Seen, (std::vector<std::string>{"1", "2", "3"}));
+}
+
+TEST_F(KvStoreTest, AWatchReadsTheKeyAgainWhenItsHistoryIsDropped) {
+  std::vector<std::string> Seen;
+  auto Watch = Store_->watch(
+      "key", 0, [&](const KeyValue &Entry) { Seen.push_back(Entry.Value_); },
+      [](const Error &Failure) { ADD_FAILURE() << describe(Failure); });
+  Loop_.runFor(milliseconds(50));
+  Standin_->Faults_.CutWatches_ = false;
+  Standin_->Items_["key"] = {"missed", 11, 11, 0};
+  Standin_->compact();
+  Standin_->put("unrelated", "x");
+  Standin_->compact();
+  EXPECT_TRUE(Loop_.runUntil([&] { return !Seen.empty(); }));
+  EXPECT_EQ(Seen.front(), "missed");
+  // The absent key must not be polled in a tight loop either.
+  EXPECT_LT(Standin_->Calls_["GET /v1/kv-watch"], 20U);
+}
+
+TEST_F(KvStoreTest, ACutWatchFailsOnce) {
+  Standin_->Faults_.CutWatches_ = true;
+  Standin_->put("key", "1");
+  int Failures = 0;
+  auto Watch = Store_->watch(
+      "key", 0, [](const KeyValue &) {}, [&](const Error &) { ++Failures; });
+  EXPECT_TRUE(Loop_.runUntil([&] { return Failures > 0; }));
+  Loop_.runFor(milliseconds(50));
+  EXPECT_EQ(Failures, 1);
+}
+
+TEST_F(KvStoreTest, CallsOverTheBudgetAreNotSent) {
+  Store_ = open(2);
+  int Refused = 0;
+  for (int I = 0; I < 10; ++I)
+    Refused += range("key").has_value() ? 0 : 1;
+  EXPECT_GE(Refused, 7);
+  EXPECT_LE(Standin_->Calls_["GET /v1/kv-key"], 3U);
+}
--- /dev/null
+++ b/test/support/KvStandin.cpp
@@ -0,0 +1,287 @@
+// Stand-in for the platform's key-value store.
+#include "KvStandin.h"
+
+#include "Base64.h"
+#include "sycamore/Clock.h"
+
+#include <cstdlib>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+
+namespace sycamore::test {
+namespace {
+
+constexpr timeval TickInterval{0, 20'000};
+
+std::map<std::string, std::string> queryOf(const std::string &Path) {
+  std::map<std::string, std::string> Out;
+  std::size_t Mark = Path.find('?');
+  if (Mark == std::string::npos)
+    return Out;
+  evkeyvalq Fields;
+  evhttp_parse_query_str(Path.c_str() + Mark + 1, &Fields);
+  for (evkeyval *Each = Fields.tqh_first; Each; Each = Each->next.tqe_next)
+    Out[Each->key] = Each->value;
+  evhttp_clear_headers(&Fields);
+  return Out;
+}
+
+std::int64_t numberOf(const std::map<std::string, std::string> &Query,
+                      const std::string &Name) {
+  auto Found = Query.find(Name);
+  return Found == Query.end()
+             ? 0
+             : std::strtoll(Found->second.c_str(), nullptr, 10);
+}
+
+Json itemJson(const std::string &Key, const KvItem &Item) {
+  return {{"key", Key},
+          {"value", encodeBase64(Item.Value_)},
+          {"revision", Item.Revision_},
+          {"createdAt", Item.CreatedAt_},
+          {"lease", Item.Lease_}};
+}
+
+void reply(HttpExchange &Exchange, int Status, const Json &Body) {
+  Exchange.reply(Status, {{"Content-Type", "application/json"}}, Body.dump());
+}
+
+} // namespace
+
+KvStandin::KvStandin(event_base *Base)
+    : Server_(HttpServer::create(Base).value()),
+      Tick_(event_new(Base, -1, EV_PERSIST, onTick, this)) {
+  Server_->setHandler(
+      [this](const HttpExchangePointer &Exchange) { handle(Exchange); });
+  Address_ = Server_->listen("127.0.0.1:0").value();
+  event_add(Tick_, &TickInterval);
+}
+
+KvStandin::~KvStandin() {
+  event_free(Tick_);
+  Watchers_.clear();
+  Held_.clear();
+}
+
+void KvStandin::onTick(int, short, void *Self) {
+  static_cast<KvStandin *>(Self)->tick();
+}
+
+void KvStandin::tick() {
+  TimePoint Now = monotonicNow();
+  std::vector<std::int64_t> Ended;
+  for (const auto &[Id, Each] : Leases_)
+    if (Each.EndsAt_ <= Now)
+      Ended.push_back(Id);
+  for (std::int64_t Id : Ended)
+    endLease(Id);
+  serveWatches();
+}
+
+void KvStandin::put(const std::string &Key, const std::string &Value) {
+  ++Revision_;
+  write(Key, Value, 0);
+  serveWatches();
+}
+
+void KvStandin::write(const std::string &Key, const std::string &Value,
+                      std::int64_t Lease) {
+  KvItem &Item = Items_[Key];
+  Item.Value_ = Value;
+  Item.Revision_ = Revision_;
+  if (Item.CreatedAt_ == 0)
+    Item.CreatedAt_ = Revision_;
+  Item.Lease_ = Lease;
+  History_.push_back({Key, Item, false});
+}
+
+void KvStandin::erase(const std::string &Key) {
+  if (Items_.erase(Key) == 0)
+    return;
+  KvItem Gone;
+  Gone.Revision_ = ++Revision_;
+  History_.push_back({Key, Gone, true});
+  serveWatches();
+}
+
+void KvStandin::compact() {
+  CompactedTo_ = Revision_;
+  History_.clear();
+  serveWatches();
+}
+
+void KvStandin::endLease(std::int64_t Lease) {
+  Leases_.erase(Lease);
+  std::vector<std::string> Keys;
+  for (const auto &[Key, Item] : Items_)
+    if (Item.Lease_ == Lease)
+      Keys.push_back(Key);
+  for (const std::string &Key : Keys)
+    erase(Key);
+}
+
+void KvStandin::handle(const HttpExchangePointer &Exchange) {
+  const HttpRequest &Request = Exchange->request();
+  ++Calls_[Request.Method_ + " " +
+           Request.Path_.substr(0, Request.Path_.find('?'))];
+  if (Faults_.Silent_)
+    Held_.push_back(Exchange);
+  else if (Faults_.Unavailable_)
+    Exchange->reply(503, {}, "");
+  else
+    dispatch(Exchange);
+}
+
+void KvStandin::dispatch(const HttpExchangePointer &Exchange) {
+  const HttpRequest &Request = Exchange->request();
+  std::string Path = Request.Path_.substr(0, Request.Path_.find('?'));
+  constexpr std::string_view Keep = "/v1/kv-keep/";
+  constexpr std::string_view End = "/v1/kv-lease-end/";
+  if (Path == "/v1/kv-key") {
+    readKey(*Exchange);
+  } else if (Path == "/v1/kv-range") {
+    readRange(*Exchange);
+  } else if (Path == "/v1/kv-watch") {
+    startWatch(Exchange);
+  } else if (Path == "/v1/kv-txn") {
+    runTxn(*Exchange);
+  } else if (Path == "/v1/kv-lease") {
+    grant(*Exchange);
+  } else if (Path.starts_with(Keep)) {
+    keep(*Exchange, std::strtoll(Path.c_str() + Keep.size(), nullptr, 10));
+  } else if (Path.starts_with(End)) {
+    std::int64_t Lease = std::strtoll(Path.c_str() + End.size(), nullptr, 10);
+    bool Known = Leases_.contains(Lease);
+    endLease(Lease);
+    Exchange->reply(Known ? 200 : 404, {}, "");
+  } else {
+    Exchange->reply(404, {}, "");
+  }
+}
+
+void KvStandin::readKey(HttpExchange &Exchange) {
+  auto Query = queryOf(Exchange.request().Path_);
+  auto Found = Items_.find(Query["key"]);
+  if (Found == Items_.end()) {
+    reply(Exchange, 404, {{"at", Revision_}});
+    return;
+  }
+  Json Body = itemJson(Found->first, Found->second);
+  Body["at"] = Revision_;
+  reply(Exchange, 200, Body);
+}
+
+void KvStandin::readRange(HttpExchange &Exchange) {
+  auto Query = queryOf(Exchange.request().Path_);
+  Json Items = Json::array();
+  bool More = false;
+  for (const auto &[Key, Item] : Items_) {
+    if (!Key.starts_with(Query["prefix"]) ||
+        (Query.contains("after") && Key <= Query["after"]))
+      continue;
+    if (Items.size() == Faults_.PageItems_) {
+      More = true;
+      break;
+    }
+    Items.push_back(itemJson(Key, Item));
+  }
+  reply(Exchange, 200,
+        {{"items", Items}, {"hasMore", More}, {"at", Revision_}});
+}
+
+void KvStandin::startWatch(const HttpExchangePointer &Exchange) {
+  auto Query = queryOf(Exchange->request().Path_);
+  if (Faults_.CutWatches_) {
+    Exchange->abort();
+    return;
+  }
+  Watchers_.push_back(
+      {Exchange, Query["prefix"], numberOf(Query, "after"),
+       monotonicNow() + milliseconds(numberOf(Query, "waitMs"))});
+  serveWatches();
+}
+
+bool KvStandin::answerWatch(Watcher &Waiting, bool Expired) {
+  if (Waiting.After_ < CompactedTo_) {
+    reply(*Waiting.Exchange_, 410, Json::object());
+    return true;
+  }
+  Json Events = Json::array();
+  for (const KvChange &Change : History_) {
+    if (Change.Item_.Revision_ <= Waiting.After_ ||
+        !Change.Key_.starts_with(Waiting.Prefix_))
+      continue;
+    if (Change.Deleted_)
+      Events.push_back({{"key", Change.Key_},
+                        {"revision", Change.Item_.Revision_},
+                        {"deleted", true}});
+    else
+      Events.push_back(itemJson(Change.Key_, Change.Item_));
+  }
+  if (Events.empty() && !Expired)
+    return false;
+  reply(*Waiting.Exchange_, 200, {{"events", Events}, {"at", Revision_}});
+  return true;
+}
+
+void KvStandin::serveWatches() {
+  TimePoint Now = monotonicNow();
+  std::deque<Watcher> Waiting;
+  std::swap(Waiting, Watchers_);
+  for (Watcher &Each : Waiting)
+    if (Each.Exchange_->isOpen() && !answerWatch(Each, Now >= Each.Until_))
+      Watchers_.push_back(std::move(Each));
+}
+
+void KvStandin::runTxn(HttpExchange &Exchange) {
+  Json Body = Json::parse(Exchange.request().Body_);
+  Json Failed = Json::array();
+  for (const Json &Row : Body["expected"]) {
+    auto Found = Items_.find(Row["key"]);
+    std::int64_t Present = Found == Items_.end() ? 0 : Found->second.Revision_;
+    if (Present != Row["revision"].get<std::int64_t>())
+      Failed.push_back(Row);
+  }
+  if (!Failed.empty()) {
+    reply(Exchange, 412, {{"items", Json::array()}});
+    return;
+  }
+  for (const Json &Row : Body["writes"])
+    if (Row.value("lease", std::int64_t{0}) != 0 &&
+        !Leases_.contains(Row["lease"])) {
+      reply(Exchange, 404, Json::object());
+      return;
+    }
+  ++Revision_;
+  for (const Json &Row : Body["writes"])
+    write(Row["key"], decodeBase64(Row["value"].get<std::string>()).value(),
+          Row.value("lease", std::int64_t{0}));
+  for (const Json &Key : Body["deletes"])
+    erase(Key);
+  if (Faults_.LoseWrites_)
+    Exchange.abort();
+  else
+    reply(Exchange, 200, {{"revision", Revision_}});
+  serveWatches();
+}
+
+void KvStandin::grant(HttpExchange &Exchange) {
+  Json Body = Json::parse(Exchange.request().Body_);
+  milliseconds Ttl(Body["ttlMs"].get<std::int64_t>());
+  std::int64_t Id = NextLease_++;
+  Leases_[Id] = {Ttl, monotonicNow() + Ttl};
+  reply(Exchange, 200, {{"lease", Id}, {"ttlMs", Ttl.count()}});
+}
+
+void KvStandin::keep(HttpExchange &Exchange, std::int64_t Lease) {
+  auto Found = Leases_.find(Lease);
+  if (Found == Leases_.end()) {
+    reply(Exchange, 404, Json::object());
+    return;
+  }
+  Found->second.EndsAt_ = monotonicNow() + Found->second.Ttl_;
+  reply(Exchange, 200, {{"ttlMs", Found->second.Ttl_.count()}});
+}
+
+} // namespace sycamore::test
--- /dev/null
+++ b/test/support/KvStandin.h
@@ -0,0 +1,100 @@
+// Stand-in for the platform's key-value store, after its published protocol,
+// with switches for the faults that its page names.
+#pragma once
+
+#include "sycamore/HttpServer.h"
+#include "sycamore/Json.h"
+#include "sycamore/Time.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+struct event;
+
+namespace sycamore::test {
+
+struct KvItem {
+  std::string Value_; ///< Decoded.
+  std::int64_t Revision_ = 0;
+  std::int64_t CreatedAt_ = 0;
+  std::int64_t Lease_ = 0;
+};
+
+struct KvChange {
+  std::string Key_;
+  KvItem Item_;
+  bool Deleted_ = false;
+};
+
+struct KvLease {
+  milliseconds Ttl_{0};
+  TimePoint EndsAt_;
+};
+
+struct KvFaults {
+  bool Unavailable_ = false; ///< 503 to everything.
+  bool Silent_ = false;      ///< Takes calls and never answers.
+  bool LoseWrites_ = false;  ///< Does writes and closes without an answer.
+  bool CutWatches_ = false;  ///< Closes watches at once.
+  std::size_t PageItems_ = 500;
+};
+
+class KvStandin {
+public:
+  explicit KvStandin(event_base *Base);
+  KvStandin(const KvStandin &) = delete;
+  KvStandin &operator=(const KvStandin &) = delete;
+  ~KvStandin();
+
+  const std::string &address() const { return Address_; }
+
+  /// What the operator or another daemon writes.
+  void put(const std::string &Key, const std::string &Value);
+  void erase(const std::string &Key);
+  /// Drops the history: watches from before get 410.
+  void compact();
+  void endLease(std::int64_t Lease);
+
+  KvFaults Faults_;
+  std::map<std::string, KvItem> Items_;
+  std::map<std::string, std::uint64_t> Calls_; ///< By method and path.
+
+private:
+  struct Watcher {
+    HttpExchangePointer Exchange_;
+    std::string Prefix_;
+    std::int64_t After_ = 0;
+    TimePoint Until_;
+  };
+
+  void handle(const HttpExchangePointer &Exchange);
+  void dispatch(const HttpExchangePointer &Exchange);
+  void readKey(HttpExchange &Exchange);
+  void readRange(HttpExchange &Exchange);
+  void startWatch(const HttpExchangePointer &Exchange);
+  void runTxn(HttpExchange &Exchange);
+  void grant(HttpExchange &Exchange);
+  void keep(HttpExchange &Exchange, std::int64_t Lease);
+  void write(const std::string &Key, const std::string &Value,
+             std::int64_t Lease);
+  bool answerWatch(Watcher &Waiting, bool Expired);
+  void serveWatches();
+  void tick();
+  static void onTick(int, short, void *Self);
+
+  std::unique_ptr<HttpServer> Server_;
+  std::string Address_;
+  event *Tick_;
+  std::int64_t Revision_ = 10;
+  std::int64_t NextLease_ = 100;
+  std::int64_t CompactedTo_ = 0;
+  std::vector<KvChange> History_;
+  std::map<std::int64_t, KvLease> Leases_;
+  std::deque<Watcher> Watchers_;
+  std::vector<HttpExchangePointer> Held_; ///< Never answered.
+};
+
+} // namespace sycamore::test
