--- a/include/sycamore/Bootstrap.h
+++ b/include/sycamore/Bootstrap.h
@@ -95,6 +95,8 @@
   TimePoint NextHead_;
   TimePoint NextSeeds_;
   std::vector<std::string> WrittenSeeds_; ///< Names, as last read or written.
+  /// The last read found no seeds for the own data centre.
+  bool SeedsMissing_ = false;
   BootstrapCounters Counters_;
 };
 
--- a/include/sycamore/Daemon.h
+++ b/include/sycamore/Daemon.h
@@ -16,6 +16,8 @@
   std::string Caller_;
   std::string Admin_;
   std::string Peer_;
+  std::string Ready_;    ///< Empty when not set.
+  std::string Announce_; ///< Empty when not set.
 };
 
 class Integration;
--- a/src/AdminApi.cpp
+++ b/src/AdminApi.cpp
@@ -91,7 +91,7 @@
   }
   replyError(*Exchange, 404,
              {ErrorKind::NotFound, "nothing is at " + Request.Path_,
-              "see docs/operations.md for the admin interface"});
+              "see docs/OPERATIONS.md for the admin interface"});
 }
 
 void AdminApi::showFleet(HttpExchange &Exchange, std::string_view /*Name*/,
--- a/src/ControlPlane.cpp
+++ b/src/ControlPlane.cpp
@@ -376,16 +376,20 @@
 void ControlPlane::takeSeeds(const RangeResult &Seeds, Now Time) {
   std::string OwnKey = seedsKey(Settings_.DataCentre_);
   SeedsRevision_ = 0;
+  std::vector<wire::ServerRecord> OwnSeeds;
   for (const KeyValue &Entry : Seeds.Values_) {
-    if (Entry.Key_ == OwnKey)
-      SeedsRevision_ = Entry.ModRevision_;
     std::vector<wire::ServerRecord> Listed = parseSeeds(Entry);
     if (SeedFilter_)
       std::erase_if(Listed, [this](const wire::ServerRecord &Seed) {
         return !SeedFilter_(Seed);
       });
     learnSeeds(Members_, Listed, Time);
+    if (Entry.Key_ != OwnKey)
+      continue;
+    SeedsRevision_ = Entry.ModRevision_;
+    OwnSeeds = std::move(Listed);
   }
+  noteSeeds(Boot_, OwnSeeds);
 }
 
 void ControlPlane::writeSeeds(std::span<const wire::ServerRecord> Seeds) {
--- a/src/Daemon.cpp
+++ b/src/Daemon.cpp
@@ -186,14 +186,13 @@
 }
 
 Result<void> DaemonImpl::startNoticeListeners() {
-  std::string Bound;
   if (!Settings_.ReadyListen_.empty()) {
     auto Ready = serveHttp(
         Settings_.ReadyListen_, std::nullopt,
         [this](const HttpExchangePointer &Exchange) {
           Exchange->reply(isReady() ? 200 : 503, {}, "");
         },
-        Bound);
+        Addresses_.Ready_);
     if (!Ready)
       return tl::unexpected<Error>(Ready.error());
     ReadyServer_ = std::move(*Ready);
@@ -207,7 +206,7 @@
       [this](const HttpExchangePointer &Exchange) {
         takeNotice(*Exchange, readClocks());
       },
-      Bound);
+      Addresses_.Announce_);
   if (!Notices)
     return tl::unexpected<Error>(Notices.error());
   AnnounceServer_ = std::move(*Notices);
--- a/src/ReaderSchedule.cpp
+++ b/src/ReaderSchedule.cpp
@@ -2,6 +2,7 @@
 #include "sycamore/Bootstrap.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace sycamore {
 namespace {
@@ -37,6 +38,7 @@
 
 void noteSeeds(Bootstrap &Boot, std::span<const wire::ServerRecord> Seeds) {
   Boot.WrittenSeeds_.clear();
+  Boot.SeedsMissing_ = Seeds.empty();
   for (const wire::ServerRecord &Seed : Seeds)
     Boot.WrittenSeeds_.push_back(Seed.name());
   std::sort(Boot.WrittenSeeds_.begin(), Boot.WrittenSeeds_.end());
@@ -45,6 +47,13 @@
 ReaderStep tickReader(Bootstrap &Boot, const Membership &Members, Now Time,
                       Random &Rng) {
   ReaderStep Step;
+  // The first daemon of a herd writes itself at once, so that those who read
+  // after it find it and do not all write.
+  if (Boot.FloorAt_ && std::exchange(Boot.SeedsMissing_, false)) {
+    std::vector<std::string> Own = {Members.Config_.Name_};
+    Step.WriteSeeds_ = recordsOf(Members, Own);
+    Boot.WrittenSeeds_ = std::move(Own);
+  }
   // A daemon that has just started knows few servers and may wrongly rank
   // itself first; it waits until its table has filled.
   if (!Boot.FloorAt_ || !isReader(Members) ||
--- /dev/null
+++ b/test/platform/PlatformPathTest.cpp
@@ -0,0 +1,319 @@
+// Guards against a break on the way of a request where daemons run on the
+// platform's store and its servers announce themselves: a request that reaches
+// the wrong server, an answer that is not its own, work after an acknowledged
+// leaving.
+#include "EventLoop.h"
+#include "KvPlatform.h"
+#include "KvStandin.h"
+#include "sycamore/Daemon.h"
+#include "sycamore/Log.h"
+
+#include <gtest/gtest.h>
+
+using namespace sycamore;
+using namespace sycamore::test;
+
+namespace {
+
+/// What an application server does with the requests that reach it.
+struct FakeServer {
+  explicit FakeServer(event_base *Base)
+      : Server_(HttpServer::create(Base).value()) {
+    Server_->setHandler([this](const HttpExchangePointer &Exchange) {
+      Requests_.push_back(Exchange->request());
+      const std::string *Id = findHeader(Exchange->request().Headers_, "x-id");
+      HttpHeaders Headers;
+      if (!NoSeal_)
+        Headers.push_back({"x-seal", "sealed"});
+      if (Id)
+        Headers.push_back({"x-id", WrongId_ ? "other" : *Id});
+      if (Sheds_)
+        Headers.push_back({"x-not-run", "1"});
+      Exchange->reply(Sheds_ ? 503 : 200, Headers, "from " + Name_);
+    });
+    Address_ = Server_->listen("127.0.0.1:0").value();
+  }
+
+  std::unique_ptr<HttpServer> Server_;
+  std::string Name_;
+  std::string Address_;
+  std::vector<HttpRequest> Requests_;
+  bool NoSeal_ = false;
+  bool WrongId_ = false;
+  bool Sheds_ = false;
+};
+
+class PlatformPath : public testing::Test {
+protected:
+  PlatformPath() {
+    configureLog(LogLevel::Error, "", "test");
+    for (const char *Service : {"view", "view", "desk"})
+      addServer(Service);
+  }
+
+  ~PlatformPath() override {
+    Daemons_.clear();
+    Servers_.clear();
+    Client_.reset();
+    Store_.reset();
+    Loop_.runFor(milliseconds(5));
+  }
+
+  void addServer(const std::string &Service) {
+    auto &Server =
+        Servers_.emplace_back(std::make_unique<FakeServer>(Loop_.base()));
+    Server->Name_ = "i-" + std::to_string(Servers_.size());
+    Json Document = {
+        {"server", "m-" + std::to_string(Servers_.size())},
+        {"data_centre", "z"},
+        {"caller_listen", "127.0.0.1:0"},
+        {"admin_listen", "127.0.0.1:0"},
+        {"peer_listen", "127.0.0.1:0"},
+        {"ready_listen", "127.0.0.1:0"},
+        {"integration", "kv-platform"},
+        {"target",
+         {{"service", Service},
+          {"address", Server->Address_},
+          {"announce_listen", "127.0.0.1:0"}}},
+        {"headers",
+         {{"run", ""},
+          {"deadline", "x-deadline"},
+          {"traceparent", ""},
+          {"request_id", "x-id"},
+          {"seal", "x-seal"},
+          {"not_run", "x-not-run"},
+          {"expected_target", "x-expected"},
+          {"caller_service", "x-caller"}}},
+        {"fractional_retry_after", true},
+        {"keys", {{"buckets", 0}}},
+        {"timing", {{"start_jitter_ms", 50}, {"announce_interval_ms", 20000}}},
+        {"store", {{"endpoints", {Store_->address()}}}}};
+    Settings Config = parseSettings(Document, "test").value();
+    Daemons_.push_back(
+        Daemon::create(Loop_.base(), Config, &platform::kvPlatform()).value());
+  }
+
+  HttpAnswer send(const std::string &Address, HttpClientRequest Request) {
+    std::optional<HttpAnswer> Answer;
+    Client_->send(Address, std::move(Request),
+                  [&](HttpAnswer Value) { Answer = std::move(Value); });
+    Loop_.runUntil([&] { return Answer.has_value(); });
+    return Answer.value_or(HttpAnswer{});
+  }
+
+  HttpAnswer call(std::size_t Entry, const std::string &Method,
+                  const std::string &Path, const std::string &Id = "id-1") {
+    HttpClientRequest Request;
+    Request.Method_ = Method;
+    Request.Path_ = Path;
+    Request.Headers_ = {{"Host", "a.example"},
+                        {"x-id", Id},
+                        {"x-deadline", "2000"},
+                        {"x-caller", "forged"}};
+    Request.Body_ = Method == "POST" ? "body" : "";
+    return send(Daemons_[Entry]->addresses().Caller_, std::move(Request));
+  }
+
+  int announce(std::size_t Which, const std::string &State = "ready",
+               std::uint64_t Sequence = 1, std::int64_t Born = 1000) {
+    HttpClientRequest Request;
+    Request.Method_ = "POST";
+    Request.Path_ = "/v1/instances/" + Servers_[Which]->Name_ + "/heartbeat";
+    Json Body = {
+        {"address", Servers_[Which]->Address_},
+        {"born", Born},
+        {"information",
+         {{"service", Which == 2 ? "desk" : "view"},
+          {"version", "v1"},
+          {"zone", "z"},
+          {"slots", 4}}},
+        {"status",
+         {{"state", State}, {"sequence", Sequence}, {"coldRemainingMs", 0}}}};
+    Request.Body_ = Body.dump();
+    return send(Daemons_[Which]->addresses().Announce_, std::move(Request))
+        .Status_;
+  }
+
+  void configure(std::uint64_t Version, const std::string &Service = "view") {
+    Json Route = {{"name", "r-1"},          {"prefix", "/x/"},
+                  {"kind", "idempotent"},   {"timeoutMs", 1500},
+                  {"targetLatencyMs", 500}, {"priority", 1},
+                  {"maxAttempts", 2},       {"service", Service}};
+    Json Once = Route;
+    Once["name"] = "r-2";
+    Once["prefix"] = "/once/";
+    Once["kind"] = "non_idempotent";
+    Json Document = {
+        {"version", Version},
+        {"services", {{{"name", "view"}}, {{"name", "desk"}}}},
+        {"limits", Json::object()},
+        {"virtualHosts", {{{"host", "a.example"}, {"paths", {Route, Once}}}}}};
+    Store_->put("op/config", Document.dump());
+  }
+
+  bool isReady(std::size_t Which) {
+    return send(Daemons_[Which]->addresses().Ready_, {}).Status_ == 200;
+  }
+
+  /// Configures and announces everything, and waits until each daemon reaches
+  /// both targets of "view".
+  void startAll() {
+    configure(5);
+    for (std::size_t I = 0; I < 3; ++I)
+      ASSERT_EQ(announce(I), 200);
+    for (std::size_t Entry = 0; Entry < 3; ++Entry)
+      ASSERT_TRUE(eventually([&] {
+        std::size_t First = Servers_[0]->Requests_.size();
+        std::size_t Second = Servers_[1]->Requests_.size();
+        for (int I = 0; I < 6; ++I)
+          call(Entry, "GET", "/x/y");
+        return Servers_[0]->Requests_.size() > First &&
+               Servers_[1]->Requests_.size() > Second;
+      }));
+  }
+
+  template <typename Condition> bool eventually(Condition Holds) {
+    TimePoint End = monotonicNow() + WaitLimit;
+    while (!Holds()) {
+      if (monotonicNow() >= End)
+        return false;
+      Loop_.runFor(milliseconds(20));
+    }
+    return true;
+  }
+
+  EventLoop Loop_;
+  std::unique_ptr<KvStandin> Store_ = std::make_unique<KvStandin>(Loop_.base());
+  std::unique_ptr<HttpClient> Client_ =
+      HttpClient::create(Loop_.base()).value();
+  std::vector<std::unique_ptr<FakeServer>> Servers_;
+  std::vector<std::unique_ptr<Daemon>> Daemons_;
+};
+
+} // namespace
+
+// A daemon without a configuration cannot tell an unknown route from one that
+// does not exist.
+TEST_F(PlatformPath, IsReadyOnlyWithAConfiguration) {
+  Loop_.runFor(milliseconds(300));
+  EXPECT_FALSE(isReady(0));
+  EXPECT_EQ(call(0, "GET", "/x/y").Status_, 503);
+  configure(5);
+  EXPECT_TRUE(eventually([&] { return isReady(0) && isReady(2); }));
+  EXPECT_EQ(call(0, "GET", "/other/").Status_, 404);
+}
+
+TEST_F(PlatformPath, CarriesARequestToAServerOfTheRoutesService) {
+  startAll();
+  HttpAnswer Answer = call(2, "GET", "/x/y?q=1", "id-7");
+  EXPECT_EQ(Answer.Status_, 200);
+  ASSERT_NE(findHeader(Answer.Headers_, "x-seal"), nullptr);
+  EXPECT_EQ(*findHeader(Answer.Headers_, "x-id"), "id-7");
+  EXPECT_TRUE(Servers_[2]->Requests_.empty());
+  const FakeServer *Ran = nullptr;
+  for (std::size_t I = 0; I < 2; ++I)
+    if (!Servers_[I]->Requests_.empty() &&
+        *findHeader(Servers_[I]->Requests_.back().Headers_, "x-id") == "id-7")
+      Ran = Servers_[I].get();
+  ASSERT_NE(Ran, nullptr);
+  const HttpRequest &Seen = Ran->Requests_.back();
+  EXPECT_EQ(Seen.Path_, "/x/y?q=1");
+  EXPECT_EQ(*findHeader(Seen.Headers_, "x-expected"), Ran->Name_);
+  EXPECT_EQ(*findHeader(Seen.Headers_, "x-caller"), "desk");
+  int Deadline = std::stoi(*findHeader(Seen.Headers_, "x-deadline"));
+  EXPECT_GT(Deadline, 0);
+  EXPECT_LE(Deadline, 1500);
+}
+
+// A success without the server's seal, or with another request's id, is not the
+// answer to this request.
+TEST_F(PlatformPath, PassesOnNoAnswerThatIsNotItsOwn) {
+  startAll();
+  for (auto &Server : Servers_)
+    Server->WrongId_ = true;
+  EXPECT_EQ(call(2, "POST", "/once/y").Status_, 502);
+  for (auto &Server : Servers_) {
+    Server->WrongId_ = false;
+    Server->NoSeal_ = true;
+  }
+  EXPECT_EQ(call(2, "POST", "/once/y").Status_, 502);
+}
+
+TEST_F(PlatformPath, SendsNothingAfterItHasAcknowledgedALeaving) {
+  startAll();
+  ASSERT_EQ(announce(0, "draining", 2), 200);
+  std::size_t Before = Servers_[0]->Requests_.size();
+  for (int I = 0; I < 20; ++I)
+    EXPECT_EQ(call(I % 3, "GET", "/x/y").Status_, 200);
+  EXPECT_EQ(Servers_[0]->Requests_.size(), Before);
+  // An announcement that was overtaken does not bring the server back.
+  ASSERT_EQ(announce(0, "ready", 1), 200);
+  ASSERT_EQ(announce(0, "ready", 3), 200);
+  for (int I = 0; I < 20; ++I)
+    call(I % 3, "GET", "/x/y");
+  EXPECT_EQ(Servers_[0]->Requests_.size(), Before);
+  // A new process under the same id does.
+  ASSERT_EQ(announce(0, "ready", 1, 2000), 200);
+  EXPECT_TRUE(eventually([&] {
+    call(2, "GET", "/x/y");
+    return Servers_[0]->Requests_.size() > Before;
+  }));
+}
+
+TEST_F(PlatformPath, ALateAnnouncementOfAnEarlierProcessIsIgnored) {
+  startAll();
+  std::string Earlier = Servers_[0]->Name_;
+  Servers_[0]->Name_ = "i-new";
+  ASSERT_EQ(announce(0, "ready", 1, 2000), 200);
+  Servers_[0]->Name_ = Earlier;
+  ASSERT_EQ(announce(0, "ready", 9, 1000), 200);
+  Servers_[0]->Name_ = "i-new";
+  Servers_[0]->Requests_.clear();
+  EXPECT_TRUE(eventually([&] {
+    call(2, "GET", "/x/y");
+    return !Servers_[0]->Requests_.empty();
+  }));
+  EXPECT_EQ(*findHeader(Servers_[0]->Requests_.back().Headers_, "x-expected"),
+            "i-new");
+}
+
+TEST_F(PlatformPath, RejectsAnAnnouncementForAnotherHost) {
+  startAll();
+  std::string Own = Servers_[0]->Address_;
+  Servers_[0]->Address_ = "127.9.9.9:1";
+  EXPECT_EQ(announce(0, "ready", 7), 400);
+  Servers_[0]->Address_ = Own;
+}
+
+// A server that sheds did not run the request, so another one may.
+TEST_F(PlatformPath, TakesAShedRequestToAnotherServer) {
+  startAll();
+  Servers_[0]->Sheds_ = true;
+  for (int I = 0; I < 10; ++I)
+    EXPECT_EQ(call(2, "POST", "/once/y").Status_, 200);
+}
+
+TEST_F(PlatformPath, RefusesWithAHintWhenNoServerIsLeft) {
+  configure(5);
+  ASSERT_TRUE(eventually([&] { return isReady(2); }));
+  HttpAnswer Answer = call(2, "GET", "/x/y");
+  EXPECT_EQ(Answer.Status_, 503);
+  const std::string *Hint = findHeader(Answer.Headers_, "retry-after");
+  ASSERT_NE(Hint, nullptr);
+  EXPECT_NE(Hint->find('.'), std::string::npos);
+}
+
+// The configuration must be in force within two seconds, also when the store's
+// history was dropped, and while the store is down nothing changes.
+TEST_F(PlatformPath, MovesToANewConfigurationAndStaysThere) {
+  startAll();
+  Store_->compact();
+  configure(9, "desk");
+  EXPECT_TRUE(eventually([&] {
+    call(0, "GET", "/x/y", "id-9");
+    return !Servers_[2]->Requests_.empty();
+  }));
+  Store_->Faults_.Unavailable_ = true;
+  Loop_.runFor(milliseconds(100));
+  EXPECT_EQ(call(0, "GET", "/x/y").Body_, "from i-3");
+}
