--- a/src/Daemon.cpp
+++ b/src/Daemon.cpp
@@ -15,6 +15,9 @@
 
 constexpr Duration TraceWriteInterval = seconds(1);
 
+/// Time in which the news of leaving reaches a fleet: four rounds of gossip.
+constexpr Duration LeaveSpread = milliseconds(800);
+
 constexpr Duration DropReportInterval = seconds(1);
 constexpr Duration TotalsInterval = seconds(10);
 
@@ -472,9 +475,6 @@
   IdleSince_ = Time.Monotonic_;
   logEvent(LogEvent::Leaving,
            {{"calls", Entry_->inFlight()}, {"requests", Targets_->inFlight()}});
-  Control_->startLeaving(Time);
-  Targets_->startLeaving();
-  Keyed_->startLeaving(Time);
 }
 
 bool DaemonImpl::isIdle() const {
@@ -482,21 +482,28 @@
          Keyed_->waiting() == 0 && CallerServer_->openExchanges() == 0;
 }
 
+void DaemonImpl::announceLeaving(Now Time) {
+  ListenersClosed_ = true;
+  IdleSince_ = Time.Monotonic_;
+  Control_->startLeaving(Time);
+  Targets_->startLeaving();
+  Keyed_->startLeaving(Time);
+  Entry_->startLeaving();
+  CallerServer_->stopAccepting();
+  CallerServer_->closeIdle();
+}
+
+// Readiness ends at once, so that callers turn away; until they have, requests
+// are served as before, also those for the target, which outlives this process.
+// Then everything closes, and the process ends once the news has spread.
 void DaemonImpl::continueStop(Now Time) {
+  Duration Passed = Time.Monotonic_ - StopStarted_;
+  if (Passed >= Settings_.Timing_.LeaveNotice_ && !ListenersClosed_)
+    announceLeaving(Time);
   if (!isIdle())
     IdleSince_ = Time.Monotonic_;
-  bool Done = Time.Monotonic_ - IdleSince_ >= Settings_.Timing_.LeaveNotice_;
-  CutShort_ = !Done && Time.Monotonic_ - StopStarted_ >= Settings_.StopLimit_;
-  // Callers that dial this daemon are still served until the news has spread;
-  // only then do its listeners close.
-  if (Time.Monotonic_ - StopStarted_ >= Settings_.Timing_.LeaveNotice_ &&
-      !ListenersClosed_) {
-    ListenersClosed_ = true;
-    Entry_->startLeaving();
-    CallerServer_->stopAccepting();
-    CallerServer_->closeIdle();
-    IdleSince_ = Time.Monotonic_;
-  }
+  bool Done = Time.Monotonic_ - IdleSince_ >= LeaveSpread;
+  CutShort_ = !(Done && ListenersClosed_) && Passed >= Settings_.StopLimit_;
   if (!CutShort_ && !(Done && ListenersClosed_))
     return;
   Keyed_->finishLeaving();
--- a/src/DaemonImpl.h
+++ b/src/DaemonImpl.h
@@ -59,6 +59,7 @@
   bool isAllowedPeer(const wire::ServerRecord &Record) const;
   std::optional<PeerAddress> resolve(const std::string &Peer) const;
   void writeTraces(Now Time);
+  void announceLeaving(Now Time);
   void continueStop(Now Time);
   bool isIdle() const;
 
--- a/src/EntryCallsDetail.cpp
+++ b/src/EntryCallsDetail.cpp
@@ -226,18 +226,19 @@
                          std::optional<Error> Reason) {
   Finish Out;
   bool Late = Reason && Reason->Kind_ == ErrorKind::DeadlineExceeded;
-  if (Late)
-    Out.Status_ = 504;
   Out.Error_ = std::move(Reason);
   cancelOpen(At, Call, 0);
   if (provenNotRun(Call)) {
+    // Not 504: that promises nothing, and a caller must not repeat a request
+    // that may have run.
+    if (Late)
+      Out.Status_ = 503;
     Out.Run_ = wire::RUN_NOT_RUN;
     describeRefusal(At, Call, Out);
     ++At.Calls_.Counters_.NotRun_;
   } else {
     Out.Run_ = wire::RUN_UNKNOWN;
-    if (Out.Status_ == 0)
-      Out.Status_ = 502;
+    Out.Status_ = Late ? 504 : 502;
     if (!Out.Error_)
       Out.Error_ = Error{ErrorKind::OutcomeUnknown,
                          "the call may have run, and its answer was lost",
--- a/test/correctness/EntryCallsTest.cpp
+++ b/test/correctness/EntryCallsTest.cpp
@@ -257,6 +257,17 @@
             nullptr);
 }
 
+// 504 promises nothing; a request that was never run may be sent again.
+TEST_F(Entry, ADeadlineWithProofIsARefusal) {
+  Targets_ = {};
+  EntryCall Call;
+  Call.Deadline_ = at(-1);
+  CallActions Actions = beginCall(Calls_, Call, Policy_, at(0));
+  ASSERT_NE(find<Finish>(Actions), nullptr);
+  EXPECT_EQ(find<Finish>(Actions)->Run_, wire::RUN_NOT_RUN);
+  EXPECT_EQ(find<Finish>(Actions)->Status_, 503U);
+}
+
 // A target that refused a late attempt has nothing else to offer.
 TEST_F(Entry, AsksNoTargetTwiceToBeLate) {
   Targets_ = {{"s1", "t1", 11}};
--- a/tools/explain-failures.py
+++ b/tools/explain-failures.py
@@ -55,7 +55,7 @@
                 deciding[request] = found[-1]
                 break
     causes = collections.Counter(
-        (line["event"], line.get("reason", ""))for line in deciding.values())
+        (line["event"], line.get("reason", "")) for line in deciding.values())
     for (event, reason), count in causes.most_common():
         print(f"{count}\t{event}\t{reason}")
     if options.ids:
@@ -67,4 +67,7 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    try:
+        sys.exit(main())
+    except BrokenPipeError:
+        sys.exit(0)
