Remember the leaving of a target longer than the target

A target that left is forgotten after three missed announcements (2.6 s there); an announcement of the same process that was on its way for longer then made it a new target. A second fault beside it: a target that was only silent for that long, and busy, stayed out for good although it announced itself again.

Change: the starts of processes that said they leave are kept by name and an announcement of one of them is ignored. Silence is told from a stated leaving.

Ruled out: a restart of the daemon (no 'started' line); the news of other daemons (the daemon beside the server admits by its own table only).

Tests: PlatformPathTest ALeavingIsRememberedLongerThanTheTarget and ATargetThatWasSilentIsUsedAgain, both seen to fail before.

--- a/src/TargetAnnouncements.cpp
+++ b/src/TargetAnnouncements.cpp
@@ -4,6 +4,8 @@
 #include "sycamore/Clock.h"
 #include "sycamore/Log.h"
 
+#include <algorithm>
+
 namespace sycamore {
 
 Result<void> TargetProxy::announce(const Json &Document, Now Time) {
@@ -94,6 +96,10 @@
     return tl::unexpected<Error>(*Failure);
   }
   ++Counters_.Announcements_;
+  if (!Targets_.contains(News.Name_) && hasDeparted(News)) {
+    ++Counters_.AnnouncementsIgnored_;
+    return {};
+  }
   for (const auto &[Name, Target] : Targets_)
     if (Name != News.Name_ && Target.Address_ == News.Address_ &&
         isEarlier(News.StartedUnixMs_, Target.StartedUnixMs_)) {
@@ -127,13 +133,17 @@
   if (auto Service = Services.find(News.Service_); Service != Services.end())
     setQueueLimit(Target.Admission_, Service->second.QueueLimit_);
   // A target that states its process leaves once and for all; one that does not
-  // takes its leaving back by announcing itself again.
-  if (!News.StartedUnixMs_ || New || Reborn) {
+  // takes its leaving back by announcing itself again, and so does one that was
+  // only silent.
+  if (!News.StartedUnixMs_ || New || Reborn || !Target.SaidLeaving_) {
     Target.Leaving_ = Leaving_;
+    Target.SaidLeaving_ = false;
     Target.Gone_ = false;
   }
-  if (News.Leaving_)
+  if (News.Leaving_) {
     setLeaving(Target, Time);
+    noteDeparture(Target);
+  }
   if (!Target.Leaving_) {
     Target.Admission_.Admitting_ = true;
     announceTarget(Control_.members(), News.Name_, News.Service_, News.Slots_,
@@ -154,6 +164,29 @@
     Target.StartedUnixMs_ = News.StartedUnixMs_;
   }
   setLeaving(Target, Time);
+  noteDeparture(Target);
+}
+
+void TargetProxy::noteDeparture(LocalTarget &Target) {
+  Target.SaidLeaving_ = true;
+  if (!Target.StartedUnixMs_)
+    return;
+  // One target at a time runs beside a daemon; more entries than this are of
+  // processes that ended long ago.
+  constexpr std::size_t MaxDeparted = 64;
+  std::int64_t &Started = Departed_[Target.Name_];
+  Started = std::max(Started, *Target.StartedUnixMs_);
+  if (Departed_.size() > MaxDeparted)
+    Departed_.erase(std::min_element(Departed_.begin(), Departed_.end(),
+                                     [](const auto &Left, const auto &Right) {
+                                       return Left.second < Right.second;
+                                     }));
+}
+
+bool TargetProxy::hasDeparted(const TargetAnnouncement &News) const {
+  auto Found = Departed_.find(News.Name_);
+  return Found != Departed_.end() && News.StartedUnixMs_ &&
+         *News.StartedUnixMs_ <= Found->second;
 }
 
 void TargetProxy::setLeaving(LocalTarget &Target, Now Time) {
--- a/src/TargetProxy.h
+++ b/src/TargetProxy.h
@@ -24,6 +24,8 @@
   TimePoint AnnouncedAt_; ///< Last announcement or answer.
   TimePoint HealthAskedAt_;
   bool Leaving_ = false;
+  /// The target itself said that it leaves; it is not only silent.
+  bool SaidLeaving_ = false;
   bool Gone_ = false; ///< Forgotten once nothing runs on it.
   /// It refused a connection and has not announced itself since.
   bool Unreachable_ = false;
@@ -159,6 +161,10 @@
   void askHealth(LocalTarget &Target, Now Time);
   void onHealth(const std::string &Name, const HttpAnswer &Answer);
   void setLeaving(LocalTarget &Target, Now Time);
+  void noteDeparture(LocalTarget &Target);
+  /// Whether the announcing process has said that it leaves, or an earlier one
+  /// of its name and a later process has left since.
+  bool hasDeparted(const TargetAnnouncement &News) const;
   std::optional<Error> checkPlace(const TargetAnnouncement &News) const;
   void retireOthers(const TargetAnnouncement &News, Now Time);
   void noteUnreachable(std::string_view Name, Now Time);
@@ -178,6 +184,9 @@
   Random &Rng_;
   CallReplier Reply_;
   std::map<std::string, LocalTarget, std::less<>> Targets_;
+  /// Starts of target processes that said they leave, by name. Kept after the
+  /// targets are forgotten: a late announcement must not bring one back.
+  std::map<std::string, std::int64_t, std::less<>> Departed_;
   TargetCalls Calls_;
   PendingTable Pending_;
   /// Admission ids of pending attempts by entry, process and ordinal.
--- a/test/platform/PlatformPathTest.cpp
+++ b/test/platform/PlatformPathTest.cpp
@@ -21,6 +21,10 @@
       : Server_(HttpServer::create(Base).value()) {
     Server_->setHandler([this](const HttpExchangePointer &Exchange) {
       Requests_.push_back(Exchange->request());
+      if (Holds_) {
+        Held_ = Exchange;
+        return;
+      }
       const std::string *Id = findHeader(Exchange->request().Headers_, "x-id");
       HttpHeaders Headers;
       if (!NoSeal_)
@@ -41,6 +45,8 @@
   bool NoSeal_ = false;
   bool WrongId_ = false;
   bool Sheds_ = false;
+  bool Holds_ = false; ///< Keeps the next request open in Held_.
+  HttpExchangePointer Held_;
 };
 
 class PlatformPath : public testing::Test {
@@ -59,7 +65,7 @@
     Loop_.runFor(milliseconds(5));
   }
 
-  void addServer(const std::string &Service) {
+  void addServer(const std::string &Service, int AnnounceIntervalMs = 20000) {
     auto &Server =
         Servers_.emplace_back(std::make_unique<FakeServer>(Loop_.base()));
     Server->Name_ = "i-" + std::to_string(Servers_.size());
@@ -86,7 +92,9 @@
           {"caller_service", "x-caller"}}},
         {"fractional_retry_after", true},
         {"keys", {{"buckets", 0}}},
-        {"timing", {{"start_jitter_ms", 50}, {"announce_interval_ms", 20000}}},
+        {"timing",
+         {{"start_jitter_ms", 50},
+          {"announce_interval_ms", AnnounceIntervalMs}}},
         {"store", {{"endpoints", {Store_->address()}}}}};
     Settings Config = parseSettings(Document, "test").value();
     Daemons_.push_back(
@@ -134,6 +142,15 @@
         .Status_;
   }
 
+  int leave(std::size_t Which, std::int64_t Born = 1000) {
+    HttpClientRequest Request;
+    Request.Method_ = "POST";
+    Request.Path_ = "/v1/instances/" + Servers_[Which]->Name_ + "/deregister";
+    Request.Body_ = Json{{"born", Born}}.dump();
+    return send(Daemons_[Which]->addresses().Announce_, std::move(Request))
+        .Status_;
+  }
+
   void configure(std::uint64_t Version, const std::string &Service = "view") {
     Json Route = {{"name", "r-1"},          {"prefix", "/x/"},
                   {"kind", "idempotent"},   {"timeoutMs", 1500},
@@ -172,6 +189,19 @@
       }));
   }
 
+  /// Adds a server whose announcements are missed after 1.2 s, the only one of
+  /// its service, and waits until it is used.
+  void startFourth() {
+    addServer("view", 400);
+    configure(5);
+    std::uint64_t Sequence = 0;
+    ASSERT_TRUE(eventually([&] {
+      announce(3, "ready", ++Sequence);
+      call(2, "GET", "/x/y");
+      return !Servers_[3]->Requests_.empty();
+    }));
+  }
+
   template <typename Condition> bool eventually(Condition Holds) {
     TimePoint End = monotonicNow() + WaitLimit;
     while (!Holds()) {
@@ -277,6 +307,47 @@
             "i-new");
 }
 
+// A server that has left may be forgotten as a target, but not its leaving: an
+// announcement that was on its way for seconds would bring it back.
+TEST_F(PlatformPath, ALeavingIsRememberedLongerThanTheTarget) {
+  startFourth();
+  ASSERT_EQ(leave(3), 200);
+  // Past three announcements, after which the target itself is forgotten.
+  Loop_.runFor(milliseconds(1300));
+  ASSERT_EQ(announce(3, "ready", 1000), 200);
+  std::size_t Before = Servers_[3]->Requests_.size();
+  for (int I = 0; I < 20; ++I) {
+    call(2, "GET", "/x/y");
+    Loop_.runFor(milliseconds(10));
+  }
+  EXPECT_EQ(Servers_[3]->Requests_.size(), Before);
+}
+
+// Announcements may be late by seconds; a target that missed some and is still
+// busy must be used again when the next one arrives.
+TEST_F(PlatformPath, ATargetThatWasSilentIsUsedAgain) {
+  startFourth();
+  Servers_[3]->Holds_ = true;
+  bool Answered = false;
+  HttpClientRequest Request;
+  Request.Path_ = "/x/slow";
+  Request.Headers_ = {{"Host", "a.example"}, {"x-id", "slow"}};
+  Client_->send(Daemons_[2]->addresses().Caller_, std::move(Request),
+                [&](const HttpAnswer &) { Answered = true; });
+  ASSERT_TRUE(eventually([&] { return Servers_[3]->Held_ != nullptr; }));
+  Loop_.runFor(milliseconds(1300));
+  Servers_[3]->Holds_ = false;
+  ASSERT_EQ(announce(3, "ready", 1000), 200);
+  std::size_t Before = Servers_[3]->Requests_.size();
+  EXPECT_TRUE(eventually([&] {
+    call(2, "GET", "/x/y");
+    return Servers_[3]->Requests_.size() > Before;
+  }));
+  Servers_[3]->Held_->reply(200, {{"x-seal", "sealed"}, {"x-id", "slow"}}, "");
+  Servers_[3]->Held_.reset();
+  EXPECT_TRUE(eventually([&] { return Answered; }));
+}
+
 TEST_F(PlatformPath, RejectsAnAnnouncementForAnotherHost) {
   startAll();
   std::string Own = Servers_[0]->Address_;
