Run requests that their callers sent before behind those that can be in time

Change: a caller that sends a request again states what is left of its time. CallerTimes learns the longest time stated on a route; a request that misses at least the route's latency target from it counts as late at once. Setting retries.callers_share_time, off by default. And no target is asked twice: one that refuses to be in time refuses late work for 300 ms too, so the second question never succeeded.

--- a/src/EntryCallsDetail.cpp
+++ b/src/EntryCallsDetail.cpp
@@ -124,15 +124,12 @@
 
 namespace {
 
-/// Targets that the next attempt must not go to: all that were tried, or, for
-/// one that may be late, those that refused that or may have seen the call.
-std::vector<std::string> excludedTargets(const EntryCall &Call,
-                                         bool ReachedOnly) {
+/// Targets that were tried. One that has refused to answer in time refuses late
+/// requests for a while too (AdmissionOptions::CrestMemory_).
+std::vector<std::string> triedTargets(const EntryCall &Call) {
   std::vector<std::string> Out;
   for (const CallAttempt &Attempt : Call.Attempts_)
-    if (!ReachedOnly || Attempt.Late_ ||
-        Attempt.State_ != AttemptState::NotRun || Attempt.ReachedTarget_)
-      Out.push_back(Attempt.Target_);
+    Out.push_back(Attempt.Target_);
   return Out;
 }
 
@@ -156,17 +153,12 @@
 
 bool sendAnother(Step &At, EntryCall &Call, bool Hedge,
                  const std::function<bool(const EntryCall &)> &TakeBudget) {
-  // Late answers are worth less than those in time but more than none, so the
-  // last attempt may go back to a target that refused to be late.
+  // Late answers are worth less than those in time but more than none.
   bool Late = Call.TargetAt_ &&
-              Call.Attempts_.size() >= At.Calls_.Limits_.InTimeAttempts_;
-  std::vector<std::string> Excluded = excludedTargets(Call, Late);
+              (Call.Attempts_.size() >= At.Calls_.Limits_.InTimeAttempts_ ||
+               At.Now_ >= *Call.TargetAt_);
+  std::vector<std::string> Excluded = triedTargets(Call);
   auto Chosen = At.Policy_.ChooseTarget_(Call, Excluded);
-  if (!Chosen && Call.TargetAt_ && !Late && !Hedge) {
-    Late = true;
-    Excluded = excludedTargets(Call, Late);
-    Chosen = At.Policy_.ChooseTarget_(Call, Excluded);
-  }
   if (!Chosen)
     return false;
   // Without the process named, a second copy of the request could reach a
--- a/src/EntryRequests.cpp
+++ b/src/EntryRequests.cpp
@@ -105,6 +105,8 @@
         Time.Monotonic_ +
         std::max<Duration>(Matched->LatencyTarget_ - Calls_.Limits_.CallerWay_,
                            Duration(1));
+  if (wasSentBefore(*Matched, Call, Time))
+    Call.TargetAt_ = Time.Monotonic_;
   Call.MaxTargets_ = Matched->MaxAttempts_;
   Call.Request_.set_priority(Matched->Priority_);
   TimePoint OwnDeadline =
@@ -115,6 +117,18 @@
   return std::nullopt;
 }
 
+// A request that has already missed its latency target at its caller takes no
+// slot from one that can still meet it.
+bool EntryProxy::wasSentBefore(const Route &Matched, const EntryCall &Call,
+                               Now Time) {
+  if (!Settings_.Retries_.CallersShareTime_ || Call.Depth_ > 0 ||
+      Call.Deadline_ == TimePoint{} || Matched.LatencyTarget_.count() == 0)
+    return false;
+  return noteCallerTime(CallerTimes_, Call.Route_,
+                        Call.Deadline_ - Time.Monotonic_,
+                        Time.Monotonic_) >= Matched.LatencyTarget_;
+}
+
 void EntryProxy::fillRequest(const HttpRequest &Http,
                              AcceptedRequest &Request) const {
   EntryCall &Call = Request.Call_;
--- /dev/null
+++ b/test/correctness/CallerTimesTest.cpp
@@ -0,0 +1,53 @@
+// Guards against taking a first request for a repeated one, which would put it
+// behind others, and against missing a repeated one.
+#include "sycamore/CallerTimes.h"
+
+#include <gtest/gtest.h>
+
+using namespace sycamore;
+
+namespace {
+
+TimePoint at(int Seconds) { return TimePoint{} + seconds(Seconds); }
+
+} // namespace
+
+TEST(CallerTimes, TheFirstRequestOfARouteMissesNothing) {
+  CallerTimes Table;
+  EXPECT_EQ(noteCallerTime(Table, "a", milliseconds(300), at(0)), Duration(0));
+}
+
+TEST(CallerTimes, LessThanTheLongestTimeIsMissing) {
+  CallerTimes Table;
+  noteCallerTime(Table, "a", milliseconds(1000), at(0));
+  EXPECT_EQ(noteCallerTime(Table, "a", milliseconds(400), at(1)),
+            milliseconds(600));
+  EXPECT_EQ(noteCallerTime(Table, "b", milliseconds(400), at(1)), Duration(0));
+}
+
+// One caller with an unusual time must not mark all others for good.
+TEST(CallerTimes, ForgetsALongTimeAfterTwoWindows) {
+  CallerTimes Table;
+  noteCallerTime(Table, "a", milliseconds(9000), at(0));
+  for (int Second = 1; Second < 60; ++Second)
+    noteCallerTime(Table, "a", milliseconds(1000), at(Second));
+  EXPECT_EQ(noteCallerTime(Table, "a", milliseconds(1000), at(61)),
+            Duration(0));
+}
+
+// After a pause the last window says nothing about callers of today.
+TEST(CallerTimes, ForgetsAWindowThatIsNotTheLast) {
+  CallerTimes Table;
+  noteCallerTime(Table, "a", milliseconds(9000), at(0));
+  EXPECT_EQ(noteCallerTime(Table, "a", milliseconds(1000), at(100)),
+            Duration(0));
+}
+
+TEST(CallerTimes, HoldsNoMoreRoutesThanAllowed) {
+  CallerTimes Table;
+  Table.Options_.MaxRoutes_ = 2;
+  for (const char *Route : {"a", "b", "c"})
+    noteCallerTime(Table, Route, milliseconds(1000), at(0));
+  EXPECT_EQ(Table.Routes_.size(), 2U);
+  EXPECT_EQ(noteCallerTime(Table, "c", milliseconds(10), at(0)), Duration(0));
+}
