Bound retries for each service and over the fleet

Change: a budget for each service; retries.fleet_constant is divided over the servers known, also those that are gone.

Tests: RetryBudgets CountEachServiceAlone, DaemonsShareTheFleetsConstant.

--- a/include/sycamore/RetryPolicy.h
+++ b/include/sycamore/RetryPolicy.h
@@ -18,6 +18,9 @@
 struct RetryBudgetOptions {
   double Share_ = 0.1;          ///< Retries per success in the window.
   std::uint64_t Constant_ = 10; ///< Retries in the window without successes.
+  /// The same for all daemons together; each takes an equal part instead of
+  /// Constant_. 0 for no common bound.
+  std::uint64_t FleetConstant_ = 0;
 };
 
 struct RetryBudgetCounters {
@@ -47,6 +50,21 @@
 /// A call ended with an answer of its target.
 void noteSuccess(RetryBudget &Budget, TimePoint Now);
 
+/// A budget for each service, so that retries at one that fails do not live on
+/// the successes of the others.
+struct RetryBudgets {
+  RetryBudgetOptions Options_;
+  RetryBudgetCounters Counters_; ///< Over all services.
+  std::unordered_map<std::string, RetryBudget> Services_;
+};
+
+/// Takes one retry for a service in a fleet of so many daemons, or returns
+/// false.
+bool takeRetry(RetryBudgets &Budgets, const std::string &Service,
+               std::size_t Daemons, TimePoint Now);
+void noteSuccess(RetryBudgets &Budgets, const std::string &Service,
+                 TimePoint Now);
+
 struct BackoffOptions {
   Duration Base_ = milliseconds(10);
   Duration Limit_ = seconds(1);
--- a/include/sycamore/Settings.h
+++ b/include/sycamore/Settings.h
@@ -130,6 +130,11 @@
 struct RetrySettings {
   double Share_ = 0.1;          ///< Retries per success.
   std::uint64_t Constant_ = 10; ///< Retries of a daemon without successes.
+  /// Retries of all daemons without successes; replaces Constant_ unless 0.
+  std::uint64_t FleetConstant_ = 0;
+  /// Callers state the same time for all requests of a route, and what is left
+  /// of it when they send one again; see CallerTimes.
+  bool CallersShareTime_ = false;
 
   bool operator==(const RetrySettings &) const = default;
 };
--- a/src/EntryProxy.cpp
+++ b/src/EntryProxy.cpp
@@ -63,7 +63,8 @@
   Calls_.Incarnation_ = Process;
   Calls_.Limits_.LinkDeadline_ = Config.Timing_.LinkDeadline_;
   Placement_.Options_.SpillCost_ = Config.Limits_.SpillCost_;
-  Retries_.Options_ = {Config.Retries_.Share_, Config.Retries_.Constant_};
+  Retries_.Options_ = {Config.Retries_.Share_, Config.Retries_.Constant_,
+                       Config.Retries_.FleetConstant_};
 }
 
 CallPolicy EntryProxy::makePolicy() {
@@ -73,7 +74,11 @@
     return choose(Call, Excluded);
   };
   Out.TakeRetry_ = [this](const EntryCall &Call) {
-    return !Call.Request_.suspect() && takeRetry(Retries_, Time_);
+    // Servers that are gone count too: a daemon that is cut off from the others
+    // must not take their part.
+    return !Call.Request_.suspect() &&
+           takeRetry(Retries_, Call.Service_,
+                     Control_.members().Servers_.size(), Time_);
   };
   Out.HedgeDelay_ = [this](const EntryCall &Call) -> std::optional<Duration> {
     const auto &Services = Call.Snapshot_->State_.Services_;
@@ -366,7 +371,7 @@
   if (Answer.run() == wire::RUN_DONE) {
     AddedTimes_.record(std::max<Duration>(
         Whole - Duration(Answer.service_time_us()), Duration(0)));
-    noteSuccess(Retries_, Time.Monotonic_);
+    noteSuccess(Retries_, Call.Service_, Time.Monotonic_);
     noteLatency(Hedges_, Call.Route_, Time.Monotonic_ - Call.StartedAt_);
     noteSuccess(Marks_, Request.fingerprint(), Time.Wall_);
   }
--- a/src/EntryProxy.h
+++ b/src/EntryProxy.h
@@ -6,6 +6,7 @@
 #include "ControlPlane.h"
 #include "RequestLog.h"
 #include "TargetProxy.h"
+#include "sycamore/CallerTimes.h"
 #include "sycamore/EntryCalls.h"
 #include "sycamore/HttpServer.h"
 #include "sycamore/Metrics.h"
@@ -90,7 +91,7 @@
   std::size_t inFlight() const { return Calls_.Calls_.size(); }
   const EntryCalls &calls() const { return Calls_; }
   const Placement &placement() const { return Placement_; }
-  const RetryBudget &retries() const { return Retries_; }
+  const RetryBudgets &retries() const { return Retries_; }
   const HedgePolicy &hedges() const { return Hedges_; }
   const EntryProxyCounters &counters() const { return Counters_; }
   const DurationHistogram &callTimes(wire::RunOutcome Run) const;
@@ -131,6 +132,9 @@
   /// Sets route, service and deadline; the refusal when no route matches.
   std::optional<Finish> findRoute(const HttpRequest &Http, EntryCall &Call,
                                   Now Time);
+  /// Whether the caller of a request that has found its route sent it before,
+  /// so long ago that it can no longer meet its latency target.
+  bool wasSentBefore(const Route &Matched, const EntryCall &Call, Now Time);
   void fillRequest(const HttpRequest &Http, AcceptedRequest &Request) const;
   void inheritContext(const HttpRequest &Http, AcceptedRequest &Request,
                       Now Time);
@@ -165,8 +169,9 @@
   CallPolicy Policy_;
   EntryCalls Calls_;
   Placement Placement_;
-  RetryBudget Retries_;
+  RetryBudgets Retries_;
   HedgePolicy Hedges_;
+  CallerTimes CallerTimes_;
   std::unordered_map<std::uint64_t, CallInfo> Infos_;       ///< By sequence.
   std::unordered_map<std::uint64_t, AttemptInfo> Attempts_; ///< By ordinal.
   std::unordered_map<std::string, std::uint64_t> ProcessOf_;
--- a/src/RetryPolicy.cpp
+++ b/src/RetryPolicy.cpp
@@ -50,6 +50,24 @@
   ++Budget.Counters_.Successes_;
 }
 
+bool takeRetry(RetryBudgets &Budgets, const std::string &Service,
+               std::size_t Daemons, TimePoint Now) {
+  RetryBudget &Budget = Budgets.Services_[Service];
+  Budget.Options_ = Budgets.Options_;
+  if (Budgets.Options_.FleetConstant_ > 0)
+    Budget.Options_.Constant_ = std::max<std::uint64_t>(
+        1, Budgets.Options_.FleetConstant_ / std::max<std::size_t>(Daemons, 1));
+  bool Granted = takeRetry(Budget, Now);
+  ++(Granted ? Budgets.Counters_.Granted_ : Budgets.Counters_.Denied_);
+  return Granted;
+}
+
+void noteSuccess(RetryBudgets &Budgets, const std::string &Service,
+                 TimePoint Now) {
+  noteSuccess(Budgets.Services_[Service], Now);
+  ++Budgets.Counters_.Successes_;
+}
+
 Duration backoffDelay(const BackoffOptions &Options, std::uint32_t Attempt,
                       Duration RetryAfter, Random &Rng) {
   // 2^20 times any base exceeds every sensible limit and cannot overflow.
--- a/src/Settings.cpp
+++ b/src/Settings.cpp
@@ -163,6 +163,8 @@
   Reader.section("retries", [&](SettingsReader &Section) {
     Section.number("share", Out.Retries_.Share_, 0.0, 1.0);
     Section.count("constant", Out.Retries_.Constant_, 0, 100'000);
+    Section.count("fleet_constant", Out.Retries_.FleetConstant_, 0, 1'000'000);
+    Section.flag("callers_share_time", Out.Retries_.CallersShareTime_);
   });
 }
 
--- a/src/SettingsReport.cpp
+++ b/src/SettingsReport.cpp
@@ -21,6 +21,7 @@
               {"stop_limit_ms", Value.StopLimit_.count()},
               {"retry_share", Value.Retries_.Share_},
               {"retry_constant", Value.Retries_.Constant_},
+              {"retry_fleet_constant", Value.Retries_.FleetConstant_},
               {"record_keep_ms", Value.Records_.Keep_.count()},
               {"key_buckets", Value.Keys_.Buckets_}};
   if (Value.Target_)
--- a/test/correctness/RetryPolicyTest.cpp
+++ b/test/correctness/RetryPolicyTest.cpp
@@ -49,6 +49,36 @@
   EXPECT_TRUE(takeRetry(Budget, TimePoint{seconds(13)}));
 }
 
+// Successes elsewhere must not pay for retries at a service that fails: its own
+// servers would get several times the arrivals of a calm day.
+TEST(RetryBudgets, CountEachServiceAlone) {
+  RetryBudgets Budgets;
+  for (int Each = 0; Each < 1000; ++Each)
+    noteSuccess(Budgets, "busy", TimePoint{seconds(3)});
+  int Granted = 0;
+  for (int Each = 0; Each < 100; ++Each)
+    Granted += takeRetry(Budgets, "failing", 1, TimePoint{seconds(3)}) ? 1 : 0;
+  EXPECT_EQ(Granted, 10);
+  EXPECT_EQ(Budgets.Counters_.Denied_, 90U);
+}
+
+// The retries that a fleet makes without successes are bounded, however many
+// daemons it has.
+TEST(RetryBudgets, DaemonsShareTheFleetsConstant) {
+  constexpr std::size_t Daemons = 70;
+  constexpr int FleetConstant = 180;
+  int Granted = 0;
+  for (std::size_t Daemon = 0; Daemon < Daemons; ++Daemon) {
+    RetryBudgets Budgets;
+    Budgets.Options_.FleetConstant_ = FleetConstant;
+    for (int Each = 0; Each < 100; ++Each)
+      Granted +=
+          takeRetry(Budgets, "s", Daemons, TimePoint{seconds(3)}) ? 1 : 0;
+  }
+  EXPECT_LE(Granted, FleetConstant);
+  EXPECT_GE(Granted, static_cast<int>(Daemons));
+}
+
 RC_GTEST_PROP(BackoffProperty, GrowsWithinItsLimitsAndHeedsTheTarget, ()) {
   Random Rng(*rc::gen::arbitrary<std::uint64_t>());
   auto Attempt = *rc::gen::inRange<std::uint32_t>(0, 100);
