Speak to servers that left; read the store sooner after a failed start

A daemon that was stopped and started again while the store could not be read knew nobody: its peers held it for left and never spoke first, and its next read came 5 to 10 s later.

--- a/include/sycamore/Settings.h
+++ b/include/sycamore/Settings.h
@@ -95,6 +95,8 @@
   milliseconds SyncInterval_{5000};
   milliseconds HeadReadInterval_{10000};
   /// First store read of a starting daemon comes after up to this time.
+  /// Least pause after a failed read of the store at the start; at most twice.
+  milliseconds StartRetry_{5000};
   milliseconds StartJitter_{5000};
   milliseconds LinkDeadline_{2000};
   milliseconds AnnounceInterval_{1000};
--- a/src/ControlPlane.cpp
+++ b/src/ControlPlane.cpp
@@ -47,6 +47,8 @@
     Out.Peers_.push_back(Peer.Name_);
   Out.HeadInterval_ = Config.Timing_.HeadReadInterval_;
   Out.MaxReadDelay_ = Config.Timing_.StartJitter_;
+  Out.MinRetryDelay_ = Config.Timing_.StartRetry_;
+  Out.MaxRetryDelay_ = Config.Timing_.StartRetry_ * 2;
   // A herd needs about the time of its own reads to find itself; until then
   // every daemon would take itself for a reader.
   Out.ReaderDelay_ =
--- a/src/MembershipSync.cpp
+++ b/src/MembershipSync.cpp
@@ -209,11 +209,19 @@
                                       Predicate Wanted) {
   std::vector<std::string> Out;
   for (const auto &[Name, Row] : Members.Servers_)
-    if (!isOwn(Members, Name) && Wanted(Row.Record_))
+    if (!isOwn(Members, Name) && Wanted(Row))
       Out.push_back(Name);
   return Out;
 }
 
+/// Whether a server that left may run again: planned restarts take seconds, and
+/// after this time a host that was taken away is no longer dialled.
+bool mayBeBack(const ServerRow &Row, TimePoint Time) {
+  constexpr Duration RestartTime = seconds(60);
+  return Row.Record_.state() == wire::SERVER_LEFT &&
+         Time - Row.StateSince_ < RestartTime;
+}
+
 void digestToOneOf(const Membership &Members,
                    const std::vector<std::string> &Peers, Random &Rng,
                    Outbox &Out) {
@@ -224,7 +232,8 @@
 void askForTable(Membership &Members, Random &Rng, Outbox &Out) {
   std::vector<std::string> Peers = Members.Overlay_.Local_;
   if (Peers.empty())
-    Peers = otherServers(Members, isLive);
+    Peers = otherServers(
+        Members, [](const ServerRow &Row) { return isLive(Row.Record_); });
   if (Peers.empty())
     return;
   const std::string &To = Peers[randomIndex(Rng, Peers.size())];
@@ -252,12 +261,15 @@
   Members.NextSync_ = Time + jittered(Members.Config_.SyncInterval_, Rng);
   digestToOneOf(Members, Members.Overlay_.Local_, Rng, Out);
   digestToOneOf(Members, Members.Overlay_.RemoteReaders_, Rng, Out);
-  // A server that was declared dead may only have been cut off; nobody else
-  // would speak to it first.
+  // A server that was declared dead may only have been cut off, and one that
+  // left may have been started again without the store; nobody else would speak
+  // to them first.
   digestToOneOf(Members,
                 otherServers(Members,
-                             [](const wire::ServerRecord &Record) {
-                               return Record.state() == wire::SERVER_DEAD;
+                             [Time](const ServerRow &Row) {
+                               return Row.Record_.state() ==
+                                          wire::SERVER_DEAD ||
+                                      mayBeBack(Row, Time);
                              }),
                 Rng, Out);
 }
--- a/src/Settings.cpp
+++ b/src/Settings.cpp
@@ -71,6 +71,7 @@
   Reader.duration("sync_interval_ms", Out.SyncInterval_, 100, 600'000);
   Reader.duration("head_read_interval_ms", Out.HeadReadInterval_, 100, 600'000);
   Reader.duration("start_jitter_ms", Out.StartJitter_, 0, 60'000);
+  Reader.duration("start_retry_ms", Out.StartRetry_, 100, 60'000);
   Reader.duration("link_deadline_ms", Out.LinkDeadline_, 100, 60'000);
   Reader.duration("announce_interval_ms", Out.AnnounceInterval_, 50, 60'000);
   Reader.duration("leave_notice_ms", Out.LeaveNotice_, 0, 60'000);
--- a/test/failure/MembershipFailureTest.cpp
+++ b/test/failure/MembershipFailureTest.cpp
@@ -134,6 +134,29 @@
   EXPECT_GT(Sim.Daemons_[6].Members_.Counters_.Refutations_, 0U);
 }
 
+// With the store down, a daemon without bootstrap peers knows nobody. Those who
+// saw it leave must speak to it first, or it refuses everything until the store
+// is back.
+TEST(MembershipFailure, RestartAfterAStopIsFoundWithoutTheStore) {
+  Fleet Sim(lossy(12));
+  Outbox Out;
+  startLeaving(Sim.Daemons_[4].Members_, Sim.now(Sim.Daemons_[4]), Out);
+  Sim.send(4, Out);
+  Sim.run(seconds(1));
+  finishLeaving(Sim.Daemons_[4].Members_, Sim.now(Sim.Daemons_[4]), Out);
+  Sim.send(4, Out);
+  Sim.kill(4);
+  Sim.Store_.Mode_ = StoreMode::Down;
+  Sim.run(seconds(1));
+  Sim.Options_.BootstrapPeers_ = false;
+  Sim.start(4);
+  auto Span = Sim.runUntil(
+      [&] { return hasFloor(Sim.Daemons_[4].Boot_) && Sim.allEligible(); },
+      seconds(20));
+  print("served again without the store", Span);
+  EXPECT_TRUE(Span.has_value());
+}
+
 // 20% of the endpoints leave and return every minute; nothing of it may go
 // through the store, and the tables must be right soon after.
 TEST(MembershipFailure, SurvivesEndpointChurn) {
--- a/test/support/FleetOptions.h
+++ b/test/support/FleetOptions.h
@@ -34,7 +34,8 @@
   Duration RemoteDelay_ = milliseconds(8);
   Duration ExtraDelay_ = Duration(0); ///< Uniform on top; reorders messages.
   Duration Tick_ = milliseconds(20);
-  bool ClockSkew_ = false; ///< Up to 0.5 s in both directions.
+  bool BootstrapPeers_ = true; ///< Daemons know a few peers from settings.
+  bool ClockSkew_ = false;     ///< Up to 0.5 s in both directions.
   MembershipConfig Membership_;
   ConfigReplicaConfig Replica_;
   DisseminationConfig Dissemination_;
--- a/test/support/FleetSim.h
+++ b/test/support/FleetSim.h
@@ -280,6 +280,8 @@
   /// The first servers of the own data centre and one of the next.
   std::vector<wire::ServerRecord> bootstrapPeers(std::size_t I) const {
     std::vector<wire::ServerRecord> Out;
+    if (!Options_.BootstrapPeers_)
+      return Out;
     std::size_t Centres = Options_.DataCentres_;
     for (std::size_t Peer : {I % Centres, I % Centres + Centres,
                              I % Centres + 2 * Centres, (I + 1) % Centres}) {
