Take targets out and probe their servers when a link goes silent

Each entry daemon went on sending to dark machines until the ring declared them dead: a daemon probes three successors only, so in a run of dead ones each step takes 3 s. A silent link was logged and changed nothing.

Change: a silent link ejects its targets at that entry daemon, like a refused connection, and its server is probed at once and suspected after one failed round. Targets beside suspected servers are used only when no others are left.

--- a/include/sycamore/Membership.h
+++ b/include/sycamore/Membership.h
@@ -186,6 +186,8 @@
   TimePoint NextSync_;
   TimePoint NextScan_; ///< Of suspicion timers and expiry.
   TimePoint NextOverlay_;
+  /// Servers whose links went silent, until when they are probed.
+  std::map<std::string, TimePoint> Doubted_;
   MembershipCounters Counters_;
 };
 
@@ -262,6 +264,7 @@
   std::string Server_;
   std::string DataCentre_; ///< Of the server.
   std::uint32_t Slots_ = 0;
+  bool Suspect_ = false; ///< Its server does not answer probes.
 };
 
 /// Targets of a service that are admitted by the snapshot AND announced AND not
@@ -270,6 +273,11 @@
                                             const Snapshot &Current,
                                             std::string_view Service);
 
+/// A link with calls under way to this server went silent. It is probed like a
+/// successor for a while and suspected after one failed round, so that the
+/// fleet learns of a lost server sooner than from its predecessors on the ring.
+void noteSilent(Membership &Members, std::string_view Name, Now Time);
+
 struct FleetRow {
   std::string Name_;
   std::string DataCentre_;
--- a/include/sycamore/Placement.h
+++ b/include/sycamore/Placement.h
@@ -180,6 +180,10 @@
                   const TargetLoad &Load, Duration Latency,
                   AttemptOutcome Outcome, TimePoint Now);
 
+/// The link to the target's server went silent: the target is passed over for a
+/// while, as after a refused connection.
+void ejectTarget(Placement &Table, std::string_view Name, TimePoint Now);
+
 /// What the table knows of a target, for logs.
 struct TargetView {
   std::uint32_t InFlight_ = 0;        ///< Own calls.
--- a/src/ControlPlane.h
+++ b/src/ControlPlane.h
@@ -46,6 +46,11 @@
   void startLeaving(Now Time);
   void finishLeaving(Now Time);
 
+  /// A link with calls under way to this server went silent.
+  void noteSilent(std::string_view Server, Now Time) {
+    sycamore::noteSilent(Members_, Server, Time);
+  }
+
   /// Spreads marks to all neighbours at once and then by gossip.
   void spreadQuarantine(std::span<const wire::QuarantineRecord> Marks);
 
--- a/src/EntryProxy.cpp
+++ b/src/EntryProxy.cpp
@@ -36,6 +36,13 @@
   return LogEvent::TargetReadmitted;
 }
 
+/// Leaves out targets whose servers do not answer probes, unless all are such.
+void dropSuspects(std::vector<EligibleTarget> &Targets) {
+  auto IsSuspect = [](const EligibleTarget &Each) { return Each.Suspect_; };
+  if (!std::all_of(Targets.begin(), Targets.end(), IsSuspect))
+    std::erase_if(Targets, IsSuspect);
+}
+
 AttemptOutcome outcomeOf(const wire::CallAnswer &Answer) {
   if (Answer.target_lost())
     return AttemptOutcome::Lost;
@@ -121,6 +128,7 @@
       return std::find(Pinned.begin(), Pinned.end(), Target.Name_) ==
              Pinned.end();
     });
+  dropSuspects(Eligible);
   std::vector<Candidate> Candidates;
   Candidates.reserve(Eligible.size());
   for (const EligibleTarget &Target : Eligible)
@@ -226,8 +234,12 @@
       continue;
     Note.EndedAt_ = Time.Monotonic_;
     Note.End_ = attemptEndName(Outcome);
-    if (Answer)
+    if (Answer) {
       Note.Reason_ = Answer->error_message();
+      Note.Running_ = Answer->running();
+      Note.Queued_ = Answer->queued();
+      Note.Slots_ = Answer->slots();
+    }
   }
 }
 
@@ -451,6 +463,21 @@
   }
 }
 
+// Requests that are sent into a silent link may be lost with their outcome
+// unknown, so others go elsewhere until the server is heard again.
+void EntryProxy::onSilentLink(const LinkWentSilent &Event, Now Time) {
+  logEvent(LogEvent::PeerLinkSilent,
+           {{"peer", Event.Server_},
+            {"silence_ms", toMilliseconds(Event.Silence_)}});
+  Control_.noteSilent(Event.Server_, Time);
+  std::set<std::string> Targets;
+  for (const auto &[Ordinal, Info] : Attempts_)
+    if (Info.Server_ == Event.Server_ && !Info.Target_.empty())
+      Targets.insert(Info.Target_);
+  for (const std::string &Target : Targets)
+    ejectTarget(Placement_, Target, Time.Monotonic_);
+}
+
 void EntryProxy::tick(Now Time) {
   Time_ = Time.Monotonic_;
   carryOut(tickEntryCalls(Calls_, Policy_, Time.Monotonic_), Time);
@@ -458,9 +485,7 @@
   expireTargets(Placement_, Time.Monotonic_);
   for (const EntryCallEvent &Event : takeEvents(Calls_))
     if (const auto *Silent = std::get_if<LinkWentSilent>(&Event))
-      logEvent(LogEvent::PeerLinkSilent,
-               {{"peer", Silent->Server_},
-                {"silence_ms", toMilliseconds(Silent->Silence_)}});
+      onSilentLink(*Silent, Time);
   for (const PlacementEvent &Event : takeEvents(Placement_))
     logEvent(lineOf(Event.Kind_), {{"target", Event.Target_},
                                    {"span_ms", toMilliseconds(Event.Span_)}});
--- a/src/EntryProxy.h
+++ b/src/EntryProxy.h
@@ -156,6 +156,7 @@
                        const wire::CallAnswer &Answer, Now Time);
   void recordServerSpan(const AcceptedRequest &Request, const Finish &Outcome);
   void sendHeartbeats(Now Time);
+  void onSilentLink(const LinkWentSilent &Event, Now Time);
 
   const Settings &Settings_;
   ControlPlane &Control_;
--- a/src/MembershipProbes.cpp
+++ b/src/MembershipProbes.cpp
@@ -51,7 +51,9 @@
     ++State.FailedRounds_;
     ++Members.Counters_.ProbeRoundsFailed_;
   }
-  if (State.FailedRounds_ >= Members.Config_.FailedRounds_) {
+  std::uint32_t Limit =
+      Members.Doubted_.contains(Name) ? 1 : Members.Config_.FailedRounds_;
+  if (State.FailedRounds_ >= Limit) {
     State.FailedRounds_ = 0;
     suspect(Members, Name, Context);
   }
@@ -83,6 +85,12 @@
 
 void startRounds(Membership &Members, MergeContext &Context, Outbox &Out) {
   std::vector<std::string> Wanted = successors(Members);
+  std::erase_if(Members.Doubted_, [&](const auto &Item) {
+    return Context.Time_.Monotonic_ >= Item.second;
+  });
+  for (const auto &[Name, Until] : Members.Doubted_)
+    if (std::find(Wanted.begin(), Wanted.end(), Name) == Wanted.end())
+      Wanted.push_back(Name);
   std::erase_if(Members.Probes_, [&](const auto &Item) {
     return std::find(Wanted.begin(), Wanted.end(), Item.first) == Wanted.end();
   });
@@ -151,8 +159,24 @@
       Ack.server().empty() ? Message.sender() : Ack.server();
   auto Found = Members.Probes_.find(Name);
   if (Found != Members.Probes_.end() &&
-      Found->second.Sequence_ == Ack.sequence())
+      Found->second.Sequence_ == Ack.sequence()) {
     Found->second.Answered_ = true;
+    Members.Doubted_.erase(Name);
+  }
 }
 
 } // namespace sycamore::membership
+
+namespace sycamore {
+
+void noteSilent(Membership &Members, std::string_view Name, Now Time) {
+  // Two rounds at the default interval.
+  constexpr Duration ProbedFor = seconds(2);
+  const wire::ServerRecord *Record = findServer(Members, Name);
+  if (!Record || membership::isOwn(Members, Name) ||
+      Record->state() != wire::SERVER_ALIVE)
+    return;
+  Members.Doubted_[std::string(Name)] = Time.Monotonic_ + ProbedFor;
+}
+
+} // namespace sycamore
--- a/src/MembershipViews.cpp
+++ b/src/MembershipViews.cpp
@@ -29,7 +29,8 @@
       !isUsable(Members, Server->first, Server->second))
     return;
   Out.push_back({Record.name(), Server->first,
-                 Server->second.Record_.data_centre(), Record.slots()});
+                 Server->second.Record_.data_centre(), Record.slots(),
+                 Server->second.Record_.state() == wire::SERVER_SUSPECT});
 }
 
 void addEligible(const Membership &Members, const std::string &Target,
--- a/src/Placement.cpp
+++ b/src/Placement.cpp
@@ -398,6 +398,10 @@
     noteReadmitted(Table, Name, Stats, Now);
 }
 
+void ejectTarget(Placement &Table, std::string_view Name, TimePoint Now) {
+  noteRefusedConnection(Table, Name, statsOf(Table, Name, Now), Now);
+}
+
 TargetView viewOf(const Placement &Table, std::string_view Name,
                   TimePoint Now) {
   TargetView Out;
--- a/test/correctness/PlacementTest.cpp
+++ b/test/correctness/PlacementTest.cpp
@@ -80,6 +80,16 @@
   EXPECT_EQ(chooseMany(200)[2], 0);
 }
 
+// Requests into a silent link may be lost with their outcome unknown; one that
+// answers again must be used again.
+TEST_F(PlacementTest, PassesOverATargetWhoseLinkWentSilent) {
+  warmUp();
+  ejectTarget(Table_, Names[1], Now_);
+  EXPECT_EQ(chooseMany(200)[1], 0);
+  Now_ += seconds(1);
+  EXPECT_GT(chooseMany(200)[1], 0);
+}
+
 TEST_F(PlacementTest, CountsTheLoadOfOtherDaemons) {
   warmUp();
   for (int Each = 0; Each < 200; ++Each) {
--- a/test/failure/MembershipFailureTest.cpp
+++ b/test/failure/MembershipFailureTest.cpp
@@ -157,6 +157,41 @@
   EXPECT_TRUE(Span.has_value());
 }
 
+// When many servers die at once, the ring finds them one after the other; a
+// daemon whose link to one went silent must not wait for that.
+TEST(MembershipFailure, ASilentLinkIsProbedAtOnce) {
+  Fleet Sim(lossy(13));
+  SimDaemon &Caller = Sim.Daemons_[0];
+  auto Unprobed = [&](std::size_t I) {
+    return !Caller.Members_.Probes_.contains(Sim.Daemons_[I].Name_);
+  };
+  std::size_t Dead = 1;
+  while (!Unprobed(Dead))
+    ++Dead;
+  std::size_t Living = Dead + 1;
+  while (!Unprobed(Living))
+    ++Living;
+  Sim.kill(Dead);
+  noteSilent(Caller.Members_, Sim.Daemons_[Dead].Name_, Sim.now(Caller));
+  noteSilent(Caller.Members_, Sim.Daemons_[Living].Name_, Sim.now(Caller));
+  auto Span = Sim.runUntil(
+      [&] {
+        auto Targets = eligibleTargets(Caller.Members_,
+                                       *Caller.Replica_.Current_, "shelfview");
+        return std::any_of(
+            Targets.begin(), Targets.end(), [&](const EligibleTarget &Each) {
+              return Each.Suspect_ && Each.Server_ == Sim.Daemons_[Dead].Name_;
+            });
+      },
+      milliseconds(2200));
+  print("suspected after a silent link", Span);
+  EXPECT_TRUE(Span.has_value());
+  // Doubt alone condemns nobody.
+  Sim.run(seconds(10));
+  EXPECT_EQ(Sim.eligibleCount(Sim.Daemons_[Living].Target_),
+            Sim.Daemons_.size() - 1);
+}
+
 // 20% of the endpoints leave and return every minute; nothing of it may go
 // through the store, and the tables must be right soon after.
 TEST(MembershipFailure, SurvivesEndpointChurn) {
