Write a line for every refused request; sample what it repeats

The final line names all attempts and their reasons already.

Change: request-refused up to 500 lines a second for a daemon; attempt-refused and attempt-repeated are sampled by request id. The final line also has the load that each refusing target stated.

--- a/src/Events.cpp
+++ b/src/Events.cpp
@@ -14,6 +14,9 @@
 /// Lines a second of kinds that a busy fleet produces; the others are rare.
 constexpr std::uint32_t Rare = 50;
 constexpr std::uint32_t Frequent = 20;
+/// A daemon's share of a crest: every request that it refuses has its line,
+/// which names all its attempts. About 450 KB a second at the most.
+constexpr std::uint32_t Refusals = 500;
 
 constexpr std::array<EventType, static_cast<std::size_t>(LogEvent::Count)>
     Types = {{
@@ -107,7 +110,7 @@
          "requests like this one are served again"},
         {LogEvent::RequestNoRoute, "request-no-route", Info, Frequent, false,
          "answered 404: no route of the ticket matches"},
-        {LogEvent::RequestRefused, "request-refused", Info, Rare, false,
+        {LogEvent::RequestRefused, "request-refused", Info, Refusals, false,
          "answered 429 or 503 with proof that it did not run"},
         {LogEvent::RequestTimedOut, "request-timed-out", Info, Rare, false,
          "answered 504: its time ended before an answer came"},
@@ -121,9 +124,9 @@
          "the caller closed its connection first; the work is cancelled"},
         {LogEvent::AttemptSent, "attempt-sent", Info, Rare, true,
          "the first target was chosen"},
-        {LogEvent::AttemptRepeated, "attempt-repeated", Info, Rare, false,
+        {LogEvent::AttemptRepeated, "attempt-repeated", Info, Rare, true,
          "a further target was chosen: retry or hedge"},
-        {LogEvent::AttemptRefused, "attempt-refused", Info, Rare, false,
+        {LogEvent::AttemptRefused, "attempt-refused", Info, Rare, true,
          "the target's daemon did not admit the attempt"},
         {LogEvent::AttemptRunning, "attempt-running", Info, Rare, true,
          "the attempt was given to the target"},
--- a/src/RequestLog.cpp
+++ b/src/RequestLog.cpp
@@ -37,6 +37,11 @@
     Out["took_ms"] = toMilliseconds(*Attempt.EndedAt_ - Attempt.SentAt_);
   if (!Attempt.Reason_.empty())
     Out["reason"] = Attempt.Reason_.substr(0, MaxLoggedText);
+  if (!Attempt.Reason_.empty() && Attempt.Slots_ > 0) {
+    Out["running"] = Attempt.Running_;
+    Out["queued"] = Attempt.Queued_;
+    Out["slots"] = Attempt.Slots_;
+  }
   return Out;
 }
 
--- a/src/RequestLog.h
+++ b/src/RequestLog.h
@@ -24,6 +24,9 @@
   std::optional<TimePoint> EndedAt_;
   std::string_view End_ = "open"; ///< See attemptEndName().
   std::string Reason_;            ///< The target's daemon's words.
+  std::uint32_t Running_ = 0;     ///< At the target, with its answer.
+  std::uint32_t Queued_ = 0;
+  std::uint32_t Slots_ = 0; ///< 0 without such an answer.
 };
 
 /// A request's way at its entry daemon.
