Let others read the store for suspected readers

Half of the machines had gone dark at 16 s. The readers of a data centre were replaced only when declared dead: 1.5 s of failed rounds and 1.5 s of suspicion, more than the bound of 2 s.

Change: suspects rank last as readers, and a suspicion renews the overlay.

--- a/src/MembershipProbes.cpp
+++ b/src/MembershipProbes.cpp
@@ -35,6 +35,7 @@
     return;
   Row.Record_.set_state(wire::SERVER_SUSPECT);
   Row.StateSince_ = Context.Time_.Monotonic_;
+  Members.OverlayStale_ = true;
   planScan(Members, Members.Config_.SuspicionTime_);
   ++Members.Counters_.Suspicions_;
   Context.Events_.push_back({MembershipEventKind::ServerSuspect, Name});
--- a/src/MembershipTables.cpp
+++ b/src/MembershipTables.cpp
@@ -296,13 +296,16 @@
 
 namespace {
 
-/// The servers that rank first for a data centre by rendezvous hash.
+/// The servers that rank first for a data centre by rendezvous hash. Suspects
+/// come last: when all readers are lost together, others must not wait with the
+/// watch until they are declared dead.
 void rankReaders(const Membership &Members, Overlay &Out) {
-  std::map<std::string, std::vector<std::pair<std::uint64_t, std::string>>>
-      Ranked;
+  using Rank = std::tuple<bool, std::uint64_t, std::string>;
+  std::map<std::string, std::vector<Rank>> Ranked;
   for (const auto &[Name, Row] : Members.Servers_)
     if (isLive(Row.Record_) && Row.Record_.state() != wire::SERVER_LEAVING)
       Ranked[Row.Record_.data_centre()].emplace_back(
+          Row.Record_.state() != wire::SERVER_SUSPECT,
           hash64(Name, hash64(Row.Record_.data_centre())), Name);
   for (auto &[DataCentre, Scores] : Ranked) {
     std::size_t Count = std::min<std::size_t>(
@@ -311,7 +314,7 @@
                       Scores.begin() + static_cast<std::ptrdiff_t>(Count),
                       Scores.end(), std::greater<>());
     for (std::size_t I = 0; I < Count; ++I)
-      Out.Readers_[DataCentre].push_back(Scores[I].second);
+      Out.Readers_[DataCentre].push_back(std::get<2>(Scores[I]));
   }
 }
 
--- a/test/failure/MembershipFailureTest.cpp
+++ b/test/failure/MembershipFailureTest.cpp
@@ -192,6 +192,33 @@
             Sim.Daemons_.size() - 1);
 }
 
+// A data centre whose readers are lost together must not be without a watch of
+// the store until they are declared dead.
+TEST(MembershipFailure, OthersReadForSuspectedReaders) {
+  Fleet Sim(lossy(14));
+  auto Readers = readersOf(Sim.Daemons_[0].Members_, "dc0");
+  auto IsReader = [&](const SimDaemon &Daemon) {
+    return std::find(Readers.begin(), Readers.end(), Daemon.Name_) !=
+           Readers.end();
+  };
+  for (std::size_t I = 0; I < Sim.Daemons_.size(); ++I)
+    if (IsReader(Sim.Daemons_[I]))
+      Sim.kill(I);
+  // Three failed rounds of a second and their phase, before the three seconds
+  // of suspicion.
+  auto Span = Sim.runUntil(
+      [&] {
+        return std::any_of(Sim.Daemons_.begin(), Sim.Daemons_.end(),
+                           [&](const SimDaemon &Daemon) {
+                             return Daemon.Up_ && Daemon.DataCentre_ == "dc0" &&
+                                    isReader(Daemon.Members_);
+                           });
+      },
+      milliseconds(5500));
+  print("another reader", Span);
+  EXPECT_TRUE(Span.has_value());
+}
+
 // 20% of the endpoints leave and return every minute; nothing of it may go
 // through the store, and the tables must be right soon after.
 TEST(MembershipFailure, SurvivesEndpointChurn) {
