Keep calls to a restarted daemon when its first message arrives

The record of a new process comes by gossip, so a call can name it before its first own message. That message showed a higher process than any message before, and every open call to the server was given up as unknown, those to the new process too. On large sites, where two daemons rarely speak, the first call to each restarted daemon was lost so.

Change: onServerLost() takes the process that runs now and keeps what names it. Besides: a silent link takes a target out for EjectionBase_ only.

Test: EntryCallsTest ARestartKeepsWhatTheNewProcessRuns, red before.

--- a/include/sycamore/EntryCalls.h
+++ b/include/sycamore/EntryCalls.h
@@ -259,10 +259,12 @@
 CallActions onLinkLost(EntryCalls &Calls, std::string_view Server,
                        const CallPolicy &Policy, TimePoint Now);
 
-/// The membership says that a server is dead or was restarted: there is nobody
-/// left to ask about what was sent to it.
+/// A server was restarted and runs this process now: there is nobody left to
+/// ask about what was sent to an earlier one. Attempts that name this process
+/// go on; its record may have come before its first message.
 CallActions onServerLost(EntryCalls &Calls, std::string_view Server,
-                         const CallPolicy &Policy, TimePoint Now);
+                         std::uint64_t Process, const CallPolicy &Policy,
+                         TimePoint Now);
 
 CallActions onQueryAnswer(EntryCalls &Calls, std::string_view Server,
                           const wire::CallQueryAnswer &Answer,
--- a/include/sycamore/Placement.h
+++ b/include/sycamore/Placement.h
@@ -180,8 +180,8 @@
                   const TargetLoad &Load, Duration Latency,
                   AttemptOutcome Outcome, TimePoint Now);
 
-/// The link to the target's server went silent: the target is passed over for a
-/// while, as after a refused connection.
+/// The link to the target's server went silent: the target is passed over for
+/// EjectionBase_.
 void ejectTarget(Placement &Table, std::string_view Name, TimePoint Now);
 
 /// What the table knows of a target, for logs.
--- a/src/EntryCalls.cpp
+++ b/src/EntryCalls.cpp
@@ -25,11 +25,12 @@
     proceed(At, Call);
 }
 
-void loseServer(Step &At, EntryCall &Call, std::string_view Server) {
+void loseServer(Step &At, EntryCall &Call, std::string_view Server,
+                std::uint64_t Process) {
   bool Changed = false;
   for (CallAttempt &Attempt : Call.Attempts_) {
     if (Attempt.Server_ != Server || !isOpen(Attempt) ||
-        Attempt.State_ == AttemptState::Queued)
+        Attempt.State_ == AttemptState::Queued || Attempt.Process_ == Process)
       continue;
     Attempt.State_ = AttemptState::Unknown;
     Changed = true;
@@ -197,10 +198,12 @@
 }
 
 CallActions onServerLost(EntryCalls &Calls, std::string_view Server,
-                         const CallPolicy &Policy, TimePoint Now) {
+                         std::uint64_t Process, const CallPolicy &Policy,
+                         TimePoint Now) {
   Step At{Calls, Policy, Now, {}};
   Calls.Links_.erase(std::string(Server));
-  forEachCall(At, [&](EntryCall &Call) { loseServer(At, Call, Server); });
+  forEachCall(At,
+              [&](EntryCall &Call) { loseServer(At, Call, Server, Process); });
   return std::move(At.Actions_);
 }
 
--- a/src/EntryProxy.cpp
+++ b/src/EntryProxy.cpp
@@ -423,7 +423,8 @@
   bool Restarted = Known != 0;
   Known = Process;
   if (Restarted)
-    carryOut(onServerLost(Calls_, Server, Policy_, Time.Monotonic_), Time);
+    carryOut(onServerLost(Calls_, Server, Process, Policy_, Time.Monotonic_),
+             Time);
 }
 
 void EntryProxy::onLinkEnd(const std::string &Server, std::uint64_t Link,
--- a/src/Placement.cpp
+++ b/src/Placement.cpp
@@ -399,7 +399,16 @@
 }
 
 void ejectTarget(Placement &Table, std::string_view Name, TimePoint Now) {
-  noteRefusedConnection(Table, Name, statsOf(Table, Name, Now), Now);
+  // Unlike a refused connection, silence is no sign of a new process, and a
+  // daemon that is only overloaded must get its share again soon: a longer
+  // absence would overload the others.
+  TargetStats &Stats = statsOf(Table, Name, Now);
+  if (Stats.EjectedUntil_ > Now)
+    return;
+  Stats.EjectedUntil_ = Now + Table.Options_.EjectionBase_;
+  ++Table.Counters_.Ejections_;
+  addEvent(Table, PlacementEventKind::Ejected, Name,
+           Table.Options_.EjectionBase_);
 }
 
 TargetView viewOf(const Placement &Table, std::string_view Name,
--- a/test/correctness/EntryCallsTest.cpp
+++ b/test/correctness/EntryCallsTest.cpp
@@ -280,6 +280,20 @@
   EXPECT_EQ(find<Finish>(Actions)->Run_, wire::RUN_NOT_RUN);
 }
 
+// The record of a restarted daemon may arrive before its first message. A call
+// that already names the new process must not be given up when that comes.
+TEST_F(Entry, ARestartKeepsWhatTheNewProcessRuns) {
+  Targets_ = {{"s1", "t1", 12}};
+  EntryCall Call = callWithTarget(2);
+  Call.Idempotent_ = false;
+  auto First = sent(beginCall(Calls_, Call, Policy_, at(0)), 0);
+  EXPECT_EQ(First.process(), 12U);
+  EXPECT_TRUE(onServerLost(Calls_, "s1", 12, Policy_, at(1)).empty());
+  CallActions Later = onServerLost(Calls_, "s1", 13, Policy_, at(2));
+  ASSERT_NE(find<Finish>(Later), nullptr);
+  EXPECT_EQ(find<Finish>(Later)->Run_, wire::RUN_UNKNOWN);
+}
+
 // A request that missed its latency target at its caller already must be let in
 // as late work at once; asked for in time it would be refused everywhere.
 TEST_F(Entry, ARequestPastItsTargetMayBeLateAtOnce) {
--- a/test/support/CallWorld.cpp
+++ b/test/support/CallWorld.cpp
@@ -346,8 +346,8 @@
         What.SeenAlive_.begin(), What.SeenAlive_.end(),
         [&](const std::string &Name) { return Name == Peer.Name_; });
     if (Lost && !Peer.Leaving_ && Peer.Index_ != What.Index_ && chance(0.05))
-      perform(What, onServerLost(What.Entry_, Peer.Name_, policy(What),
-                                 At.Monotonic_));
+      perform(What, onServerLost(What.Entry_, Peer.Name_, UINT64_MAX,
+                                 policy(What), At.Monotonic_));
   }
   tickTargetCalls(What.Target_, At.Monotonic_);
   performBuckets(What, tickBuckets(What.Holder_.Buckets_, What.SeenAlive_,
