Take a target whose check connection breaks too for lost

After a broken answer the daemon asks by a new connection whether the target lives. Under load the ending process still accepted that connection, which then broke; that counted as living, so the second and third loss left no mark.

Change: refused or broken, the target is lost. An answer, or silence, is not.

Test: PlatformPathTest ABrokenCheckCountsAsALostServer, red before.

--- a/src/TargetProxy.cpp
+++ b/src/TargetProxy.cpp
@@ -364,7 +364,9 @@
   }
   Client_.send(Beside->second.Address_, Request,
                [this, Id](const HttpAnswer &Answer) {
-                 settleBroken(Id, Answer.Outcome_ == HttpOutcome::NotSent);
+                 // A process that is ending may still accept a connection.
+                 settleBroken(Id, Answer.Outcome_ == HttpOutcome::NotSent ||
+                                      Answer.Outcome_ == HttpOutcome::Broken);
                });
 }
 
--- a/test/platform/PlatformPathTest.cpp
+++ b/test/platform/PlatformPathTest.cpp
@@ -21,6 +21,10 @@
       : Server_(HttpServer::create(Base).value()) {
     Server_->setHandler([this](const HttpExchangePointer &Exchange) {
       Requests_.push_back(Exchange->request());
+      if (Aborts_) {
+        Exchange->abort();
+        return;
+      }
       if (Holds_) {
         Held_ = Exchange;
         return;
@@ -45,6 +49,7 @@
   bool NoSeal_ = false;
   bool WrongId_ = false;
   bool Sheds_ = false;
+  bool Aborts_ = false;
   bool Holds_ = false; ///< Keeps the next request open in Held_.
   HttpExchangePointer Held_;
 };
@@ -355,6 +360,28 @@
   Servers_[0]->Address_ = Own;
 }
 
+// A server that crashes under load still accepts the connection that asks
+// whether it lives, and resets it; a crash request would then never be marked.
+TEST_F(PlatformPath, ABrokenCheckCountsAsALostServer) {
+  configure(5, "desk");
+  Servers_[2]->Aborts_ = true;
+  auto CountsALoss = [&] {
+    HttpClientRequest Request;
+    Request.Path_ = "/metrics";
+    std::string Page =
+        send(Daemons_[2]->addresses().Admin_, std::move(Request)).Body_;
+    return Page.find("\nsycamore_targets_lost_total 0\n") ==
+               std::string::npos &&
+           Page.find("\nsycamore_targets_lost_total ") != std::string::npos;
+  };
+  std::uint64_t Sequence = 0;
+  EXPECT_TRUE(eventually([&] {
+    announce(2, "ready", ++Sequence);
+    call(0, "POST", "/once/y");
+    return CountsALoss();
+  }));
+}
+
 // A server that sheds did not run the request, so another one may.
 TEST_F(PlatformPath, TakesAShedRequestToAnotherServer) {
   startAll();
