Show the time that the event loop spends in each kind of work

Logs and metrics could not tell whether the daemons lack processor time, are held up by single pieces of work, or take links for silent.

New: line task-slow for a piece of work of 50 ms or more; in totals the count, total and longest time of each kind of work, the longest delay of a tick, links opened and silent, and the processor time; the same as metrics. No logic changes.

--- a/include/sycamore/Clock.h
+++ b/include/sycamore/Clock.h
@@ -16,4 +16,7 @@
 /// must not make a lapsed lease look valid.
 Now readClocks();
 
+/// Processor time that all threads of this process have used.
+Duration processorTime();
+
 } // namespace sycamore
--- a/include/sycamore/Events.h
+++ b/include/sycamore/Events.h
@@ -22,6 +22,7 @@
   StoreUnreachable,
   PeerLinkSilent,
   LinesDropped,
+  TaskSlow,
   Totals,
   // Configuration, membership, targets, buckets and quarantine.
   TicketApplied,
--- a/src/AdminApi.h
+++ b/src/AdminApi.h
@@ -5,6 +5,7 @@
 #include "ControlPlane.h"
 #include "EntryProxy.h"
 #include "KeyedProxy.h"
+#include "LoopWork.h"
 #include "TargetProxy.h"
 #include "sycamore/EtcdStore.h"
 #include "sycamore/HttpServer.h"
@@ -22,6 +23,7 @@
   SpanBuffer &Spans_;
   const PeerTransport &Peers_;
   const StoreCounters &StoreCounters_;
+  const LoopWork &Work_;
 };
 
 class AdminApi {
--- a/src/Clock.cpp
+++ b/src/Clock.cpp
@@ -24,4 +24,6 @@
   return {monotonicNow(), Wall};
 }
 
+Duration processorTime() { return readClock(CLOCK_PROCESS_CPUTIME_ID); }
+
 } // namespace sycamore
--- a/src/ControlPlane.cpp
+++ b/src/ControlPlane.cpp
@@ -146,9 +146,10 @@
                            const std::string &PeerAddress,
                            const std::string &PublicKey, std::uint64_t Process,
                            Store &StoreClient, const Integration *Adapter,
-                           Random &Rng, OutboxSender Send, Now Time)
+                           Random &Rng, LoopWork &Work, OutboxSender Send,
+                           Now Time)
     : Settings_(Config), Store_(StoreClient), Integration_(Adapter), Rng_(Rng),
-      Send_(std::move(Send)),
+      Work_(Work), Send_(std::move(Send)),
       Members_(makeMembership(
           membershipConfig(Config, PeerAddress, PublicKey, Process), Time)),
       Replica_(makeConfigReplica(replicaConfig(Config, Adapter))),
@@ -282,6 +283,7 @@
 
 void ControlPlane::onStoreAnswer(bool ForFloor, TimePoint StartedAt,
                                  const Result<TxnResult> &Answer) {
+  LoopTaskTimer Timer(Work_, LoopTask::StoreAnswer);
   Now Time = readClocks();
   HeadReadInFlight_ = false;
   StoreReadResult Read;
@@ -434,6 +436,7 @@
   Watch_ = Store_.watch(
       configurationKey(), 0,
       [this](const KeyValue &Entry) {
+        LoopTaskTimer Timer(Work_, LoopTask::StoreAnswer);
         ++Counters_.WatchEvents_;
         if (!Integration_)
           applyHead(Entry.Value_, nullptr);
--- a/src/ControlPlane.h
+++ b/src/ControlPlane.h
@@ -2,6 +2,7 @@
 // membership, configuration replica, dissemination and bootstrap.
 #pragma once
 
+#include "LoopWork.h"
 #include "sycamore/Bootstrap.h"
 #include "sycamore/Dissemination.h"
 #include "sycamore/Integration.h"
@@ -30,7 +31,7 @@
   ControlPlane(const Settings &Config, const std::string &PeerAddress,
                const std::string &PublicKey, std::uint64_t Process,
                Store &StoreClient, const Integration *Adapter, Random &Rng,
-               OutboxSender Send, Now Time);
+               LoopWork &Work, OutboxSender Send, Now Time);
 
   /// Decides which servers of the store's seeds are trusted.
   using SeedFilter = std::function<bool(const wire::ServerRecord &)>;
@@ -98,6 +99,7 @@
   Store &Store_;
   const Integration *Integration_; ///< Null for the built-in formats.
   Random &Rng_;
+  LoopWork &Work_;
   OutboxSender Send_;
   SeedFilter SeedFilter_;
   Membership Members_;
--- a/src/Daemon.cpp
+++ b/src/Daemon.cpp
@@ -11,7 +11,8 @@
 namespace sycamore {
 namespace {
 
-constexpr timeval TickInterval{0, 20'000};
+constexpr Duration TickSpan = milliseconds(20);
+constexpr timeval TickInterval{0, TickSpan.count()};
 
 constexpr Duration TraceWriteInterval = seconds(1);
 
@@ -47,6 +48,34 @@
   return Out;
 }
 
+LoopTask loopTaskOf(const wire::PeerMessage &Message) {
+  switch (Message.body_case()) {
+  case wire::PeerMessage::kCallRequest:
+  case wire::PeerMessage::kCallAnswer:
+  case wire::PeerMessage::kCallCancel:
+  case wire::PeerMessage::kCallQuery:
+  case wire::PeerMessage::kCallQueryAnswer:
+    return LoopTask::Call;
+  case wire::PeerMessage::kTicketBodies:
+    return LoopTask::TicketBodies;
+  case wire::PeerMessage::kTicketPull:
+    return LoopTask::TicketPull;
+  default:
+    return LoopTask::Control;
+  }
+}
+
+Json describeWork(const LoopWork &Work) {
+  Json Out = Json::object();
+  for (std::size_t I = 0; I < LoopTaskCount; ++I)
+    if (const LoopTaskStats &Stats = Work.Tasks_[I]; Stats.Count_ > 0)
+      Out[std::string(loopTaskName(static_cast<LoopTask>(I)))] = {
+          {"count", Stats.Count_},
+          {"total_ms", toMilliseconds(Stats.Total_)},
+          {"longest_ms", toMilliseconds(Stats.Longest_)}};
+  return Out;
+}
+
 std::uint64_t unixMicroseconds(WallTime Time) {
   return static_cast<std::uint64_t>(Time.time_since_epoch().count());
 }
@@ -140,12 +169,12 @@
   };
   Control_ = std::make_unique<ControlPlane>(
       Settings_, PeerAddress, Keys_.Own_.PublicKey_, Process_, *Store_,
-      Integration_, Rng_, Send, Time);
+      Integration_, Rng_, Work_, Send, Time);
   Control_->setSeedFilter(
       [this](const wire::ServerRecord &Seed) { return isAllowedPeer(Seed); });
   Targets_ =
       std::make_unique<TargetProxy>(Settings_, *Client_, *Control_, Quarantine_,
-                                    Spans_, Rng_, Process_, Reply, Time);
+                                    Spans_, Rng_, Work_, Process_, Reply, Time);
   Entry_ = std::make_unique<EntryProxy>(
       Settings_, *Control_, *Targets_, Quarantine_, Spans_, Rng_, Process_,
       SendCall,
@@ -167,12 +196,13 @@
   }
   Admin_ = std::make_unique<AdminApi>(
       AdminContext{Settings_, *Control_, *Targets_, *Entry_, *Keyed_,
-                   Quarantine_, Spans_, *Peers_, *StoreCounters_},
+                   Quarantine_, Spans_, *Peers_, *StoreCounters_, Work_},
       std::move(Tokens));
 
   auto Caller = startHttpServer(
       Settings_.CallerListen_, Settings_.CallerTls_,
       [this](const HttpExchangePointer &Exchange) {
+        LoopTaskTimer Timer(Work_, LoopTask::CallerRequest);
         Entry_->receive(Exchange, readClocks());
       },
       Addresses_.Caller_);
@@ -283,7 +313,11 @@
 }
 
 void DaemonImpl::tick() {
+  LoopTaskTimer Timer(Work_, LoopTask::Tick);
   Now Time = readClocks();
+  if (LastTick_ != TimePoint{})
+    recordTickDelay(Work_, Time.Monotonic_ - LastTick_ - TickSpan);
+  LastTick_ = Time.Monotonic_;
   Peers_->tick(Time.Monotonic_);
   Control_->tick(Time);
   Targets_->tick(Time);
@@ -305,6 +339,7 @@
 
 void DaemonImpl::onMessage(wire::PeerMessage &Message, std::string &Body,
                            const ReplyRoute &Route) {
+  LoopTaskTimer Timer(Work_, loopTaskOf(Message));
   Now Time = readClocks();
   // Only a message over the link that this daemon dialled shows that its
   // requests can reach the peer.
@@ -448,18 +483,25 @@
   NextTotals_ = Time.Monotonic_ + TotalsInterval;
   const EntryCallsCounters &Calls = Entry_->calls().Counters_;
   const PeerTransportCounters &Peers = Peers_->counters();
-  logEvent(LogEvent::Totals, {{"requests", Entry_->counters().Requests_},
-                              {"attempts", Calls.Attempts_},
-                              {"retries", Calls.Retries_},
-                              {"hedges", Calls.Hedges_},
-                              {"done", Calls.Done_},
-                              {"not_run", Calls.NotRun_},
-                              {"unknown", Calls.Unknown_},
-                              {"in_flight", Entry_->inFlight()},
-                              {"peer_bytes_sent", Peers.BytesSent_},
-                              {"control_bytes_sent", Peers.ControlBytesSent_},
-                              {"store_calls", StoreCounters_->RequestsSent_},
-                              {"ticket", Control_->snapshot()->Number_}});
+  LoopWork Work = takeLongest(Work_);
+  logEvent(LogEvent::Totals,
+           {{"requests", Entry_->counters().Requests_},
+            {"attempts", Calls.Attempts_},
+            {"retries", Calls.Retries_},
+            {"hedges", Calls.Hedges_},
+            {"done", Calls.Done_},
+            {"not_run", Calls.NotRun_},
+            {"unknown", Calls.Unknown_},
+            {"in_flight", Entry_->inFlight()},
+            {"peer_bytes_sent", Peers.BytesSent_},
+            {"control_bytes_sent", Peers.ControlBytesSent_},
+            {"store_calls", StoreCounters_->RequestsSent_},
+            {"links_opened", Peers.LinksOpened_},
+            {"links_silent", Calls.SilentLinks_},
+            {"processor_ms", toMilliseconds(processorTime())},
+            {"tick_delay_ms", toMilliseconds(Work.TickDelay_)},
+            {"work", describeWork(Work)},
+            {"ticket", Control_->snapshot()->Number_}});
 }
 
 void DaemonImpl::writeTraces(Now Time) {
--- a/src/DaemonImpl.h
+++ b/src/DaemonImpl.h
@@ -6,6 +6,7 @@
 #include "ControlPlane.h"
 #include "EntryProxy.h"
 #include "KeyedProxy.h"
+#include "LoopWork.h"
 #include "PeerKeys.h"
 #include "TargetProxy.h"
 #include "sycamore/Daemon.h"
@@ -81,6 +82,7 @@
   DaemonAddresses Addresses_;
   SpanBuffer Spans_;
   Quarantine Quarantine_;
+  LoopWork Work_;
   std::shared_ptr<StoreCounters> StoreCounters_ =
       std::make_shared<StoreCounters>();
   std::unique_ptr<Store> Store_;
@@ -106,6 +108,7 @@
   TimePoint NextTraceWrite_;
   TimePoint NextDropReport_;
   TimePoint NextTotals_;
+  TimePoint LastTick_;
 };
 
 } // namespace sycamore
--- a/src/DaemonMetrics.cpp
+++ b/src/DaemonMetrics.cpp
@@ -1,6 +1,7 @@
 // Writes all metrics of the daemon.
 #include "AdminApi.h"
 
+#include "sycamore/Clock.h"
 #include "sycamore/Metrics.h"
 
 #include <fstream>
@@ -254,11 +255,12 @@
   return Resident * static_cast<double>(sysconf(_SC_PAGESIZE));
 }
 
-double cpuSeconds() {
-  timespec CpuTime{};
-  clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &CpuTime);
-  return static_cast<double>(CpuTime.tv_sec) +
-         static_cast<double>(CpuTime.tv_nsec) * 1e-9;
+void writeWork(MetricsPage &Page, const LoopWork &Work) {
+  for (std::size_t I = 0; I < LoopTaskCount; ++I)
+    writeGauge(Page, "sycamore_loop_task_seconds_total",
+               "Time that the event loop spent in each kind of work.",
+               std::chrono::duration<double>(Work.Tasks_[I].Total_).count(),
+               {{"task", std::string(loopTaskName(static_cast<LoopTask>(I)))}});
 }
 
 void writeGauges(MetricsPage &Page, const AdminContext &Context) {
@@ -284,7 +286,10 @@
   writeGauge(Page, "process_resident_memory_bytes", "Resident memory.",
              residentBytes());
   writeGauge(Page, "process_cpu_seconds_total", "Processor time.",
-             cpuSeconds());
+             std::chrono::duration<double>(processorTime()).count());
+  writeGauge(Page, "sycamore_tick_delay_seconds",
+             "Longest delay of a tick since the last line totals.",
+             std::chrono::duration<double>(Context.Work_.TickDelay_).count());
 }
 
 } // namespace
@@ -292,6 +297,7 @@
 std::string metricsText(const AdminContext &Context) {
   MetricsPage Page;
   writeGauges(Page, Context);
+  writeWork(Page, Context.Work_);
   writeTable(Page, Context.Entry_.counters(), EntryRows);
   writeTable(Page, Context.Entry_.calls().Counters_, CallRows);
   writeTable(Page, Context.Targets_.counters(), TargetRows);
--- a/src/Events.cpp
+++ b/src/Events.cpp
@@ -40,6 +40,8 @@
          "nothing came over a link with calls under way; it is replaced"},
         {LogEvent::LinesDropped, "lines-dropped", Warning, RarePerSecond, false,
          "lines beyond the budget of their kind, by kind"},
+        {LogEvent::TaskSlow, "task-slow", Warning, FrequentPerSecond, false,
+         "one piece of work held the event loop; all requests waited"},
         {LogEvent::Totals, "totals", Info, RarePerSecond, false,
          "counters since the start, every 10 s"},
         {LogEvent::TicketApplied, "ticket-applied", Info, RarePerSecond, false,
--- a/src/TargetProxy.cpp
+++ b/src/TargetProxy.cpp
@@ -88,10 +88,10 @@
 
 TargetProxy::TargetProxy(const Settings &Config, HttpClient &Client,
                          ControlPlane &Control, Quarantine &QuarantineTable,
-                         SpanBuffer &Spans, Random &Rng, std::uint64_t Process,
-                         CallReplier Reply, Now Time)
+                         SpanBuffer &Spans, Random &Rng, LoopWork &Work,
+                         std::uint64_t Process, CallReplier Reply, Now Time)
     : Settings_(Config), Client_(Client), Control_(Control),
-      QuarantineTable_(QuarantineTable), Spans_(Spans), Rng_(Rng),
+      QuarantineTable_(QuarantineTable), Spans_(Spans), Rng_(Rng), Work_(Work),
       Reply_(std::move(Reply)) {
   Calls_.Process_ = Process;
   Calls_.Limits_.RetentionTime_ = Config.Records_.Keep_;
@@ -311,6 +311,7 @@
 }
 
 void TargetProxy::onHttpResponse(std::uint64_t Id, HttpResponse Response) {
+  LoopTaskTimer Timer(Work_, LoopTask::TargetResponse);
   auto Found = Pending_.find(Id);
   if (Found == Pending_.end())
     return;
--- a/src/TargetProxy.h
+++ b/src/TargetProxy.h
@@ -4,6 +4,7 @@
 
 #include "CallMessages.h"
 #include "ControlPlane.h"
+#include "LoopWork.h"
 #include "RequestLog.h"
 #include "sycamore/Admission.h"
 #include "sycamore/HttpClient.h"
@@ -85,7 +86,8 @@
 public:
   TargetProxy(const Settings &Config, HttpClient &Client, ControlPlane &Control,
               Quarantine &QuarantineTable, SpanBuffer &Spans, Random &Rng,
-              std::uint64_t Process, CallReplier Reply, Now Time);
+              LoopWork &Work, std::uint64_t Process, CallReplier Reply,
+              Now Time);
 
   /// Handles an announcement {"name", "service", "slots", "address"}. Errors:
   /// InvalidArgument that names the invalid field.
@@ -193,6 +195,7 @@
   Quarantine &QuarantineTable_;
   SpanBuffer &Spans_;
   Random &Rng_;
+  LoopWork &Work_;
   CallReplier Reply_;
   std::map<std::string, LocalTarget, std::less<>> Targets_;
   /// Start times of the target processes that announced that they leave, by
