Measure how long each request waited instead of adding up pauses

Cause: a gap of over 100 ms between two ticks counted as a suspension of the process. Its length was deducted from the remaining time of every request read in the next second, and gaps less than a second apart were added up. Applying a configuration of 1,140 routes takes 65 to 120 ms there, so a series of them made the deduction grow until all nested calls, and then others, were refused as expired although none of them had waited.

Ruled out: event loops busy for 13.5% of the time, 23 silent links.

Now each attempt carries the sender's clock. Its transit time, less the smallest of the same process in the last 30 to 60 s, is what it waited; the offset between the clocks cancels out. Only a request without such a baseline falls back to the pause. Requests that waited in a network without a pause expire too.

TargetCallsTest RepeatedPausesDoNotRefuseRequestsThatDidNotWait failed before (remaining 160 ms, 50 ms, then expired, instead of 170 and 270 ms).

--- a/include/sycamore/TargetCalls.h
+++ b/include/sycamore/TargetCalls.h
@@ -43,7 +43,7 @@
   Acceptance Acceptance_ = Acceptance::New;
   wire::CallAnswer Answer_;
   std::shared_ptr<const std::string> Body_;
-  Duration Remaining_{0}; ///< For New: time left, with pauses deducted.
+  Duration Remaining_{0}; ///< For New: time left when the request was read.
 };
 
 /// Answer to a query. For CALL_DONE, Answer_ holds the stored answer, which is
@@ -78,8 +78,19 @@
   bool AnswerDropped_ = false;
 };
 
+/// Smallest differences between the own clock at the arrival of requests and
+/// the sender's clock at their sending, in two consecutive time windows. The
+/// offset between the clocks is unknown, so the time for which a request waited
+/// on its way is its excess over the smallest difference.
+struct TransitBaseline {
+  TimePoint WindowStart_;
+  std::optional<Duration> Current_;
+  std::optional<Duration> Previous_;
+};
+
 /// Call records of one entry process.
 struct EntryProcess {
+  TransitBaseline Transit_;
   std::uint64_t LowWaterMark_ = 0; ///< Highest ordinal of a dropped record.
   std::unordered_map<std::uint64_t, TargetCall> Calls_; ///< By ordinal.
 };
@@ -126,6 +137,9 @@
   /// Time after a pause during which requests may still be read from buffers
   /// that filled during the pause.
   Duration DrainAfterPause_ = seconds(1);
+  /// Length of a window of TransitBaseline. Two clocks that drift apart by
+  /// 100 us a second differ by 6 ms over two windows.
+  Duration TransitWindow_ = seconds(30);
 };
 
 struct TargetCalls {
--- a/src/EntryCallsDetail.cpp
+++ b/src/EntryCallsDetail.cpp
@@ -124,6 +124,8 @@
             .count()));
   Out.set_accept_late(AcceptLate);
   Out.set_spare_only(Attempt.Hedge_);
+  Out.set_sent_us(
+      static_cast<std::uint64_t>(Context.Now_.time_since_epoch().count()));
   return Out;
 }
 
--- a/src/TargetCalls.cpp
+++ b/src/TargetCalls.cpp
@@ -176,6 +176,51 @@
   return Wait;
 }
 
+/// Time for which a request with this transit time waited longer than the
+/// fastest recent request of the same process; unset if there was none.
+std::optional<Duration> transitExcess(const TransitBaseline &Baseline,
+                                      Duration Transit, Duration Window,
+                                      TimePoint Now) {
+  if (Now - Baseline.WindowStart_ >= 2 * Window)
+    return std::nullopt;
+  std::optional<Duration> Smallest = Baseline.Current_;
+  if (!Smallest || (Baseline.Previous_ && *Baseline.Previous_ < *Smallest))
+    Smallest = Baseline.Previous_;
+  if (!Smallest)
+    return std::nullopt;
+  return std::max<Duration>(Transit - *Smallest, Duration(0));
+}
+
+void addTransit(TransitBaseline &Baseline, Duration Transit, Duration Window,
+                TimePoint Now) {
+  if (Now - Baseline.WindowStart_ >= Window) {
+    bool Adjacent = Now - Baseline.WindowStart_ < 2 * Window;
+    Baseline.Previous_ = Adjacent ? Baseline.Current_ : std::nullopt;
+    Baseline.Current_.reset();
+    Baseline.WindowStart_ = Now;
+  }
+  Baseline.Current_ = std::min(Baseline.Current_.value_or(Transit), Transit);
+}
+
+/// Time for which a request may have waited before it was read. Without a
+/// baseline, the request may have waited for as long as this process paused.
+Duration waitBeforeRead(TargetCalls &Calls, const wire::CallRequest &Request,
+                        TimePoint Now) {
+  Duration Pause = maxPauseDelay(Calls, Now);
+  EntryProcess *Process =
+      Request.sent_us() != 0 ? findOrAddProcess(Calls, Request.id()) : nullptr;
+  if (Process == nullptr)
+    return Pause;
+  Duration Window = Calls.Limits_.TransitWindow_;
+  Duration Transit = Now.time_since_epoch() -
+                     Duration(static_cast<Duration::rep>(Request.sent_us()));
+  auto Excess = transitExcess(Process->Transit_, Transit, Window, Now);
+  // A first request that was delayed itself is no baseline.
+  if (Excess || Pause == Duration(0))
+    addTransit(Process->Transit_, Transit, Window, Now);
+  return Excess.value_or(Pause);
+}
+
 AcceptResult refuse(Acceptance Kind, wire::CallAnswer Answer) {
   AcceptResult Out;
   Out.Acceptance_ = Kind;
@@ -314,7 +359,7 @@
   }
   Duration Remaining =
       Duration(static_cast<Duration::rep>(Request.remaining_us())) -
-      maxPauseDelay(Calls, Now);
+      waitBeforeRead(Calls, Request, Now);
   if (Remaining <= Duration{0})
     return acceptExpired(Calls, Id, Now);
   TargetCall *Call = addRecord(Calls, Id);
--- a/test/correctness/TargetCallsTest.cpp
+++ b/test/correctness/TargetCallsTest.cpp
@@ -103,6 +103,47 @@
   EXPECT_NE(accept(Calls, request(1, 3000), 6025), Acceptance::New);
 }
 
+// Configuration changes hold the loop for 110 ms each, 400 ms apart.
+TEST(TargetCalls, RepeatedPausesDoNotRefuseRequestsThatDidNotWait) {
+  TargetCalls Calls = makeCalls();
+  constexpr int TransitMs = 2;
+  constexpr int SenderClockAheadMs = 70000;
+  std::uint64_t Ordinal = 0;
+  auto Accept = [&](int SentMs, int ReadMs) {
+    wire::CallRequest Request = request(++Ordinal, 270);
+    Request.set_sent_us(
+        static_cast<std::uint64_t>(SentMs + SenderClockAheadMs) * 1000);
+    return acceptRequest(Calls, Request, at(ReadMs));
+  };
+  EXPECT_EQ(Accept(10, 10 + TransitMs).Acceptance_, Acceptance::New);
+  int Ms = 20;
+  tickTargetCalls(Calls, at(Ms));
+  for (int Pause = 0; Pause < 10; ++Pause) {
+    Ms += 110;
+    tickTargetCalls(Calls, at(Ms));
+    AcceptResult Waited = Accept(Ms - 100, Ms + TransitMs);
+    EXPECT_EQ(Waited.Acceptance_, Acceptance::New);
+    EXPECT_EQ(Waited.Remaining_, milliseconds(270 - 100));
+    for (int Tick = 0; Tick < 20; ++Tick)
+      tickTargetCalls(Calls, at(Ms += 20));
+    AcceptResult Read = Accept(Ms, Ms + TransitMs);
+    EXPECT_EQ(Read.Acceptance_, Acceptance::New) << "after pause " << Pause;
+    EXPECT_EQ(Read.Remaining_, milliseconds(270));
+  }
+}
+
+TEST(TargetCalls, RequestDelayedWithoutAPauseExpires) {
+  TargetCalls Calls = makeCalls();
+  wire::CallRequest First = request(1, 270);
+  First.set_sent_us(1'000'000);
+  EXPECT_EQ(accept(Calls, First, 10), Acceptance::New);
+  wire::CallRequest Delayed = request(2, 270);
+  Delayed.set_sent_us(1'000'000);
+  for (int Ms = 20; Ms <= 300; Ms += 20)
+    tickTargetCalls(Calls, at(Ms));
+  EXPECT_EQ(accept(Calls, Delayed, 300), Acceptance::Expired);
+}
+
 TEST(TargetCalls, CancelledCallIsNotSentToTheTarget) {
   TargetCalls Calls = makeCalls();
   accept(Calls, request(1), 1);
