Do not take a long call to the own target for a silent link

What callers saw: an idempotent request that ran for over 600 ms beside its entry daemon was sent to a second target, and the own target was passed over for a while; both cost slots when they are scarce.

Cause: messages of a daemon to itself use no link, so nothing ever counted as a sign of life of that link, and no heartbeat was sent.

EntryCallsTest LongCallToTheOwnTargetIsNotOnASilentLink failed before: it saw a query that replaces the link.

--- a/src/EntryCalls.cpp
+++ b/src/EntryCalls.cpp
@@ -55,8 +55,10 @@
 }
 
 /// Time since the last message on the attempt's link, or since the attempt was
-/// sent if that is later.
+/// sent if that is later. 0 for attempts at this server, which use no link.
 Duration linkSilence(const EventContext &Context, const CallAttempt &Attempt) {
+  if (Attempt.Server_ == Context.Calls_.Self_)
+    return Duration(0);
   TimePoint Last = Attempt.SentAt_;
   if (auto Found = Context.Calls_.Links_.find(Attempt.Server_);
       Found != Context.Calls_.Links_.end())
--- a/test/correctness/EntryCallsTest.cpp
+++ b/test/correctness/EntryCallsTest.cpp
@@ -99,6 +99,16 @@
   EXPECT_EQ(Query->Query_.process(), 11U);
 }
 
+// There is no link between a daemon and its own target.
+TEST_F(EntryCallsTest, LongCallToTheOwnTargetIsNotOnASilentLink) {
+  Targets_ = {{"entry", "t1", 7}, {"s2", "t2", 12}};
+  begin(false);
+  CallActions Actions = tickEntryCalls(Calls_, Policy_, at(450));
+  EXPECT_EQ(findAction<SendAttempt>(Actions), nullptr);
+  EXPECT_EQ(findAction<SendQuery>(Actions), nullptr);
+  EXPECT_TRUE(takeEvents(Calls_).empty());
+}
+
 TEST_F(EntryCallsTest, PermanentRefusalAllowsAnotherTarget) {
   auto Request = begin(false);
   tickEntryCalls(Calls_, Policy_, at(450));
