End responses without end at the size limits, whatever their form

Cause: evhttp limits the head and the body, but not the size line of a chunk, which it buffers and scans again from its start with each read, and neither empty lines between chunks. Such a response held the loop and grew the process until the request's deadline.

The client now counts what it receives for a call. It ends the call as Broken when the unread input passes the two size limits together, or when all that is neither body nor unread passes the limit of the head plus five bytes for each byte of the body, which is what the smallest chunks take.

HttpFailureTest EndsAResponseWithoutEndAtTheSizeLimits has ten forms.

--- a/src/HttpClientPool.cpp
+++ b/src/HttpClientPool.cpp
@@ -3,6 +3,7 @@
 
 #include "sycamore/Clock.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <event2/bufferevent_ssl.h>
@@ -89,7 +90,9 @@
           Core.Base_, nullptr, Stream_, Pool.Address_.Ip_.c_str(),
           Pool.Address_.Port_)),
       OutputCallback_(
-          evbuffer_add_cb(bufferevent_get_output(Stream_), onOutput, this)) {
+          evbuffer_add_cb(bufferevent_get_output(Stream_), onOutput, this)),
+      InputCallback_(
+          evbuffer_add_cb(bufferevent_get_input(Stream_), onInput, this)) {
   evhttp_connection_set_timeout(Handle_, EvhttpTimeoutSeconds);
   evhttp_connection_set_retries(Handle_, 0);
   // EVHTTP_CON_READ_ON_WRITE_ERROR stays off: with it, evhttp does not notice
@@ -101,6 +104,7 @@
 
 ClientConnection::~ClientConnection() {
   evbuffer_remove_cb_entry(bufferevent_get_output(Stream_), OutputCallback_);
+  evbuffer_remove_cb_entry(bufferevent_get_input(Stream_), InputCallback_);
   evhttp_connection_set_closecb(Handle_, nullptr, nullptr);
   evhttp_connection_free(Handle_);
 }
@@ -114,6 +118,36 @@
     This->BytesWritten_ += Info->n_deleted;
 }
 
+// evhttp limits heads and bodies, but not the size line of a chunk, and neither
+// empty lines nor interim responses.
+bool ClientConnection::exceedsLimits() const {
+  const HttpClientConfig &Limits = Core_.Config_;
+  // A chunk with one byte of the body takes six bytes.
+  constexpr std::size_t FramingPerBodyByte = 5;
+  std::size_t Unread = evbuffer_get_length(bufferevent_get_input(Stream_));
+  if (Unread > Limits.MaxHeaderBytes_ + Limits.MaxBodyBytes_)
+    return true;
+  std::size_t Body =
+      PartBytes_ +
+      evbuffer_get_length(evhttp_request_get_input_buffer(Request_));
+  std::size_t Consumed = BytesRead_ - std::min(BytesRead_, Unread + Body);
+  return Consumed > Limits.MaxHeaderBytes_ + Body * FramingPerBodyByte;
+}
+
+void ClientConnection::onInput(evbuffer * /*Buffer*/,
+                               const evbuffer_cb_info *Info, void *Self) {
+  auto *This = static_cast<ClientConnection *>(Self);
+  if (Info->n_added == 0 || !This->Call_ || !This->Request_)
+    return;
+  This->BytesRead_ += Info->n_added;
+  if (!This->exceedsLimits())
+    return;
+  // The connection must not be closed inside this callback.
+  This->Request_ = nullptr;
+  bufferevent_disable(This->Stream_, EV_READ);
+  This->Call_->failDeferred("the answer is over the size limit");
+}
+
 bool ClientConnection::isReusable() const {
   char Byte = 0;
   evutil_socket_t Socket = bufferevent_getfd(Stream_);
@@ -154,16 +188,20 @@
   Call_ = Call;
   Call->Connection_ = this;
   BytesWritten_ = 0;
+  BytesRead_ = 0;
+  PartBytes_ = 0;
   Failure_.clear();
   std::size_t Limit =
       Call->Request_.OnBodyPart_ ? EV_SSIZE_MAX : Core_.Config_.MaxBodyBytes_;
   evhttp_connection_set_max_body_size(Handle_, static_cast<ev_ssize_t>(Limit));
   evhttp_request *Request = makeRequest(Call->Request_);
+  Request_ = Request;
   Starting_ = true;
   int Started = evhttp_make_request(Handle_, Request, *Method,
                                     Call->Request_.Path_.c_str());
   Starting_ = false;
   if (Started != 0) {
+    Request_ = nullptr;
     Failure_ = "the connection could not be started";
     Call->Connection_ = nullptr;
     Call_ = nullptr;
@@ -190,12 +228,14 @@
   auto *This = static_cast<ClientConnection *>(Self);
   std::shared_ptr<ClientCall> Call = This->Call_;
   std::string Part = drainBuffer(evhttp_request_get_input_buffer(Request));
+  This->PartBytes_ += Part.size();
   if (Call && Call->Core_ && !Part.empty())
     Call->Request_.OnBodyPart_(Part);
 }
 
 void ClientConnection::onDone(evhttp_request *Request, void *Self) {
   auto *This = static_cast<ClientConnection *>(Self);
+  This->Request_ = nullptr;
   std::shared_ptr<ClientCall> Call = This->Call_;
   if (!Call || This->Starting_)
     return;
@@ -263,6 +303,8 @@
   Response.Sent_ = This->Connection_ && This->Connection_->bytesWritten() > 0;
   TimePoint Now = monotonicNow();
   if (!This->DeferredReason_.empty()) {
+    if (Response.Sent_)
+      Response.Outcome_ = HttpOutcome::Broken;
     Response.Reason_ = This->DeferredReason_;
   } else if (Now >= This->DeadlineAt_) {
     Response.Outcome_ = HttpOutcome::TimedOut;
--- a/src/HttpClientPool.h
+++ b/src/HttpClientPool.h
@@ -55,6 +55,11 @@
 private:
   static void onOutput(evbuffer *Buffer, const evbuffer_cb_info *Info,
                        void *Self);
+  static void onInput(evbuffer *Buffer, const evbuffer_cb_info *Info,
+                      void *Self);
+  /// Whether what was received since the start of the call is more than a
+  /// response within the limits takes, whatever its form.
+  bool exceedsLimits() const;
   static void onClose(evhttp_connection *Handle, void *Self);
   static void onDone(evhttp_request *Request, void *Self);
   static void onPart(evhttp_request *Request, void *Self);
@@ -66,7 +71,13 @@
   bufferevent *Stream_;
   evhttp_connection *Handle_;
   evbuffer_cb_entry *OutputCallback_;
+  evbuffer_cb_entry *InputCallback_;
   std::size_t BytesWritten_ = 0;
+  evhttp_request *Request_ = nullptr; ///< Null between calls.
+  /// Bytes received since the start of the call, and those of the body that
+  /// OnBodyPart_ has received.
+  std::size_t BytesRead_ = 0;
+  std::size_t PartBytes_ = 0;
   bool Closed_ = false;
   bool Starting_ = false; ///< Inside evhttp_make_request().
   bool NoDelay_ = false;
--- a/test/failure/HttpFailureTest.cpp
+++ b/test/failure/HttpFailureTest.cpp
@@ -258,6 +258,74 @@
   EXPECT_EQ(Pair.call({}).Outcome_, HttpOutcome::Broken);
 }
 
+namespace {
+
+/// Writes Start and then Repeated until the connection is closed or MaxBytes
+/// are written.
+struct EndlessWriter {
+  static constexpr std::size_t MaxBytes = 256U << 20U;
+
+  void start(bufferevent *Stream) {
+    bufferevent_setcb(Stream, nullptr, onWritable, nullptr, this);
+    bufferevent_write(Stream, Start_.data(), Start_.size());
+    onWritable(Stream, this);
+  }
+
+  static void onWritable(bufferevent *Stream, void *Self) {
+    auto *This = static_cast<EndlessWriter *>(Self);
+    std::string Block;
+    while (Block.size() < (64U << 10U))
+      Block += This->Repeated_;
+    This->WrittenBytes_ += Block.size();
+    if (This->WrittenBytes_ < MaxBytes)
+      bufferevent_write(Stream, Block.data(), Block.size());
+  }
+
+  std::string Start_;
+  std::string Repeated_;
+  std::size_t WrittenBytes_ = 0;
+};
+
+} // namespace
+
+TEST(HttpFailure, EndsAResponseWithoutEndAtTheSizeLimits) {
+  const std::pair<std::string, std::string> EndlessResponses[] = {
+      {"", "x"},
+      {"HTTP/1.1 200 OK\r\n", "a: b\r\n"},
+      {"HTTP/1.1 200 OK\r\na: ", "b"},
+      {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+      {"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", "x"},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+       "4\r\nbody\r\n"},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0"},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", "x"},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "\r\n"},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+       "a: b\r\n"}};
+  // What the sockets of both sides may hold besides.
+  constexpr std::size_t SocketBytes = 16U << 20U;
+  HttpClientConfig Config;
+  Config.MaxBodyBytes_ = 1U << 20U;
+  for (const auto &[Start, Repeated] : EndlessResponses) {
+    HttpPair Pair({}, Config);
+    EndlessWriter Writer{Start, Repeated};
+    RawServer Server(Pair.Loop_.base(), [&](RawServer::Peer &Remote) {
+      if (hasCompleteHeader(Remote))
+        Writer.start(Remote.Stream_);
+    });
+    HttpClientRequest Request;
+    Request.Deadline_ = seconds(20);
+    HttpResponse Response = Pair.call(Request, Server.Address_);
+    EXPECT_EQ(Response.Outcome_, HttpOutcome::Broken)
+        << Start << Repeated << ": " << Response.Reason_;
+    EXPECT_TRUE(Response.Sent_) << Start << Repeated;
+    EXPECT_LE(Writer.WrittenBytes_,
+              Config.MaxHeaderBytes_ + Config.MaxBodyBytes_ + SocketBytes)
+        << Start << Repeated;
+    EXPECT_EQ(Pair.Client_->connections(Server.Address_), 0U);
+  }
+}
+
 // Guards against a hang, and against the outcome NotSent, when the server
 // responds and closes while the request is still being written.
 TEST(HttpFailure, EndsARequestWithAnEarlyResponse) {
