Log the life of a watch and requests whose callers had already left

What could not be told apart from the log: when a reader's watch of the configuration ended, why, and when the next one began (CONFIG); and whether the caller of an abandoned request had closed its connection before the daemon read it (GONE).

No decision changes.

--- a/include/sycamore/HttpServer.h
+++ b/include/sycamore/HttpServer.h
@@ -67,6 +67,10 @@
 
   /// Whether a response can still reach the caller.
   virtual bool isOpen() const = 0;
+
+  /// Whether the caller has closed the connection, also when the event loop has
+  /// not processed that yet. False while pipelined input precedes the closing.
+  virtual bool callerClosed() const = 0;
 };
 
 using HttpExchangePointer = std::shared_ptr<HttpExchange>;
--- a/src/ControlPlane.cpp
+++ b/src/ControlPlane.cpp
@@ -418,13 +418,18 @@
 }
 
 void ControlPlane::updateWatch(bool Enabled, Now Time) {
-  if (WatchFailed_) {
+  if (WatchFailure_) {
     Watch_.reset();
-    WatchFailed_ = false;
     // Random, so that readers whose watches ended together do not reconnect
     // together.
     NextWatch_ =
         Time.Monotonic_ + seconds(1) + Duration(randomIndex(Rng_, 2'000'000));
+    logEvent(LogEvent::WatchEnded,
+             {{"error", describe(*WatchFailure_)},
+              {"lasted_ms", toMilliseconds(Time.Monotonic_ - WatchStartedAt_)},
+              {"retry_ms", toMilliseconds(NextWatch_ - Time.Monotonic_)}});
+    WatchFailure_.reset();
+    WatchEndedAt_ = Time.Monotonic_;
   }
   if (!Enabled) {
     Watch_.reset();
@@ -433,6 +438,11 @@
   if (Watch_ || Time.Monotonic_ < NextWatch_)
     return;
   ++Counters_.WatchesStarted_;
+  WatchStartedAt_ = Time.Monotonic_;
+  logEvent(
+      LogEvent::WatchStarted,
+      {{"away_ms",
+        WatchEndedAt_ ? toMilliseconds(Time.Monotonic_ - *WatchEndedAt_) : 0}});
   Watch_ = Store_.watch(
       configurationKey(), 0,
       [this](const KeyValue &Entry) {
@@ -443,7 +453,7 @@
         else if (!Entry.Value_.empty())
           applyDocument(Entry.Value_);
       },
-      [this](const Error & /*Failure*/) { WatchFailed_ = true; });
+      [this](const Error &Failure) { WatchFailure_ = Failure; });
 }
 
 } // namespace sycamore
--- a/src/ControlPlane.h
+++ b/src/ControlPlane.h
@@ -108,7 +108,9 @@
   Bootstrap Bootstrap_;
   ControlPlaneCounters Counters_;
   std::unique_ptr<WatchHandle> Watch_;
-  bool WatchFailed_ = false;
+  std::optional<Error> WatchFailure_; ///< Until the next tick handles it.
+  TimePoint WatchStartedAt_;
+  std::optional<TimePoint> WatchEndedAt_; ///< Of the last watch that failed.
   TimePoint NextWatch_;
   std::int64_t SeedsRevision_ = 0;
   WallTime AppliedAt_;
--- a/src/HttpExchange.cpp
+++ b/src/HttpExchange.cpp
@@ -4,6 +4,7 @@
 #include "HttpSupport.h"
 
 #include <sys/ioctl.h>
+#include <sys/socket.h>
 #include <utility>
 
 namespace sycamore {
@@ -101,6 +102,14 @@
   return !Busy_ && InputBytesSinceReply_ == 0 && UnreadBytes == 0;
 }
 
+bool HttpServerConnection::callerClosed() const {
+  char Byte = 0;
+  ssize_t Read =
+      recv(bufferevent_getfd(Stream_), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return Read == 0 || (Read < 0 && EVUTIL_SOCKET_ERROR() != EAGAIN &&
+                       EVUTIL_SOCKET_ERROR() != EINTR);
+}
+
 // evhttp stops reading while a request is being handled, so that it would
 // notice a closed connection only when it writes. Reading is therefore enabled
 // here, but without evhttp's read callback, which aborts the process when data
--- a/src/HttpExchange.h
+++ b/src/HttpExchange.h
@@ -43,6 +43,7 @@
   bool busy() const { return Busy_; }
   /// No request is being handled or has begun to arrive.
   bool idle() const;
+  bool callerClosed() const;
   evhttp_connection *handle() const { return Handle_; }
   const HttpServerConfig &config() const { return Owner_.config(); }
 
@@ -81,6 +82,9 @@
   void abort() override;
   void onClosed(std::function<void()> Callback) override;
   bool isOpen() const override { return Handle_ != nullptr; }
+  bool callerClosed() const override {
+    return !Connection_ || Connection_->callerClosed();
+  }
 
   /// Called when the response is completely written.
   void markCompleted();
--- a/src/RequestLog.cpp
+++ b/src/RequestLog.cpp
@@ -162,6 +162,8 @@
   Json Out = fieldsOf(History);
   Out["took_ms"] = toMilliseconds(Now - History.StartedAt_);
   Out["had_ms"] = toMilliseconds(History.Deadline_ - History.StartedAt_);
+  Out["closed_when_read"] = History.ClosedWhenRead_;
+  Out["attempts"] = History.Attempts_.size();
   writeEvent(LogEvent::RequestAbandoned, Out);
 }
 
--- a/src/RequestLog.h
+++ b/src/RequestLog.h
@@ -38,6 +38,8 @@
   std::uint32_t Depth_ = 0;
   TimePoint StartedAt_;
   TimePoint Deadline_;
+  /// The caller had closed its connection before the request was read.
+  bool ClosedWhenRead_ = false;
   std::vector<AttemptRecord> Attempts_;
 };
 
