Start the next watch at once when one has worked

Cause: after any failure of its watch, a reader waited 1 to 3 s before the next one, whatever the failure and however long the watch had worked. When the store drops its history, it closes the watches of all readers at the same moment, and for a second or more no daemon learns of any change.

Ruled out: watches that hang until their time limit (they end at once, with an error); a slow read as the main cause (first application 0.05 to 0.47 s after the first new watch).

Now the first delay is 50 to 100 ms and doubles up to 3 s while watches end early; a watch that lasted over 3 s resets it.

--- a/src/ControlPlane.cpp
+++ b/src/ControlPlane.cpp
@@ -420,29 +420,24 @@
 void ControlPlane::updateWatch(bool Enabled, Now Time) {
   if (WatchFailure_) {
     Watch_.reset();
-    // Random, so that readers whose watches ended together do not reconnect
-    // together.
-    NextWatch_ =
-        Time.Monotonic_ + seconds(1) + Duration(randomIndex(Rng_, 2'000'000));
-    logEvent(LogEvent::WatchEnded,
-             {{"error", describe(*WatchFailure_)},
-              {"lasted_ms", toMilliseconds(Time.Monotonic_ - WatchStartedAt_)},
-              {"retry_ms", toMilliseconds(NextWatch_ - Time.Monotonic_)}});
+    recordWatchFailed(WatchRetry_, Time, Rng_);
+    logEvent(
+        LogEvent::WatchEnded,
+        {{"error", describe(*WatchFailure_)},
+         {"lasted_ms",
+          toMilliseconds(Time.Monotonic_ - WatchRetry_.StartedAt_)},
+         {"retry_ms", toMilliseconds(WatchRetry_.NextAt_ - Time.Monotonic_)}});
     WatchFailure_.reset();
-    WatchEndedAt_ = Time.Monotonic_;
   }
   if (!Enabled) {
     Watch_.reset();
     return;
   }
-  if (Watch_ || Time.Monotonic_ < NextWatch_)
+  if (Watch_ || !mayStartWatch(WatchRetry_, Time))
     return;
   ++Counters_.WatchesStarted_;
-  WatchStartedAt_ = Time.Monotonic_;
-  logEvent(
-      LogEvent::WatchStarted,
-      {{"away_ms",
-        WatchEndedAt_ ? toMilliseconds(Time.Monotonic_ - *WatchEndedAt_) : 0}});
+  Duration Away = recordWatchStarted(WatchRetry_, Time);
+  logEvent(LogEvent::WatchStarted, {{"away_ms", toMilliseconds(Away)}});
   Watch_ = Store_.watch(
       configurationKey(), 0,
       [this](const KeyValue &Entry) {
--- a/src/ControlPlane.h
+++ b/src/ControlPlane.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "LoopWork.h"
+#include "WatchRetry.h"
 #include "sycamore/Bootstrap.h"
 #include "sycamore/Dissemination.h"
 #include "sycamore/Integration.h"
@@ -109,9 +110,7 @@
   ControlPlaneCounters Counters_;
   std::unique_ptr<WatchHandle> Watch_;
   std::optional<Error> WatchFailure_; ///< Until the next tick handles it.
-  TimePoint WatchStartedAt_;
-  std::optional<TimePoint> WatchEndedAt_; ///< Of the last watch that failed.
-  TimePoint NextWatch_;
+  WatchRetry WatchRetry_;
   std::int64_t SeedsRevision_ = 0;
   WallTime AppliedAt_;
   bool StoreReachable_ = true;
