Drop requests whose callers left before they were read

What callers saw: nothing, they had left; targets worked for them all the same (GONE), most of all when callers gave up because a daemon was behind.

Cause: the end of a connection lies in the socket behind the bytes of the request. The daemon dispatched the request without looking, and handled the end as an event of a later turn of its loop, after all other requests of this turn. A daemon with a backlog so adds work that nobody waits for to the backlog.

The entry daemon now looks at the socket before it handles a request, and closes the connection if the caller has closed it.

--- a/src/EntryProxy.cpp
+++ b/src/EntryProxy.cpp
@@ -156,7 +156,6 @@
   EntryCall Call = std::move(Request.Call_);
   Request.Call_ = {};
   TraceContext Span = Request.Span_;
-  Request.ClosedWhenRead_ = Exchange->callerClosed();
   auto SharedRequest = std::make_shared<AcceptedRequest>(std::move(Request));
   std::uint64_t Sequence = begin(
       std::move(Call), Span,
@@ -166,8 +165,6 @@
       Time);
   if (!Calls_.Calls_.contains(Sequence))
     return;
-  CallInfos_[Sequence].History_.ClosedWhenRead_ =
-      SharedRequest->ClosedWhenRead_;
   Exchange->onClosed([this, Sequence, SharedRequest] {
     Now Later = readClocks();
     EventTime_ = Later.Monotonic_;
--- a/src/EntryProxy.h
+++ b/src/EntryProxy.h
@@ -31,8 +31,6 @@
   /// Set when no other request with this fingerprint may run meanwhile, because
   /// it is suspected of crashing targets.
   std::optional<std::uint64_t> TrialFingerprint_;
-  /// The caller had closed its connection before the request was read.
-  bool ClosedWhenRead_ = false;
 };
 
 struct EntryProxyCounters {
--- a/src/EntryRequests.cpp
+++ b/src/EntryRequests.cpp
@@ -50,6 +50,13 @@
   ++Counters_.Requests_;
   AcceptedRequest Request;
   Request.StartedWall_ = Time.Wall_;
+  // Nobody would receive an answer, and a target would do the work for nothing.
+  if (Exchange->callerClosed()) {
+    ++Counters_.CallersDisconnected_;
+    logClosedUnread(makeHistory(Exchange->request(), Request.Call_, Time));
+    Exchange->abort();
+    return;
+  }
   if (!accept(Exchange, Request, Time))
     return;
   if (!Request.Key_.empty() && !Request.Call_.Idempotent_)
--- a/src/RequestLog.cpp
+++ b/src/RequestLog.cpp
@@ -162,11 +162,18 @@
   Json Out = fieldsOf(History);
   Out["took_ms"] = toMilliseconds(Now - History.StartedAt_);
   Out["had_ms"] = toMilliseconds(History.Deadline_ - History.StartedAt_);
-  Out["closed_when_read"] = History.ClosedWhenRead_;
+  Out["closed_when_read"] = false;
   Out["attempts"] = History.Attempts_.size();
   writeEvent(LogEvent::RequestAbandoned, Out);
 }
 
+void logClosedUnread(const RequestHistory &History) {
+  if (!shouldLogEvent(LogEvent::RequestAbandoned, History.RequestId_))
+    return;
+  writeEvent(LogEvent::RequestAbandoned,
+             {{"id", History.RequestId_}, {"closed_when_read", true}});
+}
+
 std::string_view refusalName(RefusalReason Reason) {
   switch (Reason) {
   case RefusalReason::None:
--- a/src/RequestLog.h
+++ b/src/RequestLog.h
@@ -38,8 +38,6 @@
   std::uint32_t Depth_ = 0;
   TimePoint StartedAt_;
   TimePoint Deadline_;
-  /// The caller had closed its connection before the request was read.
-  bool ClosedWhenRead_ = false;
   std::vector<AttemptRecord> Attempts_;
 };
 
@@ -58,6 +56,9 @@
 /// Logs that the caller closed its connection before the request ended.
 void logAbandoned(const RequestHistory &History, TimePoint Now);
 
+/// Logs that the caller had closed its connection before the request was read.
+void logClosedUnread(const RequestHistory &History);
+
 /// An attempt as seen by the daemon beside its target.
 struct LocalAttempt {
   std::string_view RequestId_;
--- a/test/platform/PlatformPathTest.cpp
+++ b/test/platform/PlatformPathTest.cpp
@@ -3,12 +3,15 @@
 // server, a response to another request, and requests that are sent to a server
 // after its departure was acknowledged.
 #include "EventLoop.h"
+#include "HttpSupport.h"
 #include "KvPlatform.h"
 #include "KvStandin.h"
 #include "sycamore/Daemon.h"
 #include "sycamore/Log.h"
 
 #include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 using namespace sycamore;
 using namespace sycamore::test;
@@ -174,6 +177,29 @@
     Store_->put("op/config", Document.dump());
   }
 
+  /// Sends a request and closes the connection before the daemon reads it.
+  void sendAndLeave(std::size_t Entry, const std::string &Request) {
+    auto Address =
+        parseSocketAddress(Daemons_[Entry]->addresses().Caller_).value();
+    int Socket = socket(AF_INET, SOCK_STREAM, 0);
+    ASSERT_EQ(connect(Socket, Address.get(), Address.Length_), 0);
+    ASSERT_EQ(write(Socket, Request.data(), Request.size()),
+              static_cast<ssize_t>(Request.size()));
+    close(Socket);
+  }
+
+  /// Value of a line of the daemon's metrics page; -1 if there is none.
+  double metric(std::size_t Index, const std::string &Name) {
+    HttpClientRequest Request;
+    Request.Path_ = "/metrics";
+    std::string Page =
+        send(Daemons_[Index]->addresses().Admin_, std::move(Request)).Body_;
+    std::size_t Line = Page.find("\n" + Name + " ");
+    return Line == std::string::npos
+               ? -1
+               : std::stod(Page.substr(Line + Name.size() + 2));
+  }
+
   bool isReady(std::size_t Index) {
     return send(Daemons_[Index]->addresses().Ready_, {}).Status_ == 200;
   }
@@ -408,6 +434,19 @@
   EXPECT_NE(RetryAfter->find('.'), std::string::npos);
 }
 
+TEST_F(PlatformPath, ARequestWhoseCallerLeftBeforeItWasReadIsNotSent) {
+  startAll();
+  double Attempts = metric(2, "sycamore_attempts_total");
+  double Left = metric(2, "sycamore_callers_gone_total");
+  ASSERT_GT(Attempts, 0);
+  for (int I = 0; I < 10; ++I)
+    sendAndLeave(2, "GET /x/left HTTP/1.1\r\nHost: a.example\r\n"
+                    "x-id: left\r\nx-deadline: 2000\r\n\r\n");
+  EXPECT_TRUE(eventually(
+      [&] { return metric(2, "sycamore_callers_gone_total") == Left + 10; }));
+  EXPECT_EQ(metric(2, "sycamore_attempts_total"), Attempts);
+}
+
 // A new configuration must be in effect within two seconds, even if the store
 // has compacted its history, and must remain in effect while the store is down.
 TEST_F(PlatformPath, AppliesANewConfigurationAndKeepsItWhileTheStoreIsDown) {
