Test responses that are cut in their header

Report of other operators: a server stopped in the middle of its answer's head and closed; clients got a 200 with an empty or short body, framed as whole.

It cannot happen here: a response is taken only once its header is complete. HttpFailureTest ReportsAResponseCutInItsHeaderAsBroken cuts a header after each byte, by a clean close and by a reset, with the setting that accepts responses without a length. All are Broken on the code as it was; no change.

--- a/test/failure/HttpFailureTest.cpp
+++ b/test/failure/HttpFailureTest.cpp
@@ -2,6 +2,7 @@
 // connection, truncates a message or violates HTTP.
 #include "RawSocket.h"
 
+#include <fcntl.h>
 #include <gtest/gtest.h>
 
 using namespace sycamore;
@@ -67,6 +68,37 @@
   }
 }
 
+// Guards against a response cut in its header that is taken for one without a
+// length, whose body ends with the connection.
+TEST(HttpFailure, ReportsAResponseCutInItsHeaderAsBroken) {
+  const std::string Header = "HTTP/1.1 200 OK\r\nx-id: 1\r\nx-seal: sealed\r\n"
+                             "Content-Length: 4\r\n\r\n";
+  for (bool WithReset : {false, true})
+    for (std::size_t Length = 0; Length < Header.size(); ++Length) {
+      HttpPair Pair;
+      RawServer Server(Pair.Loop_.base(), [&](RawServer::Peer &Remote) {
+        evutil_socket_t Socket = bufferevent_getfd(Remote.Stream_);
+        ASSERT_EQ(::write(Socket, Header.data(), Length),
+                  static_cast<ssize_t>(Length));
+        if (WithReset) {
+          linger Abort{1, 0};
+          setsockopt(Socket, SOL_SOCKET, SO_LINGER, &Abort, sizeof(Abort));
+          int Null = open("/dev/null", O_RDONLY);
+          dup2(Null, Socket);
+          close(Null);
+        } else {
+          shutdown(Socket, SHUT_RDWR);
+        }
+      });
+      HttpClientRequest Request;
+      Request.AcceptWithoutLength_ = true;
+      HttpResponse Response = Pair.call(Request, Server.Address_);
+      EXPECT_EQ(Response.Outcome_, HttpOutcome::Broken)
+          << Header.substr(0, Length);
+      EXPECT_EQ(Response.Status_, 0) << Header.substr(0, Length);
+    }
+}
+
 // Guards against unknown outcomes caused by a pooled connection that the server
 // closed while it was idle.
 TEST(HttpFailure, DoesNotReuseAClosedConnection) {
