Do not take a repeated refusal for the answer to another request

A copy that bears the id of the same request passed for the answer to a later attempt on the same connection. A refusal without an id was taken for the answer to whatever request was in flight.

- A connection that carried a refusal of the target is closed after it, so that a copy reaches nobody.
Targets refuse rarely, since admission counts their slots.
- On a connection that has carried an earlier request, a refusal must bear the id of the request; without one, the outcome is unknown.

Weighed and left out: refusing every refusal without an id. On the first request of a connection there is nothing that could be repeated.

PlatformPathTest, on the code before: ARefusalWrittenAgainIsNotTheAnswerToTheNext Request got 502 and, with the same id, 503 for requests that had run (200 wanted); ARefusalWithoutIdOnAKeptConnectionProvesNothing got 503 (502 wanted).

--- a/include/sycamore/HttpClient.h
+++ b/include/sycamore/HttpClient.h
@@ -30,6 +30,9 @@
   /// Broken, and the connection is closed, because bytes of another response
   /// may follow.
   std::function<bool(const HttpResponse &)> ValidateResponse_ = nullptr;
+  /// When set and false for a complete response, the connection is closed after
+  /// it.
+  std::function<bool(const HttpResponse &)> MayKeepConnection_ = nullptr;
   /// Accepts a response without a length as complete when its connection closes
   /// cleanly. Set it only if truncation can be detected by other means.
   bool AcceptWithoutLength_ = false;
@@ -49,6 +52,8 @@
   HttpOutcome Outcome_ = HttpOutcome::NotSent;
   /// Whether any byte of the request was written to the connection.
   bool Sent_ = false;
+  /// Whether the connection had carried an earlier request.
+  bool OnKeptConnection_ = false;
   int Status_ = 0;      ///< 0 unless Answered.
   HttpHeaders Headers_; ///< Empty unless Answered.
   std::string Body_;    ///< Empty unless Answered.
--- a/src/HttpClientPool.cpp
+++ b/src/HttpClientPool.cpp
@@ -241,6 +241,7 @@
     return;
   HttpResponse Response;
   Response.Sent_ = This->BytesWritten_ > 0;
+  Response.OnKeptConnection_ = std::exchange(This->Kept_, true);
   Response.Status_ = Request ? evhttp_request_get_response_code(Request) : 0;
   std::string Reason = Response.Status_ != 0 ? "the answer's status is invalid"
                        : This->Failure_.empty() ? "the connection failed"
@@ -256,14 +257,17 @@
       Response.Outcome_ = HttpOutcome::Answered;
   }
   if (!Reason.empty()) {
-    Response = {Response.Sent_ ? HttpOutcome::Broken : HttpOutcome::NotSent,
-                Response.Sent_,
-                0,
-                {},
-                {},
-                Reason};
+    HttpResponse Failed;
+    Failed.Outcome_ =
+        Response.Sent_ ? HttpOutcome::Broken : HttpOutcome::NotSent;
+    Failed.Sent_ = Response.Sent_;
+    Failed.OnKeptConnection_ = Response.OnKeptConnection_;
+    Failed.Reason_ = std::move(Reason);
+    Response = std::move(Failed);
   }
-  bool Keep = Response.Outcome_ == HttpOutcome::Answered && !This->Closed_;
+  bool Keep = Response.Outcome_ == HttpOutcome::Answered && !This->Closed_ &&
+              (!Call->Request_.MayKeepConnection_ ||
+               Call->Request_.MayKeepConnection_(Response));
   Call->Core_->finish(*Call, std::move(Response), Keep);
 }
 
--- a/src/HttpClientPool.h
+++ b/src/HttpClientPool.h
@@ -79,6 +79,7 @@
   std::size_t BytesRead_ = 0;
   std::size_t PartBytes_ = 0;
   bool Closed_ = false;
+  bool Kept_ = false;     ///< Has carried an earlier request.
   bool Starting_ = false; ///< Inside evhttp_make_request().
   bool NoDelay_ = false;
 };
--- a/src/TargetProxy.cpp
+++ b/src/TargetProxy.cpp
@@ -239,7 +239,12 @@
   const std::string *ReturnedId =
       findHeader(Response.Headers_, Names.RequestId_);
   const std::string *SentId = requestIdOf(Request);
-  return !ReturnedId || !SentId || *ReturnedId == *SentId;
+  if (!SentId)
+    return true;
+  // A kept connection may carry a refusal of an earlier request once more.
+  if (!ReturnedId)
+    return !Response.OnKeptConnection_ || !statesNotRun(Names, Response);
+  return *ReturnedId == *SentId;
 }
 
 const std::string *
@@ -273,6 +278,11 @@
     Add(Names.Traceparent_, formatTraceparent(Call.Span_));
   Add(Names.ExpectedTarget_, Call.Target_);
   Out.AcceptWithoutLength_ = !Names.Seal_.empty();
+  // A refusal that the target writes again would pass for the answer to a later
+  // attempt at the same request.
+  Out.MayKeepConnection_ = [this](const HttpResponse &Response) {
+    return !statesNotRun(Settings_.Headers_, Response);
+  };
   Out.ValidateResponse_ = [this, Id](const HttpResponse &Response) {
     auto Found = Pending_.find(Id);
     return Found != Pending_.end() &&
--- a/test/platform/PlatformPathTest.cpp
+++ b/test/platform/PlatformPathTest.cpp
@@ -3,9 +3,9 @@
 // server, a response to another request, and requests that are sent to a server
 // after its departure was acknowledged.
 #include "EventLoop.h"
-#include "HttpSupport.h"
 #include "KvPlatform.h"
 #include "KvStandin.h"
+#include "RawSocket.h"
 #include "sycamore/Daemon.h"
 #include "sycamore/Log.h"
 
@@ -57,6 +57,42 @@
   HttpExchangePointer HeldRequest_;
 };
 
+/// Application server that writes an earlier refusal again when it runs the
+/// next request on the same connection, or, for the path "/once/foreign", a
+/// refusal that was given on another connection.
+struct RepeatingServer {
+  explicit RepeatingServer(event_base *Base)
+      : Raw_(Base, [this](RawServer::Peer &Remote) { respond(Remote); }) {}
+
+  void respond(RawServer::Peer &Remote) {
+    bool Complete = Remote.Input_.ends_with(
+        Remote.Input_.starts_with("POST") ? "body" : "\r\n\r\n");
+    if (!Complete)
+      return;
+    std::string Request = std::exchange(Remote.Input_, "");
+    std::size_t IdAt = std::min(Request.find("x-id: "), Request.size());
+    std::string Id = Request.substr(IdAt, Request.find("\r\n", IdAt) - IdAt);
+    if (Request.find("/once/refused") != std::string::npos)
+      Refusals_[Remote.Number_] = refusal(Id + "\r\n");
+    std::string Answer = "HTTP/1.1 200 OK\r\nx-seal: s\r\n" + Id +
+                         "\r\nContent-Length: 0\r\n\r\n";
+    if (Request.find("/once/foreign") != std::string::npos)
+      Answer = refusal("");
+    else if (auto Refused = Refusals_.find(Remote.Number_);
+             Refused != Refusals_.end())
+      Answer = Refused->second;
+    Remote.write(Answer);
+  }
+
+  static std::string refusal(const std::string &IdLine) {
+    return "HTTP/1.1 503 Full\r\nx-not-run: 1\r\n" + IdLine +
+           "Content-Length: 0\r\n\r\n";
+  }
+
+  std::map<int, std::string> Refusals_; ///< By number of the connection.
+  RawServer Raw_;
+};
+
 class PlatformPath : public testing::Test {
 protected:
   PlatformPath() {
@@ -73,9 +109,13 @@
     Loop_.runFor(milliseconds(5));
   }
 
-  void addServer(const std::string &Service, int AnnounceIntervalMs = 20000) {
+  /// A server at Address, if there is one, takes the place of the fake one.
+  void addServer(const std::string &Service, int AnnounceIntervalMs = 20000,
+                 const std::string &Address = "") {
     auto &Server =
         Servers_.emplace_back(std::make_unique<FakeServer>(Loop_.base()));
+    if (!Address.empty())
+      Server->Address_ = Address;
     Server->Name_ = "i-" + std::to_string(Servers_.size());
     Json Document = {{"server", "m-" + std::to_string(Servers_.size())},
                      {"data_centre", "z"},
@@ -234,6 +274,15 @@
     }));
   }
 
+  /// Adds the server at this address as the only announced one of its service.
+  void startServerAt(const std::string &Address) {
+    addServer("view", 20000, Address);
+    writeConfiguration(5);
+    ASSERT_EQ(announce(3), 200);
+    ASSERT_TRUE(eventually(
+        [&] { return call(3, "GET", "/x/y", "warm-up").Status_ == 200; }));
+  }
+
   template <typename Condition> bool eventually(Condition Holds) {
     TimePoint End = monotonicNow() + WaitLimit;
     while (!Holds()) {
@@ -434,6 +483,22 @@
   EXPECT_NE(RetryAfter->find('.'), std::string::npos);
 }
 
+TEST_F(PlatformPath, ARefusalWrittenAgainIsNotTheAnswerToTheNextRequest) {
+  RepeatingServer Server(Loop_.base());
+  startServerAt(Server.Raw_.Address_);
+  EXPECT_EQ(call(3, "POST", "/once/refused", "id-1").Status_, 503);
+  EXPECT_EQ(call(3, "POST", "/once/run", "id-2").Status_, 200);
+  // The same request id, so that only the connection tells the copy apart.
+  EXPECT_EQ(call(3, "POST", "/once/refused", "id-3").Status_, 503);
+  EXPECT_EQ(call(3, "POST", "/once/run", "id-3").Status_, 200);
+}
+
+TEST_F(PlatformPath, ARefusalWithoutIdOnAKeptConnectionProvesNothing) {
+  RepeatingServer Server(Loop_.base());
+  startServerAt(Server.Raw_.Address_);
+  EXPECT_EQ(call(3, "POST", "/once/foreign", "id-1").Status_, 502);
+}
+
 TEST_F(PlatformPath, ARequestWhoseCallerLeftBeforeItWasReadIsNotSent) {
   startAll();
   double Attempts = metric(2, "sycamore_attempts_total");
--- a/test/support/RawSocket.h
+++ b/test/support/RawSocket.h
@@ -43,7 +43,7 @@
 
   RawServer(event_base *Base, std::function<void(Peer &)> OnInput)
       : Base_(Base), OnInput_(std::move(OnInput)) {
-    auto AnyPort = *parseSocketAddress("127.0.0.1:0");
+    auto AnyPort = *parseSocketAddress(std::string("127.0.0.1:0"));
     Listener_ =
         evconnlistener_new_bind(Base, onAccept, this, LEV_OPT_CLOSE_ON_FREE, -1,
                                 AnyPort.get(), AnyPort.Length_);
