Refuse requests that would be cut at the end of a planned stop

During a planned stop the deadlines of all calls now end 100 ms before stop_limit_ms. Admission then refuses, as not run, what the costs of its route show to be too late, so that callers send it elsewhere; what still runs at the end is answered 504. The gauge sycamore_stopping shows the state.

--- a/include/sycamore/EntryCalls.h
+++ b/include/sycamore/EntryCalls.h
@@ -240,6 +240,8 @@
   std::unordered_map<std::uint64_t, EntryCall> Calls_; ///< By sequence.
   std::unordered_map<std::string, ServerLink> Links_;  ///< By server.
   std::vector<EntryCallEvent> Events_;                 ///< See takeEvents().
+  /// Limit of all deadlines; see limitDeadlines().
+  TimePoint LatestDeadline_ = TimePoint::max();
   EntryCallsCounters Counters_;
 };
 
@@ -253,6 +255,10 @@
 CallActions beginCall(EntryCalls &Calls, EntryCall Call,
                       const CallPolicy &Policy, TimePoint Now);
 
+/// Limits the deadlines of the calls in the table and of all later calls, for a
+/// process that ends then.
+void limitDeadlines(EntryCalls &Calls, TimePoint Latest);
+
 /// The transport has accepted an attempt; from here on it may run.
 void markSent(EntryCalls &Calls, const wire::CallId &Id, TimePoint Now);
 
--- a/src/Daemon.cpp
+++ b/src/Daemon.cpp
@@ -20,6 +20,10 @@
 /// gossip.
 constexpr Duration LeavePropagationTime = milliseconds(800);
 
+/// Calls end this long before the limit of a planned stop, so that their
+/// callers get an answer before the connections close.
+constexpr Duration StopAnswerTime = milliseconds(100);
+
 constexpr Duration DropReportInterval = seconds(1);
 constexpr Duration TotalsInterval = seconds(10);
 
@@ -521,6 +525,10 @@
   Stopping_ = true;
   StopStarted_ = Time.Monotonic_;
   IdleSince_ = Time.Monotonic_;
+  TimePoint LatestDeadline =
+      Time.Monotonic_ + Settings_.StopLimit_ - StopAnswerTime;
+  Entry_->limitDeadlines(LatestDeadline);
+  Targets_->limitDeadlines(LatestDeadline);
   logEvent(LogEvent::Leaving,
            {{"calls", Entry_->inFlight()}, {"requests", Targets_->inFlight()}});
 }
--- a/src/DaemonMetrics.cpp
+++ b/src/DaemonMetrics.cpp
@@ -269,6 +269,8 @@
              static_cast<double>(Control.snapshot()->Number_));
   writeGauge(Page, "sycamore_serving", "1 when the floor is known.",
              Control.mayServe() ? 1 : 0);
+  writeGauge(Page, "sycamore_stopping", "1 during a planned stop.",
+             Context.Entry_.isStopping() ? 1 : 0);
   writeGauge(Page, "sycamore_rejected_ticket", "Last ticket refused; 0: none.",
              Control.replica().Rejection_
                  ? static_cast<double>(Control.replica().Rejection_->Number_)
--- a/src/EntryCalls.cpp
+++ b/src/EntryCalls.cpp
@@ -129,6 +129,11 @@
   retryOrFinish(Context, Call);
 }
 
+void limitDeadline(EntryCall &Call, TimePoint Latest) {
+  Call.Deadline_ = std::min(Call.Deadline_, Latest);
+  Call.OutcomeDeadline_ = std::min(Call.OutcomeDeadline_, Latest);
+}
+
 CallAttempt *findAttempt(EntryCalls &Calls, const wire::CallId &Id) {
   auto Found = Calls.Calls_.find(Id.sequence());
   if (Found == Calls.Calls_.end() || Id.incarnation() != Calls.Incarnation_)
@@ -151,6 +156,7 @@
   Call.Sequence_ = Calls.NextSequence_++;
   Call.StartedAt_ = Now;
   Call.OutcomeDeadline_ = std::max(Call.OutcomeDeadline_, Call.Deadline_);
+  limitDeadline(Call, Calls.LatestDeadline_);
   if (Call.Idempotent_)
     if (auto Delay = Policy.HedgeDelay_(Call))
       Call.HedgeAt_ = Now + *Delay;
@@ -175,6 +181,12 @@
   return std::move(Context.Actions_);
 }
 
+void limitDeadlines(EntryCalls &Calls, TimePoint Latest) {
+  Calls.LatestDeadline_ = Latest;
+  for (auto &[Sequence, Call] : Calls.Calls_)
+    limitDeadline(Call, Latest);
+}
+
 void markSent(EntryCalls &Calls, const wire::CallId &Id, TimePoint Now) {
   CallAttempt *Attempt = findAttempt(Calls, Id);
   if (Attempt == nullptr || Attempt->State_ != AttemptState::Queued)
--- a/src/EntryProxy.h
+++ b/src/EntryProxy.h
@@ -89,7 +89,12 @@
 
   void tick(Now Time);
   void startLeaving() { Leaving_ = true; }
+  /// Ends all calls by this time, at which the process ends.
+  void limitDeadlines(TimePoint Latest) {
+    sycamore::limitDeadlines(Calls_, Latest);
+  }
 
+  bool isStopping() const { return Calls_.LatestDeadline_ != TimePoint::max(); }
   std::size_t inFlight() const { return Calls_.Calls_.size(); }
   const EntryCalls &calls() const { return Calls_; }
   const Placement &placement() const { return Placement_; }
--- a/src/TargetProxy.cpp
+++ b/src/TargetProxy.cpp
@@ -195,7 +195,8 @@
   Call.Route_ = Route;
   Call.Target_ = Request.target();
   Call.ArrivedAt_ = Time.Monotonic_;
-  Call.Deadline_ = Time.Monotonic_ + Duration(Request.remaining_us());
+  Call.Deadline_ = std::min(Time.Monotonic_ + Duration(Request.remaining_us()),
+                            LatestDeadline_);
   LocalTarget &Target = Targets_.find(Call.Target_)->second;
   AdmissionVerdict Verdict = admit(
       Target.Admission_, admissionRequest(Id, Call, Costs_), Time.Monotonic_);
--- a/src/TargetProxy.h
+++ b/src/TargetProxy.h
@@ -129,6 +129,10 @@
   /// Refuses new work; running requests may finish.
   void startLeaving();
 
+  /// Limits the deadlines of attempts that arrive from now on, so that those
+  /// that cannot end before the process are refused.
+  void limitDeadlines(TimePoint Latest) { LatestDeadline_ = Latest; }
+
   /// Context of the running call that was sent to the target with this span id.
   std::optional<NestedContext> nestedContext(const std::string &SpanId) const;
 
@@ -214,6 +218,7 @@
   RouteCost Costs_;
   std::deque<HeldAnswer> HeldAnswers_;
   bool Leaving_ = false;
+  TimePoint LatestDeadline_ = TimePoint::max();
   TargetProxyCounters Counters_;
   DurationHistogram ServiceTimes_;
   DurationHistogram QueueTimes_;
--- a/test/failure/RealProcessTest.cpp
+++ b/test/failure/RealProcessTest.cpp
@@ -23,6 +23,19 @@
     ASSERT_TRUE(Cluster_.waitForTargets());
   }
 
+  /// One daemon whose planned stop ends sooner than a request runs.
+  void startOneWithStopLimit(int StopLimitMs) {
+    Cluster_.startStore();
+    Cluster_.addServer("shelfview", "dalseo",
+                       {"--service-ms", "2000", "--slots", "4"},
+                       {{"stop_limit_ms", StopLimitMs},
+                        {"timing", {{"leave_notice_ms", 1000}}}});
+    TicketNumber_ = Cluster_.fileAndApproveTicket();
+    ASSERT_NE(TicketNumber_, 0U);
+    ASSERT_TRUE(Cluster_.waitForTicket(TicketNumber_));
+    ASSERT_TRUE(Cluster_.waitForTargets());
+  }
+
   Server &server(std::size_t Index) { return *Cluster_.Servers_[Index]; }
 
   /// Waits until every daemon knows all three targets, so that calls succeed
@@ -110,6 +123,29 @@
   EXPECT_EQ(get(1).Status_, 200);
 }
 
+// Requests that are running when the stop limit is reached must be answered.
+TEST_F(RealProcess, DaemonStopLeavesNoRequestWithoutAnswer) {
+  startOneWithStopLimit(1500);
+  Burst Calls(Cluster_, server(0).Caller_, 4, "POST", "/shelfview/echo");
+  ASSERT_TRUE(waitForStartedPosts(4));
+  server(0).Daemon_->signal(SIGTERM);
+  ASSERT_TRUE(Calls.wait());
+  EXPECT_EQ(Calls.countOutcome("unknown"), 4U);
+}
+
+// During a planned stop, requests that would be cut at its end must be refused
+// before they run.
+TEST_F(RealProcess, DaemonStopTakesNoRequestThatCannotEnd) {
+  startOneWithStopLimit(1500);
+  server(0).Daemon_->signal(SIGTERM);
+  ASSERT_TRUE(Cluster_.waitUntil(
+      [&] { return Cluster_.metric(server(0), "sycamore_stopping") == 1; }));
+  Burst Calls(Cluster_, server(0).Caller_, 4, "POST", "/shelfview/echo");
+  ASSERT_TRUE(Calls.wait());
+  EXPECT_EQ(Calls.countOutcome("not-run"), 4U);
+  EXPECT_EQ(Cluster_.countLedger("?call=", "started"), 0U);
+}
+
 // A stopping target must get no new requests and must complete the running
 // ones.
 TEST_F(RealProcess, TargetStopInterruptsNoRequest) {
--- a/test/platform/PlatformPathTest.cpp
+++ b/test/platform/PlatformPathTest.cpp
@@ -141,7 +141,9 @@
                      {"keys", {{"buckets", 0}}},
                      {"timing",
                       {{"start_jitter_ms", 50},
+                       {"leave_notice_ms", 300},
                        {"announce_interval_ms", AnnounceIntervalMs}}},
+                     {"stop_limit_ms", 3000},
                      {"store", {{"endpoints", {Store_->address()}}}}};
     Settings Config = parseSettings(Document, "test").value();
     Daemons_.push_back(
@@ -499,6 +501,23 @@
   EXPECT_EQ(call(3, "POST", "/once/foreign", "id-1").Status_, 502);
 }
 
+TEST_F(PlatformPath, ARequestLateInAPlannedStopIsRefusedAndNotSent) {
+  startAll();
+  const std::string Start = "POST /once/late HTTP/1.1\r\nHost: a.example\r\n";
+  RawClient Caller(Loop_.base(), Daemons_[0]->addresses().Caller_);
+  Caller.write("GET /x/y HTTP/1.1\r\nHost: a.example\r\nx-id: a\r\n\r\n" +
+               Start);
+  ASSERT_TRUE(eventually([&] { return !Caller.Input_.empty(); }));
+  double Attempts = metric(0, "sycamore_attempts_total");
+  Daemons_[0]->stop();
+  Loop_.runFor(milliseconds(600));
+  Caller.Input_.clear();
+  Caller.write("x-id: b\r\nContent-Length: 0\r\n\r\n");
+  EXPECT_TRUE(eventually([&] { return !Caller.Input_.empty(); }));
+  EXPECT_TRUE(Caller.Input_.starts_with("HTTP/1.1 503")) << Caller.Input_;
+  EXPECT_EQ(metric(0, "sycamore_attempts_total"), Attempts);
+}
+
 TEST_F(PlatformPath, ARequestWhoseCallerLeftBeforeItWasReadIsNotSent) {
   startAll();
   double Attempts = metric(2, "sycamore_attempts_total");
