Do not take a late announcement for a restart after a departure

Cause: a daemon that has restarted knows the target only by its deregistration, which carries no start time. A late announcement of the same process states one. Unknown and known were compared as two processes, so the announcement passed for a restart and made the leaving target usable again.

Evidence: in the log of the daemon, target-leaving at 23.041 s without a target-announced before it, then target-announced with "restarted": true at 25.227 and target-unreachable at 25.571. The platform's example of a deregistration has no body.

A departure without a start time now counts as that of every process that had started by then. The lines state the start times.

PlatformPathTest ALateAnnouncementDoesNotUndoADepartureWithoutStartTime, on the code before: 200 and one request at the server (wanted 503 and none).

--- a/src/TargetAnnouncements.cpp
+++ b/src/TargetAnnouncements.cpp
@@ -83,6 +83,11 @@
   return Announced && Known && *Announced < *Known;
 }
 
+/// For the log; null when unknown.
+Json startTime(const std::optional<std::int64_t> &UnixMs) {
+  return UnixMs ? Json(*UnixMs) : Json();
+}
+
 bool isSameProcess(const TargetAnnouncement &Announcement,
                    const LocalTarget &Known) {
   return Announcement.StartedUnixMs_ == Known.StartedUnixMs_;
@@ -123,14 +128,20 @@
     ++Counters_.AnnouncementsIgnored_;
     return {};
   }
-  bool Restarted = !New && !isSameProcess(Announcement, Target);
+  // A departure without a start time is that of a process that had started by
+  // then.
+  bool LateAfterDeparture = !Target.StartedUnixMs_ && hasDeparted(Announcement);
+  bool Restarted =
+      !New && !LateAfterDeparture && !isSameProcess(Announcement, Target);
   replaceTargetsAtAddress(Announcement, Time);
   if (New || Restarted || Target.Unreachable_)
-    logEvent(LogEvent::TargetAnnounced, {{"target", Announcement.Name_},
-                                         {"service", Announcement.Service_},
-                                         {"address", Announcement.Address_},
-                                         {"slots", Announcement.Slots_},
-                                         {"restarted", Restarted}});
+    logEvent(LogEvent::TargetAnnounced,
+             {{"target", Announcement.Name_},
+              {"service", Announcement.Service_},
+              {"address", Announcement.Address_},
+              {"slots", Announcement.Slots_},
+              {"restarted", Restarted},
+              {"started_unix_ms", startTime(Announcement.StartedUnixMs_)}});
   Target.Name_ = Announcement.Name_;
   Target.Service_ = Announcement.Service_;
   Target.Address_ = Announcement.Address_;
@@ -156,7 +167,7 @@
   }
   if (Announcement.Leaving_) {
     setLeaving(Target, Time);
-    recordDeparture(Target);
+    recordDeparture(Target, Time);
   }
   if (!Target.Leaving_) {
     Target.Admission_.Admitting_ = true;
@@ -178,18 +189,18 @@
     Target.StartedUnixMs_ = Departure.StartedUnixMs_;
   }
   setLeaving(Target, Time);
-  recordDeparture(Target);
+  recordDeparture(Target, Time);
 }
 
-void TargetProxy::recordDeparture(LocalTarget &Target) {
+void TargetProxy::recordDeparture(LocalTarget &Target, Now Time) {
   Target.AnnouncedLeaving_ = true;
-  if (!Target.StartedUnixMs_)
-    return;
   // Only one target at a time runs beside a daemon, so the entries beyond this
   // limit belong to processes that ended long ago.
   constexpr std::size_t MaxDepartedProcesses = 64;
   std::int64_t &Started = DepartedProcesses_[Target.Name_];
-  Started = std::max(Started, *Target.StartedUnixMs_);
+  std::int64_t NowUnixMs =
+      std::chrono::floor<milliseconds>(Time.Wall_).time_since_epoch().count();
+  Started = std::max(Started, Target.StartedUnixMs_.value_or(NowUnixMs));
   if (DepartedProcesses_.size() > MaxDepartedProcesses)
     DepartedProcesses_.erase(
         std::min_element(DepartedProcesses_.begin(), DepartedProcesses_.end(),
@@ -208,7 +219,9 @@
   if (Target.Leaving_)
     return;
   Target.Leaving_ = true;
-  logEvent(LogEvent::TargetLeaving, {{"target", Target.Name_}});
+  logEvent(LogEvent::TargetLeaving,
+           {{"target", Target.Name_},
+            {"started_unix_ms", startTime(Target.StartedUnixMs_)}});
   stopAdmitting(Target.Admission_);
   markTargetLeaving(Control_.members(), Target.Name_, Time);
   runQueue(Target, Time);
--- a/src/TargetProxy.h
+++ b/src/TargetProxy.h
@@ -175,7 +175,7 @@
   void requestHealth(LocalTarget &Target, Now Time);
   void onHealthResponse(const std::string &Name, const HttpResponse &Response);
   void setLeaving(LocalTarget &Target, Now Time);
-  void recordDeparture(LocalTarget &Target);
+  void recordDeparture(LocalTarget &Target, Now Time);
   /// Whether the announcing process, or a later process of the same target
   /// name, has already announced that it leaves.
   bool hasDeparted(const TargetAnnouncement &Announcement) const;
@@ -203,8 +203,9 @@
   CallReplier Reply_;
   std::map<std::string, LocalTarget, std::less<>> Targets_;
   /// Start times of the target processes that announced that they leave, by
-  /// target name. Kept after the targets are removed, so that a delayed
-  /// announcement does not add them again.
+  /// target name; for one without a start time, when it announced that. Kept
+  /// after the targets are removed, so that a delayed announcement does not add
+  /// them again.
   std::map<std::string, std::int64_t, std::less<>> DepartedProcesses_;
   TargetCalls Calls_;
   PendingTable Pending_;
--- a/test/platform/PlatformPathTest.cpp
+++ b/test/platform/PlatformPathTest.cpp
@@ -191,11 +191,12 @@
         .Status_;
   }
 
+  /// Born is left out if 0.
   int deregister(std::size_t Index, std::int64_t Born = 1000) {
     HttpClientRequest Request;
     Request.Method_ = "POST";
     Request.Path_ = "/v1/instances/" + Servers_[Index]->Name_ + "/deregister";
-    Request.Body_ = Json{{"born", Born}}.dump();
+    Request.Body_ = Born == 0 ? "" : Json{{"born", Born}}.dump();
     return send(Daemons_[Index]->addresses().Announce_, std::move(Request))
         .Status_;
   }
@@ -411,6 +412,23 @@
 
 // Announcements may be late by seconds: a target that missed some while it was
 // busy must be used again when the next one arrives.
+// A daemon that has restarted learns of the server only by a departure without
+// a start time.
+TEST_F(PlatformPath, ALateAnnouncementDoesNotUndoADepartureWithoutStartTime) {
+  addServer("view");
+  writeConfiguration(5);
+  ASSERT_TRUE(eventually([&] { return isReady(3); }));
+  std::int64_t NowMs =
+      std::chrono::floor<milliseconds>(wallNow()).time_since_epoch().count();
+  ASSERT_EQ(deregister(3, 0), 200);
+  ASSERT_EQ(announce(3, "ready", 7, NowMs - 9000), 200);
+  EXPECT_EQ(call(3, "GET", "/x/y").Status_, 503);
+  EXPECT_EQ(Servers_[3]->Requests_.size(), 0U);
+  ASSERT_EQ(announce(3, "ready", 1, NowMs + 9000), 200);
+  EXPECT_TRUE(
+      eventually([&] { return call(3, "GET", "/x/y").Status_ == 200; }));
+}
+
 TEST_F(PlatformPath, ATargetThatWasSilentIsUsedAgain) {
   startFourthServer();
   Servers_[3]->HoldsRequest_ = true;
