--- a/test/failure/HttpFailureTest.cpp
+++ b/test/failure/HttpFailureTest.cpp
@@ -81,6 +81,8 @@
         ASSERT_EQ(::write(Socket, Header.data(), Length),
                   static_cast<ssize_t>(Length));
         if (WithReset) {
+          // The stream still owns the descriptor, so only the socket behind it
+          // is closed.
           linger Abort{1, 0};
           setsockopt(Socket, SOL_SOCKET, SO_LINGER, &Abort, sizeof(Abort));
           int Null = open("/dev/null", O_RDONLY);
