--- a/include/sycamore/Store.h
+++ b/include/sycamore/Store.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -81,6 +82,10 @@
 class WatchHandle {
 public:
   virtual ~WatchHandle() = default;
+
+  /// When the store last answered this watch, by the monotonic clock; unset
+  /// before its first answer.
+  virtual std::optional<TimePoint> answeredAt() const = 0;
 };
 
 /// A call that fails with ErrorKind::Unavailable did not take effect; one that
--- a/src/ControlPlane.cpp
+++ b/src/ControlPlane.cpp
@@ -419,6 +419,8 @@
 
 void ControlPlane::updateWatch(bool Enabled, Now Time) {
   if (WatchFailure_) {
+    TimePoint AnsweredAt =
+        Watch_->answeredAt().value_or(WatchRetry_.StartedAt_);
     Watch_.reset();
     recordWatchFailed(WatchRetry_, Time, Rng_);
     logEvent(
@@ -426,6 +428,7 @@
         {{"error", describe(*WatchFailure_)},
          {"lasted_ms",
           toMilliseconds(Time.Monotonic_ - WatchRetry_.StartedAt_)},
+         {"unanswered_ms", toMilliseconds(Time.Monotonic_ - AnsweredAt)},
          {"retry_ms", toMilliseconds(WatchRetry_.NextAt_ - Time.Monotonic_)}});
     WatchFailure_.reset();
   }
--- a/src/EtcdWatch.cpp
+++ b/src/EtcdWatch.cpp
@@ -3,6 +3,7 @@
 
 #include "EtcdCodec.h"
 #include "HttpSupport.h"
+#include "sycamore/Clock.h"
 
 #include <utility>
 
@@ -100,6 +101,7 @@
   if (Stopped_)
     return;
   armTimer(IdleTimeout_);
+  AnsweredAt_ = monotonicNow();
   PartialLine_ += Part;
   std::string Lines = std::exchange(PartialLine_, {});
   std::size_t Start = 0;
--- a/src/EtcdWatch.h
+++ b/src/EtcdWatch.h
@@ -29,6 +29,8 @@
   /// Ends the watch; no callback runs after this.
   void stop();
 
+  std::optional<TimePoint> answeredAt() const { return AnsweredAt_; }
+
 private:
   void onBodyPart(std::string_view Part);
   void onLine(std::string_view Line);
@@ -43,6 +45,7 @@
   std::shared_ptr<HttpCall> Call_;
   std::string PartialLine_;
   std::unique_ptr<Error> PendingFailure_;
+  std::optional<TimePoint> AnsweredAt_;
   bool Stopped_ = false;
 };
 
@@ -55,6 +58,10 @@
   EtcdWatchHandle &operator=(const EtcdWatchHandle &) = delete;
   ~EtcdWatchHandle() override { Watch_->stop(); }
 
+  std::optional<TimePoint> answeredAt() const override {
+    return Watch_->answeredAt();
+  }
+
 private:
   std::shared_ptr<EtcdWatch> Watch_;
 };
--- a/src/Events.cpp
+++ b/src/Events.cpp
@@ -64,7 +64,8 @@
         {LogEvent::WatchStarted, "watch-started", Info, RarePerSecond, false,
          "a watch of the configuration begins with a read; away_ms without"},
         {LogEvent::WatchEnded, "watch-ended", Warning, RarePerSecond, false,
-         "the watch failed; lasted_ms, and retry_ms until the next one"},
+         "the watch failed; lasted_ms, unanswered_ms since the store's last "
+         "answer, retry_ms until the next one"},
         {LogEvent::WatchHistoryDropped, "watch-history-dropped", Warning,
          RarePerSecond, false,
          "the store has no history for the watch; the key is read again"},
--- a/test/support/FakeStore.cpp
+++ b/test/support/FakeStore.cpp
@@ -21,6 +21,10 @@
   Handle &operator=(const Handle &) = delete;
   ~Handle() override { Owner_.Watches_.erase(Entry_.get()); }
 
+  std::optional<TimePoint> answeredAt() const override {
+    return Owner_.AnswersWatches_ ? std::optional(Owner_.Now_) : std::nullopt;
+  }
+
 private:
   FakeStore &Owner_;
   std::unique_ptr<Watch> Entry_;
--- a/test/support/FakeStore.h
+++ b/test/support/FakeStore.h
@@ -29,6 +29,8 @@
   /// Delay of each answer. If it exceeds the deadline of a call, the call is
   /// applied and its answer is lost.
   Duration Latency_{0};
+  /// Whether watches receive an answer.
+  bool AnswersWatches_ = true;
   /// Hooks that run before and after each call is applied, with the number of
   /// the call. They may make calls themselves, or throw to simulate a crash of
   /// the caller.
