Let readers that the store does not answer delegate the watch

Cause: readers are chosen by liveness alone. A reader whose calls the store refuses stays a reader, and the daemons that the store serves never ask it.

A reader whose watch has had no answer for 200 ms now asks other servers of its data centre to watch in its place, two every 150 ms, until one reports that the store answers it. It renews the request twice a second; the delegate stops 4 s after the last one.

Ruled out: more readers (6 of 13 or 8 of 75 were all refused), a watch by every daemon (calls grow with the fleet), and a field in the gossiped server records (in an outage every record of 690 would change, more than 3 KB/s).

A new watch reports no earlier changes in the etcd client, so the store is read once when it answers a watch that follows a gap or is a delegate's.

--- a/src/ControlPlane.h
+++ b/src/ControlPlane.h
@@ -10,6 +10,7 @@
 #include "sycamore/Membership.h"
 #include "sycamore/Settings.h"
 #include "sycamore/Store.h"
+#include "sycamore/WatchDelegation.h"
 
 namespace sycamore {
 
@@ -72,6 +73,7 @@
   const ConfigReplica &replica() const { return Replica_; }
   const Dissemination &dissemination() const { return Dissemination_; }
   const Bootstrap &bootstrap() const { return Bootstrap_; }
+  const WatchDelegation &watchDelegation() const { return Delegation_; }
   const ControlPlaneCounters &counters() const { return Counters_; }
 
   /// Records of all servers, for choosing the holders of buckets.
@@ -91,7 +93,16 @@
                                                       std::string &Digest);
   void readBaseSnapshot(std::uint64_t Number, const std::string &HeadValue);
   void applySeeds(const RangeResult &Seeds, Now Time);
+  void receiveWatchRequest(const wire::PeerMessage &Message, Now Time,
+                           Outbox &Out);
   void updateWatch(bool Enabled, Now Time);
+  void handleWatchFailure(Now Time);
+  /// Reads the store once it answers a new watch, which reports no earlier
+  /// changes. A reader's first watch needs none: tickReader() requests a read.
+  void readAfterGap(Now Time);
+  WatchState watchState() const;
+  /// Servers to which tickets from the store are announced.
+  std::vector<std::string> announcementTargets() const;
   void writeSeeds(std::span<const wire::ServerRecord> Seeds);
   void onOfferResult(const OfferResult &Offer, Now Time);
   void send(Outbox &Out);
@@ -107,10 +118,12 @@
   ConfigReplica Replica_;
   Dissemination Dissemination_;
   Bootstrap Bootstrap_;
+  WatchDelegation Delegation_;
   ControlPlaneCounters Counters_;
   std::unique_ptr<WatchHandle> Watch_;
   std::optional<Error> WatchFailure_; ///< Until the next tick handles it.
   WatchRetry WatchRetry_;
+  bool ReadAfterGap_ = false; ///< Once the store answers the current watch.
   std::int64_t SeedsRevision_ = 0;
   WallTime AppliedAt_;
   bool StoreReachable_ = true;
--- a/test/support/FleetOptions.h
+++ b/test/support/FleetOptions.h
@@ -4,6 +4,7 @@
 
 #include "sycamore/Bootstrap.h"
 #include "sycamore/Dissemination.h"
+#include "sycamore/WatchDelegation.h"
 
 #include <cstdlib>
 #include <iostream>
@@ -40,6 +41,7 @@
   ConfigReplicaConfig Replica_;
   DisseminationConfig DisseminationConfig_;
   BootstrapConfig BootstrapConfig_;
+  WatchDelegationConfig Delegation_;
   AcceptanceRequest Acceptance_; ///< Signs tickets when set.
 };
 
@@ -56,6 +58,7 @@
       {"anti-entropy", &Options.DisseminationConfig_.AntiEntropyForTest_},
       {"serve-cap", &Options.DisseminationConfig_.ServeCapForTest_},
       {"other-sources", &Options.DisseminationConfig_.OtherSourcesForTest_},
+      {"watch-delegation", &Options.Delegation_.EnabledForTest_},
       {"start-jitter", &Options.BootstrapConfig_.JitterForTest_},
       {"wait-for-all", &Options.BootstrapConfig_.WaitForAllForTest_},
       {"combined-reads", &Options.BootstrapConfig_.CombineReadsForTest_},
--- a/test/support/FleetSim.h
+++ b/test/support/FleetSim.h
@@ -4,6 +4,8 @@
 
 #include "FleetOptions.h"
 #include "SimStore.h"
+#include "WatchRetry.h"
+#include "sycamore/WatchDelegation.h"
 
 #include <algorithm>
 #include <iostream>
@@ -29,6 +31,10 @@
   ConfigReplica Replica_;
   Dissemination Dissemination_;
   Bootstrap Bootstrap_;
+  WatchDelegation Delegation_;
+  WatchRetry WatchRetry_;
+  bool IsReader_ = false;
+  bool HasWatched_ = false;            ///< In this process or an earlier one.
   std::uint64_t HighestTicketRun_ = 0; ///< Over all restarts; for promise 1.
   Traffic Traffic_;
   MembershipEvents Events_;
@@ -89,6 +95,9 @@
       Boot.Peers_.push_back(Peer.name());
     addSeeds(Daemon.Members_, Peers, Time);
     Daemon.Bootstrap_ = makeBootstrap(Boot, Time, Rng_);
+    Daemon.Delegation_ = {};
+    Daemon.Delegation_.Config_ = Options_.Delegation_;
+    Daemon.WatchRetry_ = {};
     Daemon.Up_ = true;
     Daemon.FrozenUntil_ = Time_;
     ++Daemon.Generation_;
@@ -342,6 +351,8 @@
                        Message, Time);
     answerFloorQuery(Daemon.Bootstrap_, Daemon.Members_, Daemon.Replica_,
                      Message, Time, Out);
+    receiveWatchDelegation(Daemon.Delegation_, Message, watchState(I), Time,
+                           Out);
     setOwnTicket(Daemon.Members_, Daemon.Replica_.Current_->Number_);
     send(I, Out);
   }
@@ -370,10 +381,12 @@
     SimDaemon &Daemon = Daemons_[I];
     ReaderStep Step =
         tickReader(Daemon.Bootstrap_, Daemon.Members_, Time, Rng_);
-    if (!Step.WatchHead_)
-      Store_.Watchers_.erase(I);
-    else if (reachesStore(I) && Store_.Watchers_.insert(I).second)
-      Store_.recordCall(Time_);
+    Daemon.IsReader_ = Step.WatchHead_;
+    Outbox Out;
+    tickWatchDelegation(Daemon.Delegation_, Daemon.Members_, watchState(I),
+                        Time, Rng_, Out);
+    send(I, Out);
+    tickWatch(I, Time);
     if (Step.ReadHead_)
       readStore(I, false);
     if (!Step.WriteSeeds_)
@@ -383,6 +396,45 @@
       Store_.Seeds_[Daemon.DataCentre_] = *Step.WriteSeeds_;
   }
 
+  WatchState watchState(std::size_t I) const {
+    return {Daemons_[I].IsReader_, Store_.Watchers_.contains(I)};
+  }
+
+  void tickWatch(std::size_t I, Now Time) {
+    SimDaemon &Daemon = Daemons_[I];
+    bool Watches = Store_.Watchers_.contains(I);
+    if (!Daemon.IsReader_ && !watchesForOthers(Daemon.Delegation_)) {
+      Store_.Watchers_.erase(I);
+      return;
+    }
+    if (Watches && !reachesStore(I)) {
+      failWatch(I, Time);
+      return;
+    }
+    if (Watches || !mayStartWatch(Daemon.WatchRetry_, Time))
+      return;
+    recordWatchStarted(Daemon.WatchRetry_, Time);
+    Store_.recordCall(Time_);
+    if (!reachesStore(I)) {
+      failWatch(I, Time);
+      return;
+    }
+    Store_.Watchers_.insert(I);
+    // A watch reports no changes made before it began.
+    if (Daemon.HasWatched_ || !Daemon.IsReader_)
+      readStore(I, false);
+    Daemon.HasWatched_ = true;
+  }
+
+  void failWatch(std::size_t I, Now Time) {
+    SimDaemon &Daemon = Daemons_[I];
+    Store_.Watchers_.erase(I);
+    recordWatchFailed(Daemon.WatchRetry_, Time, Rng_);
+    Outbox Out;
+    reportWatchFailed(Daemon.Delegation_, Out);
+    send(I, Out);
+  }
+
   bool reachesStore(std::size_t I) const {
     return Store_.Mode_ == StoreMode::Up && !CutOffFromStore_.contains(I);
   }
@@ -418,9 +470,13 @@
           addSeeds(Daemon.Members_, Seeds, now(Daemon));
           recordSeeds(Daemon.Bootstrap_, Seeds);
           Outbox Out;
-          if (Result.Outcome_ == OfferOutcome::Applied)
-            announceTicket(Daemon.Dissemination_, Daemon.Replica_,
-                           neighbours(Daemon.Members_), now(Daemon), Out);
+          if (Result.Outcome_ == OfferOutcome::Applied) {
+            auto Targets = delegatorsOf(Daemon.Delegation_);
+            for (std::string &Name : neighbours(Daemon.Members_))
+              Targets.push_back(std::move(Name));
+            announceTicket(Daemon.Dissemination_, Daemon.Replica_, Targets,
+                           now(Daemon), Out);
+          }
           send(I, Out);
           finishRead(I, {Started, Value.Number_, Value.Digest_}, ForBootstrap);
         });
