Let a started daemon watch the store until a peer has answered it

Cause: after its floor a daemon that is no reader relies on peers for every later ticket. It knew eight seeds of its data centre, probes three at a time, and ranked the others as readers, so it read the store no more until a live peer answered after 3.2 s.

A daemon now watches the store like a reader, but writes no seeds, until the first table of a peer has arrived. FleetFailureTest's bounds of store calls after a simultaneous restart hold.

--- a/include/sycamore/Bootstrap.h
+++ b/include/sycamore/Bootstrap.h
@@ -42,6 +42,7 @@
   bool WaitForAllForTest_ = true;
   bool CombineReadsForTest_ = true;
   bool VerifyByReadForTest_ = true;
+  bool WatchUntilJoinedForTest_ = true;
 };
 
 struct BootstrapCounters {
--- a/src/ReaderSchedule.cpp
+++ b/src/ReaderSchedule.cpp
@@ -58,9 +58,13 @@
   }
   // A daemon that has just started knows few servers and may wrongly rank
   // itself as a reader, so it waits until its server table has filled.
-  if (!Boot.FloorReachedAt_ || !isReader(Members) ||
+  if (!Boot.FloorReachedAt_ ||
       Time.Monotonic_ - *Boot.FloorReachedAt_ < Boot.Config_.ReaderDelay_)
     return Step;
+  // Without a table from a peer, no peer is known to pass tickets on.
+  bool Alone = !Members.Joined_ && Boot.Config_.WatchUntilJoinedForTest_;
+  if (!isReader(Members) && !Alone)
+    return Step;
   Step.WatchHead_ = true;
   if (Time.Monotonic_ >= Boot.NextHead_) {
     Step.ReadHead_ = true;
@@ -68,7 +72,7 @@
                                            Boot.Config_.HeadInterval_ *
                                            (0.9 + 0.1 * randomUnit(Rng)));
   }
-  if (Time.Monotonic_ < Boot.NextSeeds_)
+  if (Time.Monotonic_ < Boot.NextSeeds_ || !isReader(Members))
     return Step;
   std::vector<std::string> Names = chooseSeeds(Boot, Members);
   if (Names == Boot.CurrentSeeds_)
--- a/test/support/FleetOptions.h
+++ b/test/support/FleetOptions.h
@@ -62,6 +62,8 @@
       {"start-jitter", &Options.BootstrapConfig_.JitterForTest_},
       {"wait-for-all", &Options.BootstrapConfig_.WaitForAllForTest_},
       {"combined-reads", &Options.BootstrapConfig_.CombineReadsForTest_},
+      {"watch-until-joined",
+       &Options.BootstrapConfig_.WatchUntilJoinedForTest_},
       {"verify-by-read", &Options.BootstrapConfig_.VerifyByReadForTest_}};
   for (const auto &[Name, Flag] : Rules)
     if (mutationEnabled(Name))
