Reserve a served body for the servers that carry a ticket to other data centres

Cause: a daemon serves two bodies in the first second of a ticket. Neighbours are 0.1 ms away and remote readers 1.4 ms, so neighbours took both, and remote readers were told busy until the next token.

One of the two is now kept for remote readers, and for the readers for which a daemon watches the store, until one of them has pulled or is known to hold the ticket. A ticket costs a daemon the same bytes as before.

--- a/include/sycamore/Dissemination.h
+++ b/include/sycamore/Dissemination.h
@@ -35,6 +35,7 @@
   bool AntiEntropyForTest_ = true;
   bool ServeCapForTest_ = true;
   bool OtherSourcesForTest_ = true;
+  bool ReserveForTest_ = true;
 };
 
 struct DisseminationCounters {
@@ -72,8 +73,11 @@
   std::uint32_t ServeTokens_ = 0; ///< Pulls that may be served now.
   TimePoint TokensRefilledAt_;    ///< When ServeTokens_ was last refilled.
   std::set<std::string> Holders_; ///< Servers known to hold the ticket.
+  bool RelayServed_ = false;      ///< A relay has pulled the ticket from here.
   std::map<std::string, TimePoint> OfferedAt_;
   std::string SnapshotJson_; ///< Built when a peer first needs it.
+  /// As last passed to tickDissemination().
+  std::vector<std::string> Relays_;
   TimePoint NextSync_;
   DisseminationCounters Counters_;
 };
@@ -106,11 +110,13 @@
                      const wire::PeerMessage &Message, Now Time, Random &Rng,
                      Outbox &Out);
 
-/// Handles pull timeouts and anti-entropy; call it every 20 ms. RemoteReaders
-/// are the readers of other data centres; empty unless this daemon is a reader.
+/// Handles pull timeouts and anti-entropy; call it every 20 ms. Relays are the
+/// servers that take tickets on to other data centres: remote readers, and the
+/// readers for which this daemon watches the store. One of the first pulls that
+/// this daemon serves is reserved for them.
 void tickDissemination(Dissemination &State, const ConfigReplica &Replica,
                        std::span<const std::string> Neighbours,
-                       std::span<const std::string> RemoteReaders, Now Time,
+                       std::span<const std::string> Relays, Now Time,
                        Random &Rng, Outbox &Out);
 
 } // namespace sycamore
--- a/src/ControlPlane.cpp
+++ b/src/ControlPlane.cpp
@@ -190,8 +190,11 @@
 void ControlPlane::tick(Now Time) {
   Outbox Out;
   logMembership(Members_, tickMembership(Members_, Time, Rng_, Out));
-  tickDissemination(Dissemination_, Replica_, neighbours(Members_),
-                    Members_.Overlay_.RemoteReaders_, Time, Rng_, Out);
+  std::vector<std::string> Relays = delegatorsOf(Delegation_);
+  std::vector<std::string> Remote = remoteReaders(Members_);
+  Relays.insert(Relays.end(), Remote.begin(), Remote.end());
+  tickDissemination(Dissemination_, Replica_, neighbours(Members_), Relays,
+                    Time, Rng_, Out);
   BootstrapStep Step =
       tickBootstrap(Bootstrap_, Members_, Replica_, Time, Rng_, Out);
   logBootstrap(Step.Events_);
--- a/src/Dissemination.cpp
+++ b/src/Dissemination.cpp
@@ -59,6 +59,7 @@
   State.OfferedAt_.clear();
   State.SnapshotJson_.clear();
   State.PullFailed_ = false;
+  State.RelayServed_ = false;
   std::string Digest = offerDigest(*Replica.Current_);
   for (const TicketSource &Source : State.Sources_)
     if (Source.Number_ == Number && Source.Digest_ == Digest)
@@ -70,8 +71,24 @@
     State.Pull_.reset();
 }
 
-/// Takes one token for a served pull; false when none is left.
-bool consumeServeToken(Dissemination &State, Now Time) {
+bool isRelay(const Dissemination &State, const std::string &Server) {
+  return std::find(State.Relays_.begin(), State.Relays_.end(), Server) !=
+         State.Relays_.end();
+}
+
+/// Whether no relay has the ticket from here while one may still need it.
+/// Neighbours, which are nearer, would otherwise take every token first.
+bool reservesTokenForRelays(const Dissemination &State) {
+  return State.Config_.ReserveForTest_ && !State.RelayServed_ &&
+         std::any_of(State.Relays_.begin(), State.Relays_.end(),
+                     [&](const std::string &Relay) {
+                       return !State.Holders_.contains(Relay);
+                     });
+}
+
+/// Takes one token for a served pull; false when none is left for this server.
+bool consumeServeToken(Dissemination &State, const std::string &Requester,
+                       Now Time) {
   auto FullSeconds =
       std::chrono::floor<seconds>(Time.Monotonic_ - State.TokensRefilledAt_);
   if (FullSeconds.count() > 0) {
@@ -82,9 +99,12 @@
   }
   if (!State.Config_.ServeCapForTest_)
     return true;
-  if (State.ServeTokens_ == 0)
+  bool ForRelay = isRelay(State, Requester);
+  std::uint32_t Reserved = !ForRelay && reservesTokenForRelays(State) ? 1 : 0;
+  if (State.ServeTokens_ <= Reserved)
     return false;
   --State.ServeTokens_;
+  State.RelayServed_ = State.RelayServed_ || ForRelay;
   return true;
 }
 
@@ -202,7 +222,7 @@
   }
   wire::TicketBodies &Answer =
       *append(Out, Message.sender()).mutable_ticket_bodies();
-  if (!consumeServeToken(State, Time)) {
+  if (!consumeServeToken(State, Message.sender(), Time)) {
     Answer.set_busy(true);
     ++State.Counters_.BusySent_;
     return;
@@ -358,8 +378,11 @@
 
 void tickDissemination(Dissemination &State, const ConfigReplica &Replica,
                        std::span<const std::string> Neighbours,
-                       std::span<const std::string> RemoteReaders, Now Time,
+                       std::span<const std::string> Relays, Now Time,
                        Random &Rng, Outbox &Out) {
+  if (!std::equal(Relays.begin(), Relays.end(), State.Relays_.begin(),
+                  State.Relays_.end()))
+    State.Relays_.assign(Relays.begin(), Relays.end());
   resetOnNewTicket(State, Replica, Time);
   if (State.Pull_ &&
       Time.Monotonic_ - State.Pull_->SentAt_ >= State.Config_.PullTimeout_) {
@@ -373,7 +396,7 @@
     return;
   State.NextSync_ =
       Time.Monotonic_ + jittered(State.Config_.SyncInterval_, Rng);
-  for (std::span<const std::string> Peers : {Neighbours, RemoteReaders})
+  for (std::span<const std::string> Peers : {Neighbours, Relays})
     if (!Peers.empty())
       sendOffer(State, Replica, Peers[randomIndex(Rng, Peers.size())], Time,
                 Out);
--- a/test/support/FleetOptions.h
+++ b/test/support/FleetOptions.h
@@ -56,6 +56,7 @@
       {"monotone", &Options.Replica_.MonotoneForTest_},
       {"signatures", &Options.Replica_.SignaturesForTest_},
       {"anti-entropy", &Options.DisseminationConfig_.AntiEntropyForTest_},
+      {"relay-token", &Options.DisseminationConfig_.ReserveForTest_},
       {"serve-cap", &Options.DisseminationConfig_.ServeCapForTest_},
       {"other-sources", &Options.DisseminationConfig_.OtherSourcesForTest_},
       {"watch-delegation", &Options.Delegation_.EnabledForTest_},
