Skip odd entries of the store instead of the answer that holds them

No process ends here: nesting is bounded while parsing, and numbers that are too large are errors. But one odd entry hid the others. Seeds were parsed as one document, so all seeds of a data centre were lost; an item without key or readable value lost its whole page; and seeds and configuration were read in one step that counted only with both, so a starting daemon stayed without its configuration, not ready, as long as the entry stood. Port 0 passed as an address to connect to, in seeds and in announcements of targets, and an integer above the largest signed one was read as negative.

Elements of the seeds are now parsed one by one, odd items of a page are skipped, the configuration counts without readable seeds, port 0 is refused, and each skip has a log line (seeds-skipped, store-items-skipped).

Nesting and numbers from a target were refused before too; RejectsANumberThatIsTooLargeAndDeepNesting and AnOddHeartbeatDoesNotDisplaceATarget show it.

--- a/include/sycamore/Events.h
+++ b/include/sycamore/Events.h
@@ -29,6 +29,8 @@
   TicketRejected,
   HeadUnreadable,
   SnapshotUnreadable,
+  SeedsSkipped,
+  StoreItemsSkipped,
   FloorKnown,
   FloorReached,
   ReaderBegan,
--- a/include/sycamore/Json.h
+++ b/include/sycamore/Json.h
@@ -32,6 +32,12 @@
 Result<Json> parseJsonFile(const std::string &Path,
                            const JsonLimits &Limits = {});
 
+/// Texts of the elements of a JSON array, so that one that cannot be parsed
+/// does not hide the others. Unset if Text is not an array whose brackets and
+/// strings are closed; the elements themselves are not checked.
+std::optional<std::vector<std::string_view>>
+arrayElements(std::string_view Text);
+
 /// Reads the fields of one object and collects every problem found, each with
 /// field path, value and what is allowed.
 class ObjectReader {
--- a/include/sycamore/Settings.h
+++ b/include/sycamore/Settings.h
@@ -270,4 +270,7 @@
 /// Parses "IPV4:PORT" or "[IPV6]:PORT". Errors are of kind InvalidArgument.
 Result<SocketAddress> parseSocketAddress(std::string_view Text);
 
+/// The same for an address to connect to, where port 0 is an error too.
+Result<SocketAddress> parseRemoteAddress(std::string_view Text);
+
 } // namespace sycamore
--- a/include/sycamore/Store.h
+++ b/include/sycamore/Store.h
@@ -41,6 +41,9 @@
 struct RangeResult {
   std::int64_t Revision_ = 0; ///< Store revision at the time of the read.
   std::vector<KeyValue> Values_;
+  /// In a transaction: why this read's answer could not be parsed. The other
+  /// reads of the transaction hold.
+  std::optional<Error> ParseError_;
 };
 
 /// Holds if the key's modification revision equals Revision_; 0 means that the
--- a/src/ControlPlane.cpp
+++ b/src/ControlPlane.cpp
@@ -341,10 +341,18 @@
   HeadReadInFlight_ = false;
   StoreReadResult Read;
   Read.StartedAt_ = StartedAt;
-  bool Usable = Answer && Answer->Reads_.size() == 2;
+  bool Usable =
+      Answer && Answer->Reads_.size() == 2 && !Answer->Reads_[0].ParseError_;
   updateStoreReachability(Answer, Usable);
   if (Usable) {
-    applySeeds(Answer->Reads_[1], Time);
+    // The configuration counts also without readable seeds.
+    const RangeResult &Seeds = Answer->Reads_[1];
+    if (Seeds.ParseError_)
+      logEvent(
+          LogEvent::SeedsSkipped,
+          {{"key", seedsKey("")}, {"error", describe(*Seeds.ParseError_)}});
+    else
+      applySeeds(Seeds, Time);
     Read.Number_ = applyConfigurationRead(Answer->Reads_[0], Read.Digest_);
   }
   if (!ForFloor)
@@ -441,7 +449,13 @@
   SeedsRevision_ = 0;
   std::vector<wire::ServerRecord> OwnSeeds;
   for (const KeyValue &Entry : Seeds.Values_) {
-    std::vector<wire::ServerRecord> Listed = parseSeeds(Entry);
+    std::vector<std::string> Problems;
+    std::vector<wire::ServerRecord> Listed = parseSeeds(Entry, Problems);
+    if (!Problems.empty())
+      logEvent(LogEvent::SeedsSkipped, {{"key", Entry.Key_},
+                                        {"skipped", Problems.size()},
+                                        {"used", Listed.size()},
+                                        {"error", Problems.front()}});
     if (SeedFilter_)
       std::erase_if(Listed, [this](const wire::ServerRecord &Seed) {
         return !SeedFilter_(Seed);
--- a/src/Json.cpp
+++ b/src/Json.cpp
@@ -175,6 +175,43 @@
   return parseJson(Text, Path, Limits);
 }
 
+std::optional<std::vector<std::string_view>>
+arrayElements(std::string_view Text) {
+  constexpr std::string_view Space = " \t\r\n";
+  std::size_t First = std::min(Text.find_first_not_of(Space), Text.size());
+  Text.remove_prefix(First);
+  Text = Text.substr(0, Text.find_last_not_of(Space) + 1);
+  if (Text.size() < 2 || Text.front() != '[' || Text.back() != ']')
+    return std::nullopt;
+  Text = Text.substr(1, Text.size() - 2);
+  std::vector<std::string_view> Out;
+  std::size_t Depth = 0;
+  std::size_t Start = 0;
+  bool InString = false;
+  for (std::size_t I = 0; I < Text.size(); ++I) {
+    char Character = Text[I];
+    if (InString) {
+      I += Character == '\\' ? 1 : 0;
+      InString = Character != '"';
+    } else if (Character == '"') {
+      InString = true;
+    } else if (Character == '[' || Character == '{') {
+      ++Depth;
+    } else if (Character == ']' || Character == '}') {
+      if (Depth-- == 0)
+        return std::nullopt;
+    } else if (Character == ',' && Depth == 0) {
+      Out.push_back(Text.substr(Start, I - Start));
+      Start = I + 1;
+    }
+  }
+  if (InString || Depth != 0)
+    return std::nullopt;
+  if (!Out.empty() || Text.find_first_not_of(Space) != std::string_view::npos)
+    Out.push_back(Text.substr(Start));
+  return Out;
+}
+
 ObjectReader::ObjectReader(const Json &Value, std::string Path,
                            std::vector<std::string> &Problems)
     : Value_(Value), Path_(std::move(Path)), Problems_(Problems) {
--- a/src/KeyFile.cpp
+++ b/src/KeyFile.cpp
@@ -131,4 +131,13 @@
   return Out;
 }
 
+Result<SocketAddress> parseRemoteAddress(std::string_view Text) {
+  auto Out = parseSocketAddress(Text);
+  if (Out && Out->Port_ == 0)
+    return fail(ErrorKind::InvalidArgument,
+                "\"" + std::string(Text) + "\" has no port to connect to",
+                "write a port from 1 to 65535");
+  return Out;
+}
+
 } // namespace sycamore
--- a/src/Seeds.cpp
+++ b/src/Seeds.cpp
@@ -2,6 +2,32 @@
 #include "Seeds.h"
 
 namespace sycamore {
+namespace {
+
+Result<wire::ServerRecord> parseSeed(std::string_view Text,
+                                     const std::string &Source) {
+  auto Document = parseJson(Text, Source);
+  if (!Document)
+    return tl::unexpected(Document.error());
+  std::vector<std::string> Problems;
+  ObjectReader Reader(*Document, "", Problems);
+  wire::ServerRecord Out;
+  Reader.readString("name", *Out.mutable_name());
+  Reader.readString("data_centre", *Out.mutable_data_centre());
+  Reader.readString("peer_address", *Out.mutable_peer_address());
+  Reader.readString("public_key", *Out.mutable_public_key());
+  if (Problems.empty() && !isValidName(Out.name()))
+    Reader.reportProblem("name", "is not a name");
+  if (Problems.empty() && !parseRemoteAddress(Out.peer_address()))
+    Reader.reportProblem("peer_address", "is not IP:PORT");
+  if (auto Failure =
+          problemsToError(ErrorKind::InvalidData, Source, Problems,
+                          "remove the entry; a reader writes the seeds anew"))
+    return tl::unexpected<Error>(*Failure);
+  return Out;
+}
+
+} // namespace
 
 std::string encodeSeeds(std::span<const wire::ServerRecord> Seeds) {
   Json Out = Json::array();
@@ -13,22 +39,20 @@
   return Out.dump();
 }
 
-std::vector<wire::ServerRecord> parseSeeds(const KeyValue &Entry) {
+std::vector<wire::ServerRecord> parseSeeds(const KeyValue &Entry,
+                                           std::vector<std::string> &Problems) {
   std::vector<wire::ServerRecord> Out;
-  auto Document = parseJson(Entry.Value_, Entry.Key_);
-  if (!Document || !Document->is_array())
+  auto Elements = arrayElements(Entry.Value_);
+  if (!Elements) {
+    Problems.push_back(Entry.Key_ + ": not an array");
     return Out;
-  for (const Json &Item : *Document) {
-    std::vector<std::string> Problems;
-    ObjectReader Reader(Item, "", Problems);
-    wire::ServerRecord Seed;
-    Reader.readString("name", *Seed.mutable_name());
-    Reader.readString("data_centre", *Seed.mutable_data_centre());
-    Reader.readString("peer_address", *Seed.mutable_peer_address());
-    Reader.readString("public_key", *Seed.mutable_public_key());
-    if (Problems.empty() && isValidName(Seed.name()) &&
-        parseSocketAddress(Seed.peer_address()))
-      Out.push_back(std::move(Seed));
+  }
+  for (std::string_view Element : *Elements) {
+    auto Seed = parseSeed(Element, Entry.Key_);
+    if (Seed)
+      Out.push_back(std::move(*Seed));
+    else
+      Problems.push_back(describe(Seed.error()));
   }
   return Out;
 }
--- a/src/Seeds.h
+++ b/src/Seeds.h
@@ -14,8 +14,10 @@
 
 std::string encodeSeeds(std::span<const wire::ServerRecord> Seeds);
 
-/// Skips entries that do not parse, because seeds are only hints.
-std::vector<wire::ServerRecord> parseSeeds(const KeyValue &Entry);
+/// Skips entries that do not parse, because seeds are only hints, and adds the
+/// reason for each to Problems.
+std::vector<wire::ServerRecord> parseSeeds(const KeyValue &Entry,
+                                           std::vector<std::string> &Problems);
 
 /// Range of the seeds keys of all data centres.
 RangeRequest seedsRange();
--- a/src/TargetAnnouncements.cpp
+++ b/src/TargetAnnouncements.cpp
@@ -25,7 +25,7 @@
   Reader.reportUnknownFields();
   if (Problems.empty() && !isValidName(Name))
     Reader.reportProblem("name", "is not a name");
-  if (Problems.empty() && !parseSocketAddress(Address))
+  if (Problems.empty() && !parseRemoteAddress(Address))
     Reader.reportProblem("address", "is not IP:PORT");
   if (auto Failure = problemsToError(
           ErrorKind::InvalidArgument, "announcement", Problems,
--- a/test/platform/InstanceNoticeTest.cpp
+++ b/test/platform/InstanceNoticeTest.cpp
@@ -67,6 +67,31 @@
   }
 }
 
+TEST(InstanceNotice, RejectsAPortThatNobodyCanListenOn) {
+  for (const char *Port : {"0", "65536", "99999", "-1", "8080x", ""}) {
+    Json Body = heartbeat();
+    Body["address"] = std::string("10.0.0.9:") + Port;
+    EXPECT_FALSE(parseHeartbeat(Body).has_value()) << Port;
+  }
+}
+
+TEST(InstanceNotice, RejectsANumberThatIsTooLargeAndDeepNesting) {
+  std::string Valid = heartbeat().dump();
+  std::string Deep = std::string(100'000, '[') + std::string(100'000, ']');
+  for (const std::string &Value :
+       {std::string("1e999"), std::string("18446744073709551616"),
+        std::string("9223372036854775808"), Deep}) {
+    for (const char *Field :
+         {"\"slots\":12", "\"sequence\":4", "\"born\":1700000000123"}) {
+      std::string Name(Field, std::string(Field).find(':') + 1);
+      std::string Body = Valid;
+      Body.replace(Body.find(Field), std::string(Field).size(), Name + Value);
+      EXPECT_FALSE(parseNotice("/v1/instances/i-7f/heartbeat", Body))
+          << Name << Value.substr(0, 40);
+    }
+  }
+}
+
 TEST(InstanceNotice, RejectsAnUnknownStateAndOtherRequests) {
   Json Body = heartbeat();
   Body["status"]["state"] = "perhaps";
--- a/test/platform/PlatformPathTest.cpp
+++ b/test/platform/PlatformPathTest.cpp
@@ -317,6 +317,54 @@
   EXPECT_EQ(call(0, "GET", "/other/").Status_, 404);
 }
 
+TEST_F(PlatformPath, IsReadyThoughTheStoreHoldsAnOddItemBesideTheSeeds) {
+  std::string Deep(100'000, '[');
+  for (const std::string &Odd :
+       {Deep + std::string(Deep.size(), ']'), std::string("1e999"),
+        std::string("{\"key\":1}"),
+        std::string("{\"key\":\"k\",\"value\":\"?\"}"),
+        std::string("{\"key\":\"k\",\"value\":\"\",\"revision\":"
+                    "18446744073709551615}")}) {
+    Daemons_.clear();
+    Servers_.clear();
+    Store_->Faults_.OddRangeItem_ = Odd;
+    writeConfiguration(5);
+    addServer("view");
+    EXPECT_TRUE(eventually([&] { return isReady(0); })) << Odd.substr(0, 60);
+  }
+}
+
+TEST_F(PlatformPath, AnOddHeartbeatDoesNotDisplaceATarget) {
+  startAll();
+  std::string Deep = std::string(100'000, '[') + std::string(100'000, ']');
+  auto Heartbeat = [](const std::string &Address, const std::string &Slots,
+                      const std::string &Sequence) {
+    return R"({"address":")" + Address +
+           R"(","information":{"service":"view","slots":)" + Slots +
+           R"(},"status":{"state":"ready","sequence":)" + Sequence + "}}";
+  };
+  const std::string &Address = Servers_[0]->Address_;
+  std::vector<std::string> Bodies = {
+      Heartbeat(Address, Deep, "5"),
+      Heartbeat(Address, "1e999", "5"),
+      Heartbeat(Address, "4", "18446744073709551616"),
+      Heartbeat(Address, "4", "9223372036854775808"),
+      Heartbeat("127.0.0.1:0", "4", "5"),
+      Heartbeat("127.0.0.1:65536", "4", "5"),
+      Heartbeat("127.0.0.1:99999", "4", "5")};
+  for (const std::string &Body : Bodies) {
+    HttpClientRequest Request;
+    Request.Method_ = "POST";
+    Request.Path_ = "/v1/instances/" + Servers_[0]->Name_ + "/heartbeat";
+    Request.Body_ = Body;
+    int Status =
+        send(Daemons_[0]->addresses().Announce_, std::move(Request)).Status_;
+    EXPECT_EQ(Status / 100, 4) << Body.substr(0, 200);
+    EXPECT_EQ(call(0, "GET", "/x/y").Status_, 200) << Body.substr(0, 200);
+  }
+  EXPECT_EQ(announce(0, "ready", 6), 200);
+}
+
 TEST_F(PlatformPath, ForwardsARequestToAServerOfTheRoutesService) {
   startAll();
   HttpResponse Response = call(2, "GET", "/x/y?q=1", "id-7");
--- a/test/support/KvStandin.cpp
+++ b/test/support/KvStandin.cpp
@@ -189,8 +189,12 @@
     }
     Items.push_back(itemJson(Key, Item));
   }
-  reply(Exchange, 200,
-        {{"items", Items}, {"hasMore", More}, {"at", Revision_}});
+  std::string Body =
+      Json{{"items", Items}, {"hasMore", More}, {"at", Revision_}}.dump();
+  if (!Faults_.OddRangeItem_.empty())
+    Body.insert(Body.find("\"items\":[") + std::string("\"items\":[").size(),
+                Faults_.OddRangeItem_ + (Items.empty() ? "" : ","));
+  Exchange.reply(200, {{"Content-Type", "application/json"}}, Body);
 }
 
 void KvStandin::startWatch(const HttpExchangePointer &Exchange) {
--- a/test/support/KvStandin.h
+++ b/test/support/KvStandin.h
@@ -40,6 +40,7 @@
   bool DropWriteResponses_ = false; ///< Applies writes, closes unanswered.
   bool AbortWatches_ = false;       ///< Closes watch requests at once.
   std::size_t PageItems_ = 500;
+  std::string OddRangeItem_; ///< JSON text added to the items of each range.
 };
 
 class KvStandin {
