--- a/test/platform/KvStoreTest.cpp
+++ b/test/platform/KvStoreTest.cpp
@@ -4,6 +4,7 @@
 #include "KvStore.h"
 #include "EventLoop.h"
 #include "KvStandin.h"
+#include "sycamore/Clock.h"
 
 #include <gtest/gtest.h>
 
@@ -134,6 +135,22 @@
   EXPECT_EQ(Renewed->Ttl_, seconds(0));
 }
 
+// Another server has to find a change within 2 s of its acceptance.
+TEST_F(KvStoreTest, AWatchOfASilentStoreFailsBeforeAChangeIsLate) {
+  Standin_->put("op/doc", "1");
+  std::optional<TimePoint> SilentAt;
+  bool Failed = false;
+  auto Watch = Store_->watch(
+      "op/doc", 0,
+      [&](const KeyValue &) {
+        Standin_->Faults_.Silent_ = true;
+        SilentAt = monotonicNow();
+      },
+      [&](const Error &) { Failed = true; });
+  ASSERT_TRUE(Loop_.runUntil([&] { return Failed; }));
+  EXPECT_LT(monotonicNow() - *SilentAt, seconds(2));
+}
+
 TEST_F(KvStoreTest, AWatchReportsEachValueAfterTheFirst) {
   Standin_->put("op/doc", "1");
   std::vector<std::string> Seen;
