--- a/include/sycamore/WatchDelegation.h
+++ b/include/sycamore/WatchDelegation.h
@@ -72,7 +72,7 @@
   DelegateFound,
   DelegateLost, ///< It stopped reporting, or the store stopped answering it.
   PassFailed,   ///< The store answers none of the servers asked.
-  Resumed,      ///< The store answers this reader itself again.
+  Resumed,      ///< The store answers this daemon, or it is no reader now.
 };
 
 struct WatchDelegationEvent {
--- a/src/ControlPlane.cpp
+++ b/src/ControlPlane.cpp
@@ -122,28 +122,6 @@
         {{"basis", floorBasisName(Event.Basis_)}, {"ticket", Event.Number_}});
 }
 
-LogEvent logEventOf(WatchDelegationEventKind Kind) {
-  switch (Kind) {
-  case WatchDelegationEventKind::DelegateFound:
-    return LogEvent::WatchDelegated;
-  case WatchDelegationEventKind::DelegateLost:
-    return LogEvent::WatchDelegateLost;
-  case WatchDelegationEventKind::PassFailed:
-    return LogEvent::WatchDelegateNotFound;
-  case WatchDelegationEventKind::Resumed:
-    return LogEvent::WatchResumed;
-  }
-  return LogEvent::WatchDelegated;
-}
-
-void logDelegation(const WatchDelegationEvents &Events) {
-  for (const WatchDelegationEvent &Event : Events)
-    logEvent(logEventOf(Event.Kind_),
-             {{"peer", Event.Server_},
-              {"unanswered_ms", toMilliseconds(Event.Unanswered_)},
-              {"asked", Event.Asked_}});
-}
-
 void logRejection(std::uint64_t Number, std::string_view Source,
                   const std::optional<Error> &Failure) {
   logEvent(LogEvent::TicketRejected,
@@ -211,26 +189,10 @@
     readStore(/*ForFloor=*/false, Time);
   if (ReaderActions.WriteSeeds_)
     writeSeeds(*ReaderActions.WriteSeeds_);
-  handleWatchFailure(Time);
-  logDelegation(tickWatchDelegation(Delegation_, Members_, watchState(), Time,
-                                    Rng_, Out));
-  updateWatch(IsReader_ || watchesForOthers(Delegation_), Time);
-  readAfterGap(Time);
+  tickWatch(Time, Out);
   send(Out);
 }
 
-WatchState ControlPlane::watchState() const {
-  return {IsReader_, Watch_ && !WatchFailure_ && Watch_->answeredAt()};
-}
-
-std::vector<std::string> ControlPlane::announcementTargets() const {
-  std::vector<std::string> Out = delegatorsOf(Delegation_);
-  for (std::string &Name : neighbours(Members_))
-    if (std::find(Out.begin(), Out.end(), Name) == Out.end())
-      Out.push_back(std::move(Name));
-  return Out;
-}
-
 void ControlPlane::receive(const wire::PeerMessage &Message, Now Time) {
   Outbox Out;
   logMembership(Members_,
@@ -252,19 +214,10 @@
   if (Message.has_floor_answer())
     logBootstrap(
         receiveFloorAnswer(Bootstrap_, Members_, Replica_, Message, Time));
-  receiveWatchRequest(Message, Time, Out);
+  receiveWatchMessage(Message, Time, Out);
   send(Out);
 }
 
-void ControlPlane::receiveWatchRequest(const wire::PeerMessage &Message,
-                                       Now Time, Outbox &Out) {
-  bool WatchedForOthers = watchesForOthers(Delegation_);
-  logDelegation(
-      receiveWatchDelegation(Delegation_, Message, watchState(), Time, Out));
-  if (!WatchedForOthers && watchesForOthers(Delegation_))
-    logEvent(LogEvent::WatchRequested, {{"peer", Message.sender()}});
-}
-
 void ControlPlane::startLeaving(Now Time) {
   Outbox Out;
   sycamore::startLeaving(Members_, Time, Out);
@@ -484,53 +437,4 @@
              });
 }
 
-void ControlPlane::handleWatchFailure(Now Time) {
-  if (!WatchFailure_)
-    return;
-  TimePoint AnsweredAt = Watch_->answeredAt().value_or(WatchRetry_.StartedAt_);
-  Watch_.reset();
-  recordWatchFailed(WatchRetry_, Time, Rng_);
-  logEvent(
-      LogEvent::WatchEnded,
-      {{"error", describe(*WatchFailure_)},
-       {"lasted_ms", toMilliseconds(Time.Monotonic_ - WatchRetry_.StartedAt_)},
-       {"unanswered_ms", toMilliseconds(Time.Monotonic_ - AnsweredAt)},
-       {"retry_ms", toMilliseconds(WatchRetry_.NextAt_ - Time.Monotonic_)}});
-  WatchFailure_.reset();
-  Outbox Out;
-  reportWatchFailed(Delegation_, Out);
-  send(Out);
-}
-
-void ControlPlane::readAfterGap(Now Time) {
-  if (!ReadAfterGap_ || !watchState().Answered_)
-    return;
-  ReadAfterGap_ = false;
-  readStore(/*ForFloor=*/false, Time);
-}
-
-void ControlPlane::updateWatch(bool Enabled, Now Time) {
-  if (!Enabled) {
-    Watch_.reset();
-    return;
-  }
-  if (Watch_ || !mayStartWatch(WatchRetry_, Time))
-    return;
-  ReadAfterGap_ = !IsReader_ || Counters_.WatchesStarted_ > 0;
-  ++Counters_.WatchesStarted_;
-  Duration Away = recordWatchStarted(WatchRetry_, Time);
-  logEvent(LogEvent::WatchStarted, {{"away_ms", toMilliseconds(Away)}});
-  Watch_ = Store_.watch(
-      configurationKey(), 0,
-      [this](const KeyValue &Entry) {
-        LoopTaskTimer Timer(Work_, LoopTask::StoreAnswer);
-        ++Counters_.WatchEvents_;
-        if (!Integration_)
-          applyHead(Entry.Value_, nullptr);
-        else if (!Entry.Value_.empty())
-          applyDocument(Entry.Value_);
-      },
-      [this](const Error &Failure) { WatchFailure_ = Failure; });
-}
-
 } // namespace sycamore
--- a/src/ControlPlane.h
+++ b/src/ControlPlane.h
@@ -93,13 +93,12 @@
                                                       std::string &Digest);
   void readBaseSnapshot(std::uint64_t Number, const std::string &HeadValue);
   void applySeeds(const RangeResult &Seeds, Now Time);
-  void receiveWatchRequest(const wire::PeerMessage &Message, Now Time,
+  /// Starts or ends the watch, and asks for or serves delegations.
+  void tickWatch(Now Time, Outbox &Out);
+  void startWatch(Now Time);
+  void endFailedWatch(Now Time, Outbox &Out);
+  void receiveWatchMessage(const wire::PeerMessage &Message, Now Time,
                            Outbox &Out);
-  void updateWatch(bool Enabled, Now Time);
-  void handleWatchFailure(Now Time);
-  /// Reads the store once it answers a new watch, which reports no earlier
-  /// changes. A reader's first watch needs none: tickReader() requests a read.
-  void readAfterGap(Now Time);
   WatchState watchState() const;
   /// Servers to which tickets from the store are announced.
   std::vector<std::string> announcementTargets() const;
@@ -123,7 +122,8 @@
   std::unique_ptr<WatchHandle> Watch_;
   std::optional<Error> WatchFailure_; ///< Until the next tick handles it.
   WatchRetry WatchRetry_;
-  bool ReadAfterGap_ = false; ///< Once the store answers the current watch.
+  /// Read the store once it answers the current watch.
+  bool ReadAfterGap_ = false;
   std::int64_t SeedsRevision_ = 0;
   WallTime AppliedAt_;
   bool StoreReachable_ = true;
--- a/src/DaemonMetrics.cpp
+++ b/src/DaemonMetrics.cpp
@@ -180,6 +180,17 @@
      &ControlPlaneCounters::StoreFailures_},
 }};
 
+constexpr std::array<CounterRow<WatchDelegationCounters>, 4> DelegationRows = {{
+    {"sycamore_watch_requests_sent_total", "Servers asked to watch instead.",
+     &WatchDelegationCounters::RequestsSent_},
+    {"sycamore_watch_requests_received_total", "Requests to watch for readers.",
+     &WatchDelegationCounters::RequestsReceived_},
+    {"sycamore_watch_delegations_total", "Delegates found.",
+     &WatchDelegationCounters::Delegations_},
+    {"sycamore_watch_passes_failed_total", "Searches without a delegate.",
+     &WatchDelegationCounters::PassesFailed_},
+}};
+
 constexpr std::array<CounterRow<KeyedCallsCounters>, 10> KeyRows = {{
     {"sycamore_keys_run_total", "Keys run here.", &KeyedCallsCounters::Run_},
     {"sycamore_keys_joined_total", "Keys that waited for an earlier sending.",
@@ -308,6 +319,8 @@
   writeTable(Page, Context.Control_.dissemination().Counters_,
              DisseminationRows);
   writeTable(Page, Context.Control_.counters(), ControlRows);
+  writeTable(Page, Context.Control_.watchDelegation().Counters_,
+             DelegationRows);
   writeTable(Page, Context.Keys_.buckets().Counters_, KeyRows);
   writeTable(Page, Context.Entry_.placement().Counters_, PlacementRows);
   writeStoreCalls(Page, Context.StoreCounters_);
--- a/src/Events.cpp
+++ b/src/Events.cpp
@@ -84,7 +84,7 @@
          RarePerSecond, false,
          "the store answers none of the servers asked; they are asked again"},
         {LogEvent::WatchResumed, "watch-resumed", Info, RarePerSecond, false,
-         "the store answers this reader again; peer is not needed"},
+         "the delegate peer is not needed any more"},
         {LogEvent::WatchRequested, "watch-requested", Info, RarePerSecond,
          false, "this daemon watches the store for the reader peer"},
         {LogEvent::ServerJoined, "server-joined", Info, RarePerSecond, false,
