Serve download routes, and routes of unknown kinds at most once

A kind of a later version no longer keeps the fleet from its configuration: the route is served at most once per request, and ticket-substituted names it; see docs/decisions/0008. A kind that is missing, empty or not a string remains an error.

--- a/include/sycamore/Events.h
+++ b/include/sycamore/Events.h
@@ -27,6 +27,7 @@
   // Configuration, membership, targets, buckets and quarantine.
   TicketApplied,
   TicketRejected,
+  TicketSubstituted,
   HeadUnreadable,
   SnapshotUnreadable,
   SeedsSkipped,
--- a/include/sycamore/Snapshot.h
+++ b/include/sycamore/Snapshot.h
@@ -62,6 +62,9 @@
 struct FullState {
   std::uint64_t Number_ = 0;
   State State_;
+  /// Values of a later format that the parser does not know and replaced by the
+  /// most restrictive one that it knows; one line for each, with its field.
+  std::vector<std::string> Substitutions_;
 };
 
 /// Snapshot of a full-state document. Text is the document, whose SHA-256
--- a/src/Events.cpp
+++ b/src/Events.cpp
@@ -49,6 +49,10 @@
         {LogEvent::TicketRejected, "ticket-rejected", Warning, RarePerSecond,
          false,
          "a configuration failed its checks; the one before stays in force"},
+        {LogEvent::TicketSubstituted, "ticket-substituted", Warning,
+         RarePerSecond, false,
+         "routes have a kind of a later version; each request runs at most "
+         "once"},
         {LogEvent::HeadUnreadable, "head-unreadable", ErrorLevel, RarePerSecond,
          false, "the store's head does not parse"},
         {LogEvent::SnapshotUnreadable, "snapshot-unreadable", ErrorLevel,
