Send large answers in pieces at the rate of the host's link

Cause: a daemon handed every answer to the transport at once. Beside a target with answers of 90 KB and a link of 12 Mbit/s it sent 22 MB in 10 s; small answers and heartbeats waited in the same queue. 5,933 links counted as silent and were replaced, which lost what was queued on them, and the answers were sent again; 33,490 times a server was suspected.

Bodies over 16 KiB are now sent as CallAnswerPart messages, one body after the other, at most 25 ms ahead of the rate in limits.link_mbps. The backlog is known, so that a request whose answer the link could not carry in time is refused as not run before it reaches the target. The answer of a caller that left is not sent any further.

Tests: LargeAnswerTest with real daemons over a proxy of 16 Mbit/s; without pacing (mutation answers-not-paced) p99 of small calls beside downloads is 1,199 ms against 109 ms without downloads, bound 1.5 times. AnswerPacingTest and AnswerAssemblyTest for the decisions.

--- a/include/sycamore/Events.h
+++ b/include/sycamore/Events.h
@@ -80,6 +80,7 @@
   RequestAbandoned,
   AttemptSent,
   AttemptRepeated,
+  AnswerPartRejected,
   // Requests at the daemon beside the target.
   AttemptRefused,
   AttemptRunning,
--- a/include/sycamore/RouteCost.h
+++ b/include/sycamore/RouteCost.h
@@ -1,4 +1,5 @@
-// Expected run time of requests, learnt from observed ones.
+// Expected run time of requests and size of their answers, learnt from observed
+// ones.
 #pragma once
 
 #include "sycamore/RunningQuantile.h"
@@ -25,6 +26,7 @@
 
 struct RouteCostEntry {
   double MeanUs_ = 0;
+  double MeanAnswerBytes_ = 0;
   RunningQuantile Median_{0.5, 0.1};
   std::uint64_t Count_ = 0;
   std::uint64_t LastUse_ = 0; ///< Value of RouteCost::UseCounter_.
@@ -55,6 +57,15 @@
 /// Adds the time for which one request held its slot.
 void recordCost(RouteCost &Table, const std::string &Key, Duration ServiceTime);
 
+/// Mean size of the answers' bodies; 0 for a key without observations.
+std::uint64_t expectedAnswerBytes(const RouteCost &Table,
+                                  const std::string &Key);
+
+/// Adds the size of one answer's body. Call it after recordCost() of the same
+/// request.
+void recordAnswerBytes(RouteCost &Table, const std::string &Key,
+                       std::uint64_t Bytes);
+
 /// Whether the median of this key is more than LongRatio_ times the median of
 /// all calls. False without observations.
 bool isLong(const RouteCost &Table, const std::string &Key);
--- a/include/sycamore/Settings.h
+++ b/include/sycamore/Settings.h
@@ -78,6 +78,11 @@
   std::uint64_t MaxBodyBytes_ = 8U << 20U;
   std::uint64_t MaxCalls_ = 10000; ///< In flight at this daemon.
   std::uint64_t PeerLinks_ = 110;  ///< Links dialled to other daemons.
+  /// Rate of this host's link in Mbit/s, at which large answers are sent; 0
+  /// when not known.
+  double LinkMbps_ = 0;
+  /// Most bytes of large answers that wait for the link or are expected.
+  std::uint64_t AnswerBufferBytes_ = 32U << 20U;
   /// Share of a target's slots that long requests may hold.
   double LongShare_ = 0.34;
   /// Load per slot of the best target in the own data centre above which
--- a/src/AdminApi.h
+++ b/src/AdminApi.h
@@ -21,6 +21,7 @@
   KeyedProxy &Keys_;
   Quarantine &Quarantine_;
   SpanBuffer &Spans_;
+  const AnswerSender &Answers_;
   const PeerTransport &Peers_;
   const StoreCounters &StoreCounters_;
   const LoopWork &Work_;
--- a/src/CallMessages.h
+++ b/src/CallMessages.h
@@ -18,8 +18,8 @@
 using CallSender = std::function<SendResult(
     const std::string &Server, wire::PeerMessage &, std::string_view Body)>;
 
-/// Answers a received call message.
-using CallReplier = std::function<void(const ReplyRoute &, wire::PeerMessage &,
+/// Answers a received call message; false when the connection is closed.
+using CallReplier = std::function<bool(const ReplyRoute &, wire::PeerMessage &,
                                        std::string_view Body)>;
 
 /// "not-run", "done" or "unknown".
--- a/src/Daemon.cpp
+++ b/src/Daemon.cpp
@@ -56,6 +56,7 @@
   switch (Message.body_case()) {
   case wire::PeerMessage::kCallRequest:
   case wire::PeerMessage::kCallAnswer:
+  case wire::PeerMessage::kCallAnswerPart:
   case wire::PeerMessage::kCallCancel:
   case wire::PeerMessage::kCallQuery:
   case wire::PeerMessage::kCallQueryAnswer:
@@ -106,6 +107,8 @@
     event_free(TickEvent_);
   if (LocalEvent_)
     event_free(LocalEvent_);
+  if (PaceEvent_)
+    event_free(PaceEvent_);
 }
 
 Result<void> DaemonImpl::start() {
@@ -125,6 +128,7 @@
     Store_ = makeEtcdStore(Base_, StoreConfig);
   }
   LocalEvent_ = event_new(Base_, -1, 0, onLocalMessages, this);
+  PaceEvent_ = event_new(Base_, -1, 0, onPace, this);
   return startPeers().and_then([this] { return startHttp(); }).map([this] {
     startTicking();
   });
@@ -167,18 +171,15 @@
                          std::string_view Body) {
     return sendCall(Server, Message, Body);
   };
-  auto Reply = [this](const ReplyRoute &Route, wire::PeerMessage &Message,
-                      std::string_view Body) {
-    replyCall(Route, Message, Body);
-  };
   Control_ = std::make_unique<ControlPlane>(
       Settings_, PeerAddress, Keys_.Own_.PublicKey_, Process_, *Store_,
       Integration_, Rng_, Work_, Send, Time);
   Control_->setSeedFilter(
       [this](const wire::ServerRecord &Seed) { return isAllowedPeer(Seed); });
-  Targets_ =
-      std::make_unique<TargetProxy>(Settings_, *Client_, *Control_, Quarantine_,
-                                    Spans_, Rng_, Work_, Process_, Reply, Time);
+  Answers_ = std::make_unique<AnswerSender>(answerSenderConfig());
+  Targets_ = std::make_unique<TargetProxy>(Settings_, *Client_, *Control_,
+                                           Quarantine_, Spans_, Rng_, Work_,
+                                           Process_, *Answers_, Time);
   Entry_ = std::make_unique<EntryProxy>(
       Settings_, *Control_, *Targets_, Quarantine_, Spans_, Rng_, Process_,
       SendCall,
@@ -190,6 +191,31 @@
              Now At) { Keyed_->receive(std::move(Request), Exchange, At); });
 }
 
+AnswerSenderConfig DaemonImpl::answerSenderConfig() {
+  constexpr double BytesPerMegabit = 1e6 / 8;
+  AnswerSenderConfig Out;
+  Out.Pacing_.LinkRate_ = Settings_.Limits_.LinkMbps_ * BytesPerMegabit;
+  Out.Pacing_.MaxBytes_ = Settings_.Limits_.AnswerBufferBytes_;
+  Out.Self_ = Settings_.Server_;
+  Out.Reply_ = [this](const ReplyRoute &Route, wire::PeerMessage &Message,
+                      std::string_view Body) {
+    return replyCall(Route, Message, Body);
+  };
+  Out.LinkBytes_ = [this] { return Peers_->counters().BytesSent_; };
+  Out.Schedule_ = [this](Duration Wait) {
+    timeval Timeout{0, static_cast<suseconds_t>(Wait.count())};
+    event_add(PaceEvent_, &Timeout);
+  };
+  return Out;
+}
+
+void DaemonImpl::onPace(evutil_socket_t /*Descriptor*/, short /*Events*/,
+                        void *Self) {
+  auto *This = static_cast<DaemonImpl *>(Self);
+  LoopTaskTimer Timer(This->Work_, LoopTask::Call);
+  This->Answers_->pump(monotonicNow());
+}
+
 Result<void> DaemonImpl::startHttp() {
   std::map<std::string, std::string> Tokens;
   if (!Settings_.AdminTokensFile_.empty()) {
@@ -200,7 +226,8 @@
   }
   Admin_ = std::make_unique<AdminApi>(
       AdminContext{Settings_, *Control_, *Targets_, *Entry_, *Keyed_,
-                   Quarantine_, Spans_, *Peers_, *StoreCounters_, Work_},
+                   Quarantine_, Spans_, *Answers_, *Peers_, *StoreCounters_,
+                   Work_},
       std::move(Tokens));
 
   auto Caller = startHttpServer(
@@ -375,6 +402,7 @@
   switch (Message.body_case()) {
   case wire::PeerMessage::kCallRequest:
   case wire::PeerMessage::kCallAnswer:
+  case wire::PeerMessage::kCallAnswerPart:
   case wire::PeerMessage::kCallCancel:
   case wire::PeerMessage::kCallQuery:
   case wire::PeerMessage::kCallQueryAnswer:
@@ -407,6 +435,10 @@
     Entry_->receiveAnswer(Message.sender(), Message.call_answer(),
                           std::move(Body), Time);
     break;
+  case wire::PeerMessage::kCallAnswerPart:
+    Entry_->receiveAnswerPart(Message.sender(), Message.call_answer_part(),
+                              Body);
+    break;
   case wire::PeerMessage::kCallCancel:
     Targets_->receiveCancel(Message.call_cancel(), Time);
     break;
@@ -453,12 +485,12 @@
   return {SendOutcome::Sent, 0};
 }
 
-void DaemonImpl::replyCall(const ReplyRoute &Route, wire::PeerMessage &Message,
+bool DaemonImpl::replyCall(const ReplyRoute &Route, wire::PeerMessage &Message,
                            std::string_view Body) {
-  if (Route.Link_ == Settings_.Server_)
-    queueLocal(Message, Body);
-  else
-    Peers_->reply(Route, Message, Body);
+  if (Route.Link_ != Settings_.Server_)
+    return Peers_->reply(Route, Message, Body);
+  queueLocal(Message, Body);
+  return true;
 }
 
 bool DaemonImpl::isAllowedPeer(const wire::ServerRecord &Record) const {
--- a/src/DaemonImpl.h
+++ b/src/DaemonImpl.h
@@ -54,8 +54,10 @@
   void sendOutbox(Outbox &Out);
   SendResult sendCall(const std::string &Server, wire::PeerMessage &Message,
                       std::string_view Body);
-  void replyCall(const ReplyRoute &Route, wire::PeerMessage &Message,
+  bool replyCall(const ReplyRoute &Route, wire::PeerMessage &Message,
                  std::string_view Body);
+  AnswerSenderConfig answerSenderConfig();
+  static void onPace(evutil_socket_t, short, void *Self);
   void queueLocal(wire::PeerMessage &Message, std::string_view Body);
   /// Whether the settings allow a server with this name and public key.
   bool isAllowedPeer(const wire::ServerRecord &Record) const;
@@ -89,6 +91,7 @@
   std::unique_ptr<HttpClient> Client_;
   std::unique_ptr<PeerTransport> Peers_;
   std::unique_ptr<ControlPlane> Control_;
+  std::unique_ptr<AnswerSender> Answers_;
   std::unique_ptr<TargetProxy> Targets_;
   std::unique_ptr<EntryProxy> Entry_;
   std::unique_ptr<KeyedProxy> Keyed_;
@@ -99,6 +102,7 @@
   std::unique_ptr<HttpServer> AnnounceServer_; ///< Null when not configured.
   event *TickEvent_ = nullptr;
   event *LocalEvent_ = nullptr;
+  event *PaceEvent_ = nullptr; ///< Runs Answers_->pump().
   std::deque<LocalMessage> LocalMessages_;
   bool Stopping_ = false;
   bool ListenersClosed_ = false;
--- a/src/DaemonMetrics.cpp
+++ b/src/DaemonMetrics.cpp
@@ -24,7 +24,7 @@
     writeCounter(Page, Row.Name_, Row.Help_, Counters.*Row.Member_);
 }
 
-constexpr std::array<CounterRow<EntryProxyCounters>, 8> EntryRows = {{
+constexpr std::array<CounterRow<EntryProxyCounters>, 10> EntryRows = {{
     {"sycamore_requests_total", "Requests of callers.",
      &EntryProxyCounters::Requests_},
     {"sycamore_refused_no_floor_total", "Refused before the floor was known.",
@@ -41,6 +41,11 @@
      &EntryProxyCounters::CallersDisconnected_},
     {"sycamore_link_heartbeats_total", "Heartbeats on links with calls.",
      &EntryProxyCounters::HeartbeatsSent_},
+    {"sycamore_answer_parts_total", "Parts of large answers received.",
+     &EntryProxyCounters::AnswerParts_},
+    {"sycamore_answer_parts_rejected_total",
+     "Parts of answers that do not fit, or that nobody waits for.",
+     &EntryProxyCounters::AnswerPartsRejected_},
 }};
 
 constexpr std::array<CounterRow<EntryCallsCounters>, 15> CallRows = {{
@@ -294,6 +299,15 @@
              static_cast<double>(Context.Entry_.inFlight()));
   writeGauge(Page, "sycamore_links", "Links dialled.",
              static_cast<double>(Context.Peers_.linkCount()));
+  const AnswerPacing &Pacing = Context.Answers_.pacing();
+  writeGauge(Page, "sycamore_answer_bytes_waiting",
+             "Bytes of large answers that wait for the link.",
+             static_cast<double>(Pacing.QueuedBytes_));
+  writeCounter(Page, "sycamore_answers_paced_total",
+               "Large answers sent in pieces.", Pacing.Counters_.BodiesPaced_);
+  writeCounter(Page, "sycamore_answers_dropped_total",
+               "Large answers that nobody waited for any more.",
+               Pacing.Counters_.Dropped_);
   writeGauge(Page, "sycamore_buckets_held", "Buckets of keys held.",
              static_cast<double>(heldBuckets(Context.Keys_.buckets()).size()));
   writeGauge(Page, "process_resident_memory_bytes", "Resident memory.",
--- a/src/EntryProxy.cpp
+++ b/src/EntryProxy.cpp
@@ -398,10 +398,44 @@
                Request.method() + " " + Request.path(), Time.Wall_);
 }
 
+EntryProxy::AttemptInfo *EntryProxy::findAttempt(const std::string &Server,
+                                                 const wire::CallId &Id) {
+  bool IsOwnId = Id.entry() == Settings_.Server_ &&
+                 Id.incarnation() == Calls_.Incarnation_;
+  auto Found = Attempts_.find(Id.ordinal());
+  bool Matches = IsOwnId && Found != Attempts_.end() &&
+                 Found->second.Server_ == Server &&
+                 Found->second.Id_.sequence() == Id.sequence() &&
+                 Found->second.Id_.attempt() == Id.attempt();
+  return Matches ? &Found->second : nullptr;
+}
+
+void EntryProxy::receiveAnswerPart(const std::string &Server,
+                                   const wire::CallAnswerPart &Part,
+                                   std::string_view Bytes) {
+  ++Counters_.AnswerParts_;
+  AttemptInfo *Attempt = findAttempt(Server, Part.id());
+  if (!Attempt) {
+    // Normal after a cancellation: parts were under way.
+    ++Counters_.AnswerPartsRejected_;
+    return;
+  }
+  auto Added =
+      addPart(Attempt->Assembly_, Part, Bytes, Settings_.Limits_.MaxBodyBytes_);
+  if (Added)
+    return;
+  ++Counters_.AnswerPartsRejected_;
+  logEvent(LogEvent::AnswerPartRejected, {{"peer", Server},
+                                          {"target", Attempt->Target_},
+                                          {"error", describe(Added.error())}});
+}
+
 void EntryProxy::receiveAnswer(const std::string &Server,
                                const wire::CallAnswer &Answer, std::string Body,
                                Now Time) {
   EventTime_ = Time.Monotonic_;
+  if (AttemptInfo *Attempt = findAttempt(Server, Answer.id()))
+    Body = takeBody(Attempt->Assembly_, Answer.body_offset(), std::move(Body));
   recordAnswer(Server, Answer, Time);
   performActions(onAnswer(Calls_, Server, Answer, std::move(Body), Policy_,
                           Time.Monotonic_),
--- a/src/EntryProxy.h
+++ b/src/EntryProxy.h
@@ -2,6 +2,7 @@
 // attempts and returns the answers.
 #pragma once
 
+#include "AnswerAssembly.h"
 #include "CallMessages.h"
 #include "ControlPlane.h"
 #include "RequestLog.h"
@@ -43,6 +44,8 @@
   std::uint64_t KeyedForwards_ = 0;
   std::uint64_t CallersDisconnected_ = 0;
   std::uint64_t HeartbeatsSent_ = 0;
+  std::uint64_t AnswerParts_ = 0;
+  std::uint64_t AnswerPartsRejected_ = 0; ///< No such attempt, or damaged.
 };
 
 /// Handles a request with an idempotency key.
@@ -77,6 +80,10 @@
 
   void receiveAnswer(const std::string &Server, const wire::CallAnswer &Answer,
                      std::string Body, Now Time);
+  /// Keeps a part of an answer's body until the answer arrives.
+  void receiveAnswerPart(const std::string &Server,
+                         const wire::CallAnswerPart &Part,
+                         std::string_view Bytes);
   void receiveQueryAnswer(const std::string &Server,
                           const wire::CallQueryAnswer &Answer, Now Time);
   /// Updates the state of a peer on any message from it. Process is the start
@@ -116,6 +123,7 @@
     WallTime SentWall_;
     TraceContext Span_;
     std::string ParentSpan_;
+    AnswerAssembly Assembly_; ///< Parts of the answer received so far.
   };
 
   /// Completion callback, trace context, attempts and history of a call.
@@ -126,6 +134,9 @@
     RequestHistory History_;
   };
 
+  /// The attempt of this daemon that an answer or part of Server belongs to, or
+  /// null.
+  AttemptInfo *findAttempt(const std::string &Server, const wire::CallId &Id);
   RequestHistory makeHistory(const EntryCall &Call, Now Time) const;
   RequestHistory makeHistory(const HttpRequest &Http, const EntryCall &Call,
                              Now Time) const;
--- a/src/KeyedProxy.cpp
+++ b/src/KeyedProxy.cpp
@@ -153,12 +153,12 @@
     Pending.Span_ = childContext(*Parent, Rng_);
   else
     Pending.Span_ = startTrace(Rng_, 0);
-  Pending.OnAnswer_ = [this, Id = Request.id(), Route](wire::CallAnswer Answer,
-                                                       std::string Payload) {
+  Pending.OnAnswer_ = [this, Id = Request.id(), Priority = Request.priority(),
+                       Route](wire::CallAnswer Answer, std::string Payload) {
     *Answer.mutable_id() = Id;
     Answer.set_body_size(Payload.size());
     Answer.set_body_hash(bodyHash(Payload));
-    Attempts_.answer(Answer, std::move(Payload), Route, readClocks());
+    Attempts_.answer(Answer, std::move(Payload), Route, Priority, readClocks());
   };
   submit(Request, std::make_shared<const std::string>(std::move(Body)),
          std::move(Pending), Time);
--- a/src/PeerTransport.cpp
+++ b/src/PeerTransport.cpp
@@ -28,6 +28,7 @@
   switch (Message.body_case()) {
   case wire::PeerMessage::kCallRequest:
   case wire::PeerMessage::kCallAnswer:
+  case wire::PeerMessage::kCallAnswerPart:
   case wire::PeerMessage::kCallCancel:
   case wire::PeerMessage::kCallQuery:
   case wire::PeerMessage::kCallQueryAnswer:
--- a/src/RouteCost.cpp
+++ b/src/RouteCost.cpp
@@ -1,4 +1,5 @@
-// Expected run time of requests, learnt from observed ones.
+// Expected run time of requests and size of their answers, learnt from observed
+// ones.
 #include "sycamore/RouteCost.h"
 
 #include <algorithm>
@@ -54,6 +55,21 @@
   addValue(Table.OverallMedian_, Value);
 }
 
+std::uint64_t expectedAnswerBytes(const RouteCost &Table,
+                                  const std::string &Key) {
+  auto Found = Table.Routes_.find(Key);
+  return Found == Table.Routes_.end() ? 0
+                                      : static_cast<std::uint64_t>(std::llround(
+                                            Found->second.MeanAnswerBytes_));
+}
+
+void recordAnswerBytes(RouteCost &Table, const std::string &Key,
+                       std::uint64_t Bytes) {
+  RouteCostEntry &Entry = findOrCreateEntry(Table, Key);
+  addToMean(Entry.MeanAnswerBytes_, static_cast<double>(Bytes),
+            std::max<std::uint64_t>(Entry.Count_, 1), Table.Options_.Gain_);
+}
+
 bool isLong(const RouteCost &Table, const std::string &Key) {
   auto Found = Table.Routes_.find(Key);
   return Found != Table.Routes_.end() &&
--- a/src/Settings.cpp
+++ b/src/Settings.cpp
@@ -59,6 +59,9 @@
   Reader.integer("max_calls", Out.MaxCalls_,
                  mutationEnabled("settings-other-range") ? 2 : 1, 1'000'000);
   Reader.integer("peer_links", Out.PeerLinks_, 4, 10'000);
+  Reader.number("link_mbps", Out.LinkMbps_, 0.0, 1'000'000.0);
+  Reader.integer("answer_buffer_bytes", Out.AnswerBufferBytes_, 1U << 20U,
+                 1U << 30U);
   Reader.number("spill_cost", Out.SpillCost_, 0.0, 10.0);
   Reader.number("long_share", Out.LongShare_, 0.0, 1.0);
   Reader.integer("readers_per_data_centre", Out.ReadersPerDataCentre_, 1, 100);
--- a/src/TargetProxy.cpp
+++ b/src/TargetProxy.cpp
@@ -27,10 +27,6 @@
          *Run == "not-run";
 }
 
-auto keyOf(const wire::CallId &Id) {
-  return std::tuple(Id.entry(), Id.incarnation(), Id.ordinal());
-}
-
 /// Key of the request in the cost table. It includes the depth, because a
 /// nested call of a route has a different cost than the outermost call.
 std::string costKey(const wire::CallRequest &Request) {
@@ -89,10 +85,10 @@
 TargetProxy::TargetProxy(const Settings &Config, HttpClient &Client,
                          ControlPlane &Control, Quarantine &QuarantineTable,
                          SpanBuffer &Spans, Random &Rng, LoopWork &Work,
-                         std::uint64_t Process, CallReplier Reply, Now Time)
+                         std::uint64_t Process, AnswerSender &Answers, Now Time)
     : Settings_(Config), Client_(Client), Control_(Control),
       QuarantineTable_(QuarantineTable), Spans_(Spans), Rng_(Rng), Work_(Work),
-      Reply_(std::move(Reply)) {
+      Answers_(Answers) {
   Calls_.Process_ = Process;
   Calls_.Limits_.RetentionTime_ = Config.Records_.Keep_;
   Calls_.LastTick_ = Time.Monotonic_;
@@ -127,24 +123,23 @@
            Duration(0), Time);
     return false;
   }
-  if (Accepted.Acceptance_ == Acceptance::DuplicateRunning)
+  if (Accepted.Acceptance_ == Acceptance::DuplicateRunning ||
+      Answers_.resume(Request.id(), Route, Time.Monotonic_))
     return false;
   addLoad(Accepted.Answer_, Request.target());
-  wire::PeerMessage Message;
-  *Message.mutable_call_answer() = Accepted.Answer_;
-  Reply_(Route, Message,
-         Accepted.Body_ ? std::string_view(*Accepted.Body_)
-                        : std::string_view());
+  Answers_.send(std::move(Accepted.Answer_), std::move(Accepted.Body_), Route,
+                Request.priority(), Time.Monotonic_);
   return false;
 }
 
 void TargetProxy::answer(const wire::CallAnswer &Answer, std::string Body,
-                         const ReplyRoute &Route, Now Time) {
+                         const ReplyRoute &Route, std::uint32_t Priority,
+                         Now Time) {
   auto SharedBody = std::make_shared<const std::string>(std::move(Body));
-  wire::PeerMessage Message;
-  *Message.mutable_call_answer() =
+  wire::CallAnswer Recorded =
       recordEnd(Calls_, Answer, SharedBody, Time.Monotonic_);
-  Reply_(Route, Message, *SharedBody);
+  Answers_.send(std::move(Recorded), std::move(SharedBody), Route, Priority,
+                Time.Monotonic_);
 }
 
 void TargetProxy::refuse(const wire::CallRequest &Request,
@@ -154,7 +149,7 @@
   wire::CallAnswer Answer =
       errorAnswer(Request.id(), wire::RUN_NOT_RUN, Status, Failure, RetryAfter);
   addLoad(Answer, Request.target());
-  answer(Answer, {}, Route, Time);
+  answer(Answer, {}, Route, Request.priority(), Time);
 }
 
 std::optional<Error>
@@ -197,6 +192,11 @@
   Call.ArrivedAt_ = Time.Monotonic_;
   Call.Deadline_ = std::min(Time.Monotonic_ + Duration(Request.remaining_us()),
                             LatestDeadline_);
+  std::uint64_t ExpectedBytes = expectedAnswerBytes(Costs_, costKey(Request));
+  bool UsesLink = Route.Link_ != Settings_.Server_ &&
+                  isPaced(Answers_.pacing(), ExpectedBytes);
+  if (UsesLink && refuseForLink(Call, ExpectedBytes, Time))
+    return;
   LocalTarget &Target = Targets_.find(Call.Target_)->second;
   AdmissionVerdict Verdict = admit(
       Target.Admission_, admissionRequest(Id, Call, Costs_), Time.Monotonic_);
@@ -207,12 +207,39 @@
            admissionError(Verdict, Call.Target_), Verdict.RetryAfter_, Time);
     return;
   }
-  IdByCall_[keyOf(Request.id())] = Id;
+  if (UsesLink) {
+    Call.ReservedBytes_ = ExpectedBytes;
+    Answers_.reserve(ExpectedBytes);
+  }
+  IdByCall_[attemptKeyOf(Request.id())] = Id;
   Pending_.emplace(Id, std::move(Call));
   if (Verdict.Decision_ == AdmissionDecision::Run)
     start(Id, Time);
 }
 
+bool TargetProxy::refuseForLink(const PendingCall &Call,
+                                std::uint64_t ExpectedBytes, Now Time) {
+  const AnswerPacing &Pacing = Answers_.pacing();
+  AdmissionRequest Request = admissionRequest(0, Call, Costs_);
+  AnswerDecision Decision = checkAnswer(
+      Pacing, {ExpectedBytes, Request.Deadline_, Request.LatencyTargetAt_},
+      Time.Monotonic_);
+  if (Decision == AnswerDecision::Accept)
+    return false;
+  Duration Backlog = linkBacklog(Pacing, Time.Monotonic_);
+  logAttemptRefused(describeAttempt(Call),
+                    Targets_.find(Call.Target_)->second.Admission_,
+                    answerDecisionName(Decision), Time.Monotonic_);
+  refuse(Call.Request_, Call.Route_, StatusUnavailable,
+         {ErrorKind::Unavailable,
+          "the link of " + Settings_.Server_ + " cannot carry an answer of " +
+              std::to_string(ExpectedBytes) + " bytes in time: " +
+              std::to_string(toMilliseconds(Backlog)) + " ms of answers wait",
+          "send the request again after the time in Retry-After"},
+         Backlog, Time);
+  return true;
+}
+
 bool TargetProxy::isSampledForLog(const PendingCall &Call) const {
   const std::string *RequestId = requestIdOf(Call.Request_);
   return RequestId && isSampled(*RequestId);
@@ -424,7 +451,8 @@
   auto Found = Pending_.find(Id);
   PendingCall Call = std::move(Found->second);
   Pending_.erase(Found);
-  IdByCall_.erase(keyOf(Call.Request_.id()));
+  Answers_.release(Call.ReservedBytes_);
+  IdByCall_.erase(attemptKeyOf(Call.Request_.id()));
   IdBySpan_.erase(Call.Span_.SpanId_);
   if (const std::string *RequestId = requestIdOf(Call.Request_))
     IdByRequestId_.erase(*RequestId);
@@ -435,6 +463,7 @@
     ++Counters_.Done_;
     ServiceTimes_.record(ServiceTime);
     recordCost(Costs_, costKey(Call.Request_), ServiceTime);
+    recordAnswerBytes(Costs_, costKey(Call.Request_), Body.size());
     recordSuccess(QuarantineTable_, Call.Request_.fingerprint(), Time.Wall_);
   } else {
     ++(Answer.run() == wire::RUN_NOT_RUN ? Counters_.NotRun_
@@ -455,7 +484,7 @@
   if (Target)
     finish(Target->Admission_, Id, ServiceTime, Time.Monotonic_);
   addLoad(Answer, Call.Target_);
-  answer(Answer, std::move(Body), Call.Route_, Time);
+  answer(Answer, std::move(Body), Call.Route_, Call.Request_.priority(), Time);
   if (Target)
     runQueue(*Target, Time);
 }
@@ -484,7 +513,8 @@
     return;
   PendingCall Call = std::move(Found->second);
   Pending_.erase(Found);
-  IdByCall_.erase(keyOf(Call.Request_.id()));
+  Answers_.release(Call.ReservedBytes_);
+  IdByCall_.erase(attemptKeyOf(Call.Request_.id()));
   auto TargetEntry = Targets_.find(Call.Target_);
   Duration RetryDelay(0);
   if (TargetEntry != Targets_.end()) {
@@ -515,20 +545,18 @@
 void TargetProxy::receiveQuery(const wire::CallQuery &Query,
                                const ReplyRoute &Route, Now Time) {
   QueryResult Found = onQuery(Calls_, Query, Time.Monotonic_);
-  wire::PeerMessage Message;
-  *Message.mutable_call_query_answer() = Found.QueryAnswer_;
-  Reply_(Route, Message, {});
-  if (!Found.Answer_)
+  Answers_.sendQueryAnswer(Found.QueryAnswer_, Route);
+  if (!Found.Answer_ || Answers_.resume(Query.id(), Route, Time.Monotonic_))
     return;
-  wire::PeerMessage AnswerMessage;
-  *AnswerMessage.mutable_call_answer() = *Found.Answer_;
-  Reply_(Route, AnswerMessage,
-         Found.Body_ ? std::string_view(*Found.Body_) : std::string_view());
+  constexpr std::uint32_t MostUrgent = 0;
+  Answers_.send(std::move(*Found.Answer_), std::move(Found.Body_), Route,
+                MostUrgent, Time.Monotonic_);
 }
 
 void TargetProxy::receiveCancel(const wire::CallCancel &Cancel, Now Time) {
+  Answers_.cancel(Cancel.id());
   CancelResult Outcome = onCancel(Calls_, Cancel.id(), Time.Monotonic_);
-  auto Known = IdByCall_.find(keyOf(Cancel.id()));
+  auto Known = IdByCall_.find(attemptKeyOf(Cancel.id()));
   if (Outcome == CancelResult::NoAction || Known == IdByCall_.end())
     return;
   std::uint64_t Id = Known->second;
@@ -548,6 +576,7 @@
   if (auto TargetEntry = Targets_.find(Call.Target_);
       TargetEntry != Targets_.end())
     cancel(TargetEntry->second.Admission_, Id);
+  Answers_.release(Call.ReservedBytes_);
   IdByCall_.erase(Known);
   Pending_.erase(Id);
 }
--- a/src/TargetProxy.h
+++ b/src/TargetProxy.h
@@ -2,6 +2,7 @@
 // the HTTP requests to them.
 #pragma once
 
+#include "AnswerSender.h"
 #include "CallMessages.h"
 #include "ControlPlane.h"
 #include "LoopWork.h"
@@ -47,6 +48,8 @@
   TimePoint ArrivedAt_;
   TimePoint StartedAt_;
   TimePoint Deadline_;
+  /// Expected size of the answer, reserved in AnswerSender.
+  std::uint64_t ReservedBytes_ = 0;
   WallTime StartedWall_;
   TraceContext Span_;                  ///< Of the request to the target.
   std::string ParentSpan_;             ///< Of the entry daemon's attempt.
@@ -86,7 +89,7 @@
 public:
   TargetProxy(const Settings &Config, HttpClient &Client, ControlPlane &Control,
               Quarantine &QuarantineTable, SpanBuffer &Spans, Random &Rng,
-              LoopWork &Work, std::uint64_t Process, CallReplier Reply,
+              LoopWork &Work, std::uint64_t Process, AnswerSender &Answers,
               Now Time);
 
   /// Handles an announcement {"name", "service", "slots", "address"}. Errors:
@@ -118,7 +121,7 @@
 
   /// Records the end of an accepted attempt and sends its answer.
   void answer(const wire::CallAnswer &Answer, std::string Body,
-              const ReplyRoute &Route, Now Time);
+              const ReplyRoute &Route, std::uint32_t Priority, Now Time);
 
   void receiveQuery(const wire::CallQuery &Query, const ReplyRoute &Route,
                     Now Time);
@@ -160,6 +163,10 @@
               std::uint32_t Status, const Error &Failure, Duration RetryAfter,
               Now Time);
   void refusePending(std::uint64_t Id, Now Time);
+  /// Refuses an attempt whose answer the link cannot carry in time; true when
+  /// it was refused.
+  bool refuseForLink(const PendingCall &Call, std::uint64_t ExpectedBytes,
+                     Now Time);
   void start(std::uint64_t Id, Now Time);
   HttpClientRequest makeRequest(std::uint64_t Id, const PendingCall &Call,
                                 Now Time) const;
@@ -200,7 +207,7 @@
   SpanBuffer &Spans_;
   Random &Rng_;
   LoopWork &Work_;
-  CallReplier Reply_;
+  AnswerSender &Answers_;
   std::map<std::string, LocalTarget, std::less<>> Targets_;
   /// Start times of the target processes that announced that they leave, by
   /// target name; for one without a start time, when it announced that. Kept
@@ -211,8 +218,7 @@
   PendingTable Pending_;
   /// Admission ids of pending attempts by entry server, incarnation and
   /// ordinal.
-  std::map<std::tuple<std::string, std::uint64_t, std::uint64_t>, std::uint64_t>
-      IdByCall_;
+  std::map<AttemptKey, std::uint64_t> IdByCall_;
   std::map<std::string, std::uint64_t> IdBySpan_;
   std::map<std::string, std::uint64_t, std::less<>> IdByRequestId_;
   std::uint64_t NextId_ = 1;
--- a/test/soak/FaultProxy.cpp
+++ b/test/soak/FaultProxy.cpp
@@ -49,6 +49,22 @@
   while (!Connections_.empty())
     close(Connections_.front(), /*WithReset=*/false);
   evconnlistener_free(Listener_);
+  if (ServerRate_)
+    ev_token_bucket_cfg_free(ServerRate_);
+}
+
+void FaultProxy::limitServerRate(std::size_t BytesPerSecond) {
+  constexpr std::size_t TicksPerSecond = 200;
+  constexpr timeval Tick{0, 1'000'000 / TicksPerSecond};
+  // A late turn of the event loop does not lower the mean rate.
+  constexpr std::size_t BurstTicks = 10;
+  std::size_t BytesPerTick = BytesPerSecond / TicksPerSecond;
+  // Open connections refer to the limit that was set when they were opened.
+  if (ServerRate_ && Connections_.empty())
+    ev_token_bucket_cfg_free(ServerRate_);
+  ServerRate_ =
+      ev_token_bucket_cfg_new(BytesPerTick, BytesPerTick * BurstTicks,
+                              EV_RATE_LIMIT_MAX, EV_RATE_LIMIT_MAX, &Tick);
 }
 
 void FaultProxy::onAccept(evconnlistener * /*Listener*/, evutil_socket_t Socket,
@@ -70,6 +86,8 @@
     bufferevent_setcb(Each->Stream_, onRead, nullptr, onEnd, &Conn);
     bufferevent_enable(Each->Stream_, EV_READ | EV_WRITE);
   }
+  if (This->ServerRate_)
+    bufferevent_set_rate_limit(Conn.Server_.Stream_, This->ServerRate_);
   bufferevent_socket_connect(Conn.Server_.Stream_, Destination->get(),
                              Destination->Length_);
 }
--- a/test/soak/FaultProxy.h
+++ b/test/soak/FaultProxy.h
@@ -1,5 +1,5 @@
-// A loopback TCP proxy that delays or discards bytes, and refuses or resets
-// connections.
+// A loopback TCP proxy that delays, limits or discards bytes, and refuses or
+// resets connections.
 #pragma once
 
 #include <event2/util.h>
@@ -11,6 +11,7 @@
 struct event;
 struct event_base;
 struct evconnlistener;
+struct ev_token_bucket_cfg;
 
 namespace sycamore::test {
 
@@ -37,6 +38,8 @@
   void discardTraffic(bool FromClient, bool FromServer);
   /// Delays the bytes of both directions; 0 for no delay.
   void delay(int Milliseconds) { DelayMs_ = Milliseconds; }
+  /// Limits the bytes from the server, on each connection opened from now on.
+  void limitServerRate(std::size_t BytesPerSecond);
   /// New connections are closed at once while this is set.
   void refuseConnections(bool Enabled) { RefusesConnections_ = Enabled; }
   /// Ends every open connection with a reset.
@@ -68,6 +71,7 @@
   std::string Address_;
   std::string Destination_;
   std::list<Connection> Connections_;
+  ev_token_bucket_cfg *ServerRate_ = nullptr; ///< Null for no limit.
   int DelayMs_ = 0;
   bool RefusesConnections_ = false;
 };
