Parse only the routes that a new configuration changes

The document is now divided into the texts of its routes in one pass. A route whose text is that of the document in force is taken from the state in force, the others are parsed strictly. Whatever is unusual goes to the complete parser, which also reports every problem.

--- a/include/sycamore/ConfigReplica.h
+++ b/include/sycamore/ConfigReplica.h
@@ -20,7 +20,11 @@
   std::map<std::string, std::string> Operators_;
   /// Parses full-state documents in the operators' own format. When set, such
   /// documents replace heads, tickets and snapshots, and carry no signature.
-  std::function<Result<FullState>(std::string_view Text)> ParseDocument_;
+  /// Before is the document in force, with an empty text when there is none;
+  /// parts that are the same in it need not be parsed again.
+  std::function<Result<FullState>(std::string_view Text,
+                                  const ParsedDocument &Before)>
+      ParseDocument_;
   /// Most bytes of JSON of accepted tickets that are kept for lagging peers.
   std::size_t MaxRecentBytes_ = 256U << 10U;
 
--- a/include/sycamore/Integration.h
+++ b/include/sycamore/Integration.h
@@ -50,7 +50,9 @@
 
   /// Parses the document stored under configurationKey(). Errors:
   /// InvalidTicket.
-  virtual Result<FullState> parseConfiguration(std::string_view Text) const = 0;
+  virtual Result<FullState>
+  parseConfiguration(std::string_view Text,
+                     const ParsedDocument &Before) const = 0;
 
   /// Parses a request received on target.announce_listen. Errors:
   /// InvalidArgument; NotFound for a request that is neither an announcement
--- a/include/sycamore/Snapshot.h
+++ b/include/sycamore/Snapshot.h
@@ -67,6 +67,12 @@
   std::vector<std::string> Substitutions_;
 };
 
+/// A full-state document that was parsed before, and the state that it gave.
+struct ParsedDocument {
+  std::string_view Text_;
+  const State *State_ = nullptr;
+};
+
 /// Snapshot of a full-state document. Text is the document, whose SHA-256
 /// becomes the digest of the snapshot. Errors: InvalidTicket for dangling
 /// references.
--- a/src/ConfigReplica.cpp
+++ b/src/ConfigReplica.cpp
@@ -156,7 +156,8 @@
   // Readers receive the same document with every periodic read.
   if (Text == Replica.Document_ && !Text.empty())
     return recordOutcome(Replica, OfferOutcome::AlreadyHave);
-  auto Parsed = Replica.Config_.ParseDocument_(Text);
+  auto Parsed = Replica.Config_.ParseDocument_(
+      Text, {Replica.Document_, &Replica.Current_->State_});
   if (!Parsed)
     return reject(Replica, 0, Parsed.error());
   if (Parsed->Number_ <= Replica.Current_->Number_ &&
--- a/src/ControlPlane.cpp
+++ b/src/ControlPlane.cpp
@@ -34,8 +34,9 @@
                                   const Integration *Adapter) {
   ConfigReplicaConfig Out;
   if (Adapter)
-    Out.ParseDocument_ = [Adapter](std::string_view Text) {
-      return Adapter->parseConfiguration(Text);
+    Out.ParseDocument_ = [Adapter](std::string_view Text,
+                                   const ParsedDocument &Before) {
+      return Adapter->parseConfiguration(Text, Before);
     };
   for (const OperatorEntry &Entry : Config.Operators_)
     if (Entry.MayApprove_)
--- a/test/platform/ConfigDocumentTest.cpp
+++ b/test/platform/ConfigDocumentTest.cpp
@@ -134,7 +134,10 @@
 
 TEST(ConfigDocument, ARejectedDocumentLeavesTheReplicaUnchanged) {
   ConfigReplicaConfig Config;
-  Config.ParseDocument_ = parseConfigDocument;
+  Config.ParseDocument_ = [](std::string_view Text,
+                             const ParsedDocument &Before) {
+    return parseConfigDocument(Text, Before);
+  };
   ConfigReplica Replica = makeConfigReplica(Config);
   EXPECT_EQ(offerDocument(Replica, document(7).dump()).Outcome_,
             OfferOutcome::Applied);
@@ -150,6 +153,89 @@
   EXPECT_EQ(Replica.Current_->Number_, 9U);
 }
 
+namespace {
+
+/// A document of many routes, some of them changed at random.
+Json randomDocument(std::uint64_t Version) {
+  Json Out = document(Version);
+  int Hosts = *rc::gen::inRange(1, 4);
+  for (int Host = 0; Host < Hosts; ++Host) {
+    Json Paths = Json::array();
+    int Routes = *rc::gen::inRange(0, 6);
+    for (int I = 0; I < Routes; ++I) {
+      std::string Number = std::to_string(I);
+      Json Path = {{"name", *rc::gen::element<std::string>("n-", "n\"\\-") +
+                                std::to_string(Host) + Number},
+                   {"prefix", "/p" + Number + "/"},
+                   {"kind", *rc::gen::element("idempotent", "later")},
+                   {"timeoutMs", *rc::gen::element(500, 800)},
+                   {"service", *rc::gen::element("view", "desk")}};
+      if (*rc::gen::inRange(0, 4) == 0)
+        Path["added_later"] = {{"deep", Json::array({1, "x,]}"})}};
+      Paths.push_back(Path);
+    }
+    Json Entry = {{"host", "h" + std::to_string(Host)}, {"paths", Paths}};
+    if (*rc::gen::inRange(0, 10) == 0)
+      Entry["added_later"] = 1;
+    Out["virtualHosts"].push_back(Entry);
+  }
+  return Out;
+}
+
+} // namespace
+
+// A document parsed with the help of the one before it that gave another state
+// would leave daemons with different routes under one version.
+RC_GTEST_PROP(ConfigDocument, ParsingOnlyWhatChangedGivesTheSameState, ()) {
+  auto Dump = [](const Json &Value) {
+    return Value.dump(*rc::gen::element(-1, 1));
+  };
+  std::string OldText = Dump(randomDocument(7));
+  auto Old = parseConfigDocument(OldText);
+  if (!Old)
+    return;
+  Json New =
+      *rc::gen::inRange(0, 4) == 0 ? randomDocument(8) : Json::parse(OldText);
+  New["version"] = *rc::gen::element(8, 9, 0);
+  for (Json &Host : New["virtualHosts"])
+    for (Json &Path : Host["paths"])
+      if (*rc::gen::inRange(0, 3) == 0)
+        Path["service"] = *rc::gen::element("view", "desk", "desk", "");
+  if (*rc::gen::inRange(0, 5) == 0)
+    New["virtualHosts"][0]["paths"][0]["kind"] = "";
+  if (*rc::gen::inRange(0, 3) == 0)
+    New["virtualHosts"][0]["host"] = "moved.example";
+  std::string Text = Dump(New);
+  if (*rc::gen::inRange(0, 3) == 0)
+    Text[*rc::gen::inRange<std::size_t>(0, Text.size())] =
+        *rc::gen::element(',', '"', '}', ']', '{', ':', '\\', 'x', ' ');
+  auto Whole = parseConfigDocument(Text);
+  auto Changes = parseConfigDocument(Text, {OldText, &Old->State_});
+  RC_ASSERT(Whole.has_value() == Changes.has_value());
+  if (!Whole) {
+    RC_ASSERT(Whole.error().Message_ == Changes.error().Message_);
+    return;
+  }
+  RC_ASSERT(Whole->Number_ == Changes->Number_);
+  RC_ASSERT(Whole->State_ == Changes->State_);
+}
+
+TEST(ConfigDocument, TakesUnchangedRoutesFromTheDocumentBefore) {
+  std::string OldText = document(7).dump();
+  auto Old = parseDocument(document(7));
+  // A state that differs from its text shows which routes are taken from it.
+  Old->State_.Routes_.at("r-1").Priority_ = 900;
+  Old->State_.Routes_.at("r-2").Priority_ = 900;
+  Json New = document(8);
+  New["virtualHosts"][0]["paths"][1]["timeoutMs"] = 801;
+  auto Parsed = parseConfigDocument(New.dump(), {OldText, &Old->State_});
+  ASSERT_TRUE(Parsed.has_value());
+  EXPECT_EQ(Parsed->Number_, 8U);
+  EXPECT_EQ(Parsed->State_.Routes_.at("r-1").Priority_, 900U);
+  EXPECT_EQ(Parsed->State_.Routes_.at("r-2").Priority_, 1U);
+  EXPECT_EQ(Parsed->State_.Routes_.at("r-2").Timeout_, milliseconds(801));
+}
+
 RC_GTEST_PROP(ConfigDocument, DamagedBytesAreAnErrorOrADocument, ()) {
   std::string Text = document().dump();
   auto Positions = *rc::gen::container<std::vector<std::size_t>>(
