Send the answers that wait for the link before a planned stop ends

Callers of a daemon that stopped while large answers waited for its link got no answer: the daemon counted as idle once its targets had finished, 0.8 s later it ended, and the rest of the backlog was lost.

A daemon with paced answers left is not idle. The timer of the pacing also takes waits of more than a second, which a slow link with other traffic needs.

--- a/src/Daemon.cpp
+++ b/src/Daemon.cpp
@@ -1,6 +1,7 @@
 // Connects the modules of the daemon to the event loop.
 #include "DaemonImpl.h"
 
+#include "HttpSupport.h"
 #include "SettingsReport.h"
 #include "StoreConnect.h"
 #include "sycamore/Clock.h"
@@ -203,7 +204,7 @@
   };
   Out.LinkBytes_ = [this] { return Peers_->counters().BytesSent_; };
   Out.Schedule_ = [this](Duration Wait) {
-    timeval Timeout{0, static_cast<suseconds_t>(Wait.count())};
+    timeval Timeout = toTimeval(Wait);
     event_add(PaceEvent_, &Timeout);
   };
   return Out;
@@ -567,7 +568,8 @@
 
 bool DaemonImpl::isIdle() const {
   return Entry_->inFlight() == 0 && Targets_->inFlight() == 0 &&
-         Keyed_->waiting() == 0 && CallerServer_->openExchanges() == 0;
+         Keyed_->waiting() == 0 && CallerServer_->openExchanges() == 0 &&
+         Answers_->pacing().Queue_.empty();
 }
 
 void DaemonImpl::beginLeaving(Now Time) {
--- a/test/performance/LargeAnswerTest.cpp
+++ b/test/performance/LargeAnswerTest.cpp
@@ -6,6 +6,7 @@
 #include "TargetAnswers.h"
 
 #include <algorithm>
+#include <csignal>
 #include <gtest/gtest.h>
 
 using namespace sycamore;
@@ -26,7 +27,9 @@
     Link_.limitServerRate(LinkBytesPerSecond);
     Cluster_.startStore();
     Cluster_.addServer("desk", "dalseo");
-    Json Settings = {{"peer_address", Link_.address()}};
+    Json Settings = {{"peer_address", Link_.address()},
+                     {"stop_limit_ms", 10'000},
+                     {"timing", {{"leave_notice_ms", 100}}}};
     if (!isMutated("answers-not-paced"))
       Settings["limits"]["link_mbps"] = LinkMbps;
     Server &Maps = Cluster_.addServer(
@@ -131,6 +134,31 @@
   EXPECT_EQ(Received->Body_, standin::patternBytes(LargeBytes));
 }
 
+TEST_F(LargeAnswer, APlannedStopSendsTheAnswersThatWaitForTheLink) {
+  ASSERT_TRUE(Ready_);
+  constexpr int Downloads = 8;
+  int Completed = 0;
+  int Ended = 0;
+  for (int I = 0; I < Downloads; ++I)
+    getLarge([&](const HttpResponse &Response) {
+      ++Ended;
+      Completed += Response.Status_ == 200 &&
+                           Response.Body_ == standin::patternBytes(LargeBytes)
+                       ? 1
+                       : 0;
+    });
+  // All have run; the link needs over a second for what waits.
+  ASSERT_TRUE(Cluster_.waitUntil([&] {
+    return Cluster_.metric(maps(), "sycamore_answers_paced_total") >= Downloads;
+  }));
+  EXPECT_GT(Cluster_.metric(maps(), "sycamore_answer_bytes_waiting"),
+            LinkBytesPerSecond);
+  maps().Daemon_->signal(SIGTERM);
+  ASSERT_TRUE(Cluster_.waitUntil([&] { return Ended == Downloads; }));
+  EXPECT_EQ(Completed, Downloads);
+  EXPECT_EQ(maps().Daemon_->wait(seconds(20)), 0);
+}
+
 TEST_F(LargeAnswer, ATargetThatCutsItsAnswerIsAnErrorAndNoShortSuccess) {
   ASSERT_TRUE(Ready_);
   Cluster_.fault(maps().Target_, {{"cut", true}});
