Write a server's answer a second time on the connection of the next request

For the report that the next caller got an answer that was not its own: a server writes its answer to the previous request again, before the next answer on the connection or right after the first copy, with a length and in chunks. Each caller gets the answer with its own id or 502.

Also corrects a comment: without a rate nothing is sent in pieces.

--- a/include/sycamore/AnswerPacing.h
+++ b/include/sycamore/AnswerPacing.h
@@ -23,8 +23,8 @@
 namespace sycamore {
 
 struct AnswerPacingOptions {
-  /// Bytes per second that the link carries; 0 when not known: bodies are then
-  /// still sent in pieces, but not paced.
+  /// Bytes per second that the link carries; 0 when not known: nothing is
+  /// paced.
   double LinkRate_ = 0;
   /// Share of LinkRate_ used, so that the network's own queue stays short while
   /// other traffic uses the link too.
--- a/test/platform/PlatformPathTest.cpp
+++ b/test/platform/PlatformPathTest.cpp
@@ -93,6 +93,45 @@
   RawServer Raw_;
 };
 
+/// Application server that answers each request with its id as the body, and
+/// writes its previous answer on the connection a second time.
+struct CopyingServer {
+  enum class When { WithTheAnswer, BeforeTheNextAnswer };
+
+  CopyingServer(event_base *Base, When CopyAt, bool Chunked)
+      : CopyAt_(CopyAt), Chunked_(Chunked),
+        Raw_(Base, [this](RawServer::Peer &Remote) { respond(Remote); }) {}
+
+  void respond(RawServer::Peer &Remote) {
+    bool Complete = Remote.Input_.ends_with(
+        Remote.Input_.starts_with("POST") ? "body" : "\r\n\r\n");
+    if (!Complete)
+      return;
+    std::string Request = std::exchange(Remote.Input_, "");
+    constexpr std::string_view Name = "x-id: ";
+    std::size_t IdAt = std::min(Request.find(Name), Request.size());
+    std::string Id = Request.substr(IdAt, Request.find("\r\n", IdAt) - IdAt);
+    std::string Body = Id.substr(std::min(Name.size(), Id.size()));
+    std::string Answer = "HTTP/1.1 200 OK\r\nx-seal: s\r\n" + Id + "\r\n";
+    if (Chunked_)
+      Answer += "Transfer-Encoding: chunked\r\n\r\n" +
+                std::to_string(Body.size()) + "\r\n" + Body + "\r\n0\r\n\r\n";
+    else
+      Answer +=
+          "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body;
+    std::string Copy = std::exchange(Last_[Remote.Number_], Answer);
+    ++Answers_;
+    Remote.write(CopyAt_ == When::WithTheAnswer ? Answer + Answer
+                                                : Copy + Answer);
+  }
+
+  When CopyAt_;
+  bool Chunked_;
+  std::map<int, std::string> Last_; ///< By number of the connection.
+  int Answers_ = 0;
+  RawServer Raw_;
+};
+
 class PlatformPath : public testing::Test {
 protected:
   PlatformPath() {
@@ -286,6 +325,20 @@
         [&] { return call(3, "GET", "/x/y", "warm-up").Status_ == 200; }));
   }
 
+  /// Each caller gets the answer to its own request, or none.
+  void expectNoCopies(CopyingServer::When CopyAt, bool Chunked) {
+    CopyingServer Server(Loop_.base(), CopyAt, Chunked);
+    startServerAt(Server.Raw_.Address_);
+    for (int I = 0; I < 6; ++I) {
+      std::string Id = "id-" + std::to_string(I);
+      HttpResponse Response = call(3, "POST", "/once/copied", Id);
+      EXPECT_TRUE(Response.Body_ == Id || Response.Status_ == 502)
+          << Response.Status_ << " " << Response.Body_ << " for " << Id;
+    }
+    EXPECT_GT(Server.Answers_, 6);
+    Daemons_.clear();
+  }
+
   template <typename Condition> bool eventually(Condition Holds) {
     TimePoint End = monotonicNow() + WaitLimit;
     while (!Holds()) {
@@ -567,6 +620,22 @@
   EXPECT_EQ(call(3, "POST", "/once/foreign", "id-1").Status_, 502);
 }
 
+TEST_F(PlatformPath, ACopyAtTheNextAnswerIsNotTheNextCallersAnswer) {
+  expectNoCopies(CopyingServer::When::BeforeTheNextAnswer, /*Chunked=*/false);
+}
+
+TEST_F(PlatformPath, AChunkedCopyAtTheNextAnswerIsNotTheNextCallersAnswer) {
+  expectNoCopies(CopyingServer::When::BeforeTheNextAnswer, /*Chunked=*/true);
+}
+
+TEST_F(PlatformPath, ACopyOnAnIdleConnectionIsNotTheNextCallersAnswer) {
+  expectNoCopies(CopyingServer::When::WithTheAnswer, /*Chunked=*/false);
+}
+
+TEST_F(PlatformPath, AChunkedCopyOnAnIdleConnectionIsNotTheNextCallersAnswer) {
+  expectNoCopies(CopyingServer::When::WithTheAnswer, /*Chunked=*/true);
+}
+
 TEST_F(PlatformPath, ARequestLateInAPlannedStopIsRefusedAndNotSent) {
   startAll();
   const std::string Start = "POST /once/late HTTP/1.1\r\nHost: a.example\r\n";
