Bound the memory of unfinished answers over all connections of a daemon

Callers saw (report of other operators, checked here): a target that sends bytes without end made the daemon beside it hold up to 8 MiB on each connection, status checks included, so the whole process ran out of memory. In addition, such an answer counted as a crash of the target, and its request was quarantined.

Cause: size limits held for one answer on one connection only, and nothing bounded their sum.

Change: HttpClientConfig::MaxUnfinishedBytes_ (limits.response_buffer_bytes, 32 MiB) bounds the sum; beyond it the answer that holds most is Broken, so small answers of other targets are unharmed. Status checks accept 64 KiB. An answer over a limit is marked as such and starts no loss check, and the reason stands in attempt-failed; health-rejected names a status check.

--- a/include/sycamore/Events.h
+++ b/include/sycamore/Events.h
@@ -58,6 +58,7 @@
   TargetLeaving,
   TargetSilent,
   TargetUnreachable,
+  HealthRejected,
   NoticeRejected,
   TargetSlow,
   TargetRecovered,
--- a/include/sycamore/HttpClient.h
+++ b/include/sycamore/HttpClient.h
@@ -36,6 +36,8 @@
   /// Accepts a response without a length as complete when its connection closes
   /// cleanly. Set it only if truncation can be detected by other means.
   bool AcceptWithoutLength_ = false;
+  /// Lowers HttpClientConfig::MaxBodyBytes_ for this request.
+  std::size_t MaxBodyBytes_ = SIZE_MAX;
 };
 
 enum class HttpOutcome {
@@ -58,6 +60,9 @@
   HttpHeaders Headers_; ///< Empty unless Answered.
   std::string Body_;    ///< Empty unless Answered.
   std::string Reason_;  ///< For logs when not Answered.
+  /// Broken because of a size limit of this client. The server is still running
+  /// and may have more to send.
+  bool OverLimit_ = false;
 };
 
 struct HttpClientConfig {
@@ -66,6 +71,9 @@
   std::size_t MaxQueuedPerAddress_ = 1024;
   std::size_t MaxHeaderBytes_ = 64U << 10U; ///< Larger responses are Broken.
   std::size_t MaxBodyBytes_ = 8U << 20U;    ///< Larger responses are Broken.
+  /// Most bytes of unfinished responses over all connections. Beyond it, the
+  /// response that holds most of them is Broken.
+  std::size_t MaxUnfinishedBytes_ = 32U << 20U;
   /// A request fails as NotSent if none of it was written within this time
   /// after it was assigned a connection.
   Duration ConnectTimeout_ = seconds(1);
--- a/src/Daemon.cpp
+++ b/src/Daemon.cpp
@@ -50,6 +50,7 @@
   Out.ConnectionsPerAddress_ = 256;
   Out.MaxHeaderBytes_ = Config.Limits_.MaxHeaderBytes_;
   Out.MaxBodyBytes_ = Config.Limits_.MaxBodyBytes_;
+  Out.MaxUnfinishedBytes_ = Config.Limits_.ResponseBufferBytes_;
   return Out;
 }
 
--- a/src/Events.cpp
+++ b/src/Events.cpp
@@ -120,6 +120,10 @@
         {LogEvent::TargetUnreachable, "target-unreachable", Warning,
          RarePerSecond, false,
          "a target refused a connection or is another process"},
+        {LogEvent::HealthRejected, "health-rejected", Warning,
+         FrequentPerSecond, false,
+         "the answer to a status check is over its size limit; the target "
+         "stays in use"},
         {LogEvent::NoticeRejected, "notice-rejected", Warning, RarePerSecond,
          false, "an announcement could not be read or is not of this host"},
         {LogEvent::TargetSlow, "target-slow", Info, RarePerSecond, false,
--- a/src/HttpClient.cpp
+++ b/src/HttpClient.cpp
@@ -172,6 +172,7 @@
   ClientPool &Pool = *Call.Pool_;
   if (ClientConnection *Connection = std::exchange(Call.Connection_, nullptr)) {
     Connection->Call_ = nullptr;
+    Connection->releaseHeldBytes();
     Connection->IdleSince_ = monotonicNow();
     if (!KeepConnection || Connection->CloseAfterCall_)
       discard(*Connection);
@@ -206,6 +207,21 @@
   release(Call, false);
 }
 
+void ClientCore::changeHeldBytes(std::size_t Before, std::size_t After) {
+  HeldBytes_ = HeldBytes_ - Before + After;
+  if (HeldBytes_ <= Config_.MaxUnfinishedBytes_)
+    return;
+  ClientConnection *Largest = nullptr;
+  for (const auto &[Address, Pool] : Pools_)
+    for (const auto &Connection : Pool->Connections_)
+      if (!Largest || Connection->heldBytes() > Largest->heldBytes())
+        Largest = Connection.get();
+  if (Largest && Largest->heldBytes() > 0)
+    Largest->failOverLimit(
+        "all unfinished answers together are over the size limit, and this "
+        "one is the largest");
+}
+
 void ClientCore::connectionClosed(ClientConnection &Connection) {
   discard(Connection);
 }
--- a/src/HttpClientPool.cpp
+++ b/src/HttpClientPool.cpp
@@ -121,17 +121,37 @@
 // evhttp limits heads and bodies, but not the size line of a chunk, and neither
 // empty lines nor interim responses.
 bool ClientConnection::exceedsLimits() const {
-  const HttpClientConfig &Limits = Core_.Config_;
   // A chunk with one byte of the body takes six bytes.
   constexpr std::size_t FramingPerBodyByte = 5;
-  std::size_t Unread = evbuffer_get_length(bufferevent_get_input(Stream_));
-  if (Unread > Limits.MaxHeaderBytes_ + Limits.MaxBodyBytes_)
+  std::size_t MaxHeader = Core_.Config_.MaxHeaderBytes_;
+  std::size_t Unread = unreadBytes();
+  if (Unread > MaxHeader + MaxBodyBytes_)
     return true;
-  std::size_t Body =
-      PartBytes_ +
-      evbuffer_get_length(evhttp_request_get_input_buffer(Request_));
+  std::size_t Body = PartBytes_ + parsedBodyBytes();
   std::size_t Consumed = BytesRead_ - std::min(BytesRead_, Unread + Body);
-  return Consumed > Limits.MaxHeaderBytes_ + Body * FramingPerBodyByte;
+  return Consumed > MaxHeader + Body * FramingPerBodyByte;
+}
+
+std::size_t ClientConnection::unreadBytes() const {
+  return evbuffer_get_length(bufferevent_get_input(Stream_));
+}
+
+std::size_t ClientConnection::parsedBodyBytes() const {
+  return evbuffer_get_length(evhttp_request_get_input_buffer(Request_));
+}
+
+void ClientConnection::setHeldBytes(std::size_t Bytes) {
+  Core_.changeHeldBytes(std::exchange(HeldBytes_, Bytes), Bytes);
+}
+
+// Called inside callbacks of evhttp's buffers, where the connection must not be
+// closed.
+void ClientConnection::failOverLimit(const std::string &Reason) {
+  Request_ = nullptr;
+  OverLimit_ = true;
+  bufferevent_disable(Stream_, EV_READ);
+  releaseHeldBytes();
+  Call_->failDeferred(Reason);
 }
 
 void ClientConnection::onInput(evbuffer * /*Buffer*/,
@@ -140,12 +160,10 @@
   if (Info->n_added == 0 || !This->Call_ || !This->Request_)
     return;
   This->BytesRead_ += Info->n_added;
-  if (!This->exceedsLimits())
-    return;
-  // The connection must not be closed inside this callback.
-  This->Request_ = nullptr;
-  bufferevent_disable(This->Stream_, EV_READ);
-  This->Call_->failDeferred("the answer is over the size limit");
+  if (This->exceedsLimits())
+    This->failOverLimit("the answer is over the size limit");
+  else
+    This->setHeldBytes(This->unreadBytes() + This->parsedBodyBytes());
 }
 
 bool ClientConnection::isReusable() const {
@@ -191,8 +209,9 @@
   BytesRead_ = 0;
   PartBytes_ = 0;
   Failure_.clear();
-  std::size_t Limit =
-      Call->Request_.OnBodyPart_ ? EV_SSIZE_MAX : Core_.Config_.MaxBodyBytes_;
+  MaxBodyBytes_ =
+      std::min(Core_.Config_.MaxBodyBytes_, Call->Request_.MaxBodyBytes_);
+  std::size_t Limit = Call->Request_.OnBodyPart_ ? EV_SSIZE_MAX : MaxBodyBytes_;
   evhttp_connection_set_max_body_size(Handle_, static_cast<ev_ssize_t>(Limit));
   evhttp_request *Request = makeRequest(Call->Request_);
   Request_ = Request;
@@ -221,7 +240,9 @@
 }
 
 void ClientConnection::onError(evhttp_request_error Error, void *Self) {
-  static_cast<ClientConnection *>(Self)->Failure_ = errorText(Error);
+  auto *This = static_cast<ClientConnection *>(Self);
+  This->Failure_ = errorText(Error);
+  This->OverLimit_ = Error == EVREQ_HTTP_DATA_TOO_LONG;
 }
 
 void ClientConnection::onPart(evhttp_request *Request, void *Self) {
@@ -263,6 +284,7 @@
     Failed.Sent_ = Response.Sent_;
     Failed.OnKeptConnection_ = Response.OnKeptConnection_;
     Failed.Reason_ = std::move(Reason);
+    Failed.OverLimit_ = This->OverLimit_;
     Response = std::move(Failed);
   }
   bool Keep = Response.Outcome_ == HttpOutcome::Answered && !This->Closed_ &&
@@ -310,6 +332,7 @@
     if (Response.Sent_)
       Response.Outcome_ = HttpOutcome::Broken;
     Response.Reason_ = This->DeferredReason_;
+    Response.OverLimit_ = This->Connection_ && This->Connection_->overLimit();
   } else if (Now >= This->DeadlineAt_) {
     Response.Outcome_ = HttpOutcome::TimedOut;
     Response.Reason_ = "the deadline passed";
--- a/src/HttpClientPool.h
+++ b/src/HttpClientPool.h
@@ -45,6 +45,13 @@
   bool isReusable() const;
   bool closed() const { return Closed_; }
   std::size_t bytesWritten() const { return BytesWritten_; }
+  /// Bytes of the unfinished response that are in memory.
+  std::size_t heldBytes() const { return HeldBytes_; }
+  void releaseHeldBytes() { setHeldBytes(0); }
+  bool overLimit() const { return OverLimit_; }
+  /// Stops reading, and ends the call as Broken in the next iteration of the
+  /// event loop.
+  void failOverLimit(const std::string &Reason);
   ClientPool &pool() { return Pool_; }
 
   std::shared_ptr<ClientCall> Call_;
@@ -57,6 +64,10 @@
                        void *Self);
   static void onInput(evbuffer *Buffer, const evbuffer_cb_info *Info,
                       void *Self);
+  /// Bytes received that are not parsed yet.
+  std::size_t unreadBytes() const;
+  /// Bytes of the body that are parsed and not handed over yet.
+  std::size_t parsedBodyBytes() const;
   /// Whether what was received since the start of the call is more than a
   /// response within the limits takes, whatever its form.
   bool exceedsLimits() const;
@@ -65,6 +76,7 @@
   static void onPart(evhttp_request *Request, void *Self);
   static void onError(evhttp_request_error Error, void *Self);
   evhttp_request *makeRequest(const HttpClientRequest &From);
+  void setHeldBytes(std::size_t Bytes);
 
   ClientCore &Core_;
   ClientPool &Pool_;
@@ -73,6 +85,8 @@
   evbuffer_cb_entry *OutputCallback_;
   evbuffer_cb_entry *InputCallback_;
   std::size_t BytesWritten_ = 0;
+  std::size_t MaxBodyBytes_ = 0; ///< For the current call.
+  std::size_t HeldBytes_ = 0;
   evhttp_request *Request_ = nullptr; ///< Null between calls.
   /// Bytes received since the start of the call, and those of the body that
   /// OnBodyPart_ has received.
@@ -82,6 +96,7 @@
   bool Kept_ = false;     ///< Has carried an earlier request.
   bool Starting_ = false; ///< Inside evhttp_make_request().
   bool NoDelay_ = false;
+  bool OverLimit_ = false;
 };
 
 class ClientCall : public HttpCall,
@@ -137,6 +152,9 @@
   void cancel(ClientCall &Call);
   void connectionClosed(ClientConnection &Connection);
   bufferevent *newStream(const IpEndpoint &Address);
+  /// Accounts for the bytes of unfinished responses and ends the largest one
+  /// when they exceed MaxUnfinishedBytes_.
+  void changeHeldBytes(std::size_t Before, std::size_t After);
 
   event_base *Base_;
   HttpClientConfig Config_;
@@ -155,6 +173,7 @@
   TlsContext Tls_;
   event *DeletionTimer_;
   event *SweepTimer_;
+  std::size_t HeldBytes_ = 0;
   std::map<std::string, std::unique_ptr<ClientPool>> Pools_;
   /// All calls in progress, so that shutDown() also reaches those that neither
   /// wait in a queue nor have a connection.
--- a/src/Settings.cpp
+++ b/src/Settings.cpp
@@ -56,6 +56,15 @@
 void readLimits(SettingsReader &Reader, LimitSettings &Out) {
   Reader.integer("max_header_bytes", Out.MaxHeaderBytes_, 1024, 1U << 20U);
   Reader.integer("max_body_bytes", Out.MaxBodyBytes_, 1024, 64U << 20U);
+  std::uint64_t LargestResponse = Out.MaxHeaderBytes_ + Out.MaxBodyBytes_;
+  Out.ResponseBufferBytes_ =
+      std::max(Out.ResponseBufferBytes_, LargestResponse);
+  Reader.integer("response_buffer_bytes", Out.ResponseBufferBytes_, 1024,
+                 1U << 30U);
+  if (Out.ResponseBufferBytes_ < LargestResponse)
+    Reader.reportProblem("response_buffer_bytes",
+                         "is below max_header_bytes plus max_body_bytes (" +
+                             std::to_string(LargestResponse) + ")");
   Reader.integer("max_calls", Out.MaxCalls_,
                  mutationEnabled("settings-other-range") ? 2 : 1, 1'000'000);
   Reader.integer("peer_links", Out.PeerLinks_, 4, 10'000);
--- a/src/TargetAnnouncements.cpp
+++ b/src/TargetAnnouncements.cpp
@@ -9,6 +9,15 @@
 
 namespace sycamore {
 
+HttpClientRequest healthRequest(Duration Deadline) {
+  constexpr std::size_t MaxHealthBytes = 64U << 10U;
+  HttpClientRequest Out;
+  Out.Path_ = "/health";
+  Out.Deadline_ = Deadline;
+  Out.MaxBodyBytes_ = MaxHealthBytes;
+  return Out;
+}
+
 Result<void> TargetProxy::announce(const Json &Document, Now Time) {
   std::vector<std::string> Problems;
   ObjectReader Reader(Document, "", Problems);
@@ -283,10 +292,8 @@
           Settings_.Timing_.AnnounceInterval_)
     return;
   Target.HealthRequestedAt_ = Time.Monotonic_;
-  HttpClientRequest Request;
-  Request.Path_ = "/health";
-  Request.Deadline_ = Settings_.Timing_.AnnounceInterval_;
-  Client_.send(Target.Address_, Request,
+  Client_.send(Target.Address_,
+               healthRequest(Settings_.Timing_.AnnounceInterval_),
                [this, Name = Target.Name_](const HttpResponse &Response) {
                  onHealthResponse(Name, Response);
                });
@@ -297,6 +304,9 @@
   // Health responses are delayed and can be wrong, so only an explicit
   // statement that the target drains is used; a draining target would refuse
   // the requests anyway.
+  if (Response.OverLimit_)
+    logEvent(LogEvent::HealthRejected,
+             {{"target", Name}, {"error", Response.Reason_}});
   auto Found = Targets_.find(Name);
   if (Found != Targets_.end() && Response.Outcome_ == HttpOutcome::Answered &&
       Response.Body_.find("draining") != std::string::npos)
--- a/src/TargetProxy.cpp
+++ b/src/TargetProxy.cpp
@@ -388,7 +388,10 @@
     return;
   }
   if (Response.Outcome_ == HttpOutcome::Broken) {
-    checkTargetLost(Id);
+    if (Response.OverLimit_)
+      completeBrokenCall(Id, Response.Reason_, /*Lost=*/false);
+    else
+      checkTargetLost(Id, std::move(Response.Reason_));
     return;
   }
   complete(Id,
@@ -401,26 +404,27 @@
            {}, Time);
 }
 
-void TargetProxy::checkTargetLost(std::uint64_t Id) {
-  HttpClientRequest Request;
-  Request.Path_ = "/health";
-  Request.Deadline_ = LossCheckTimeout;
+void TargetProxy::checkTargetLost(std::uint64_t Id, std::string Reason) {
+  HttpClientRequest Request = healthRequest(LossCheckTimeout);
   auto TargetEntry = Targets_.find(Pending_.at(Id).Target_);
   if (TargetEntry == Targets_.end()) {
-    completeBrokenCall(Id, /*Lost=*/true);
+    completeBrokenCall(Id, Reason, /*Lost=*/true);
     return;
   }
-  Client_.send(TargetEntry->second.Address_, Request,
-               [this, Id](const HttpResponse &Response) {
-                 // A terminating process may still accept a connection and then
-                 // close it.
-                 completeBrokenCall(
-                     Id, Response.Outcome_ == HttpOutcome::NotSent ||
-                             Response.Outcome_ == HttpOutcome::Broken);
-               });
+  Client_.send(
+      TargetEntry->second.Address_, Request,
+      [this, Id, Reason = std::move(Reason)](const HttpResponse &Response) {
+        // A terminating process may still accept a connection and then
+        // close it.
+        bool Closed =
+            Response.Outcome_ == HttpOutcome::Broken && !Response.OverLimit_;
+        completeBrokenCall(Id, Reason,
+                           Closed || Response.Outcome_ == HttpOutcome::NotSent);
+      });
 }
 
-void TargetProxy::completeBrokenCall(std::uint64_t Id, bool Lost) {
+void TargetProxy::completeBrokenCall(std::uint64_t Id,
+                                     const std::string &Reason, bool Lost) {
   auto Found = Pending_.find(Id);
   if (Found == Pending_.end())
     return;
@@ -429,7 +433,7 @@
   wire::CallAnswer Answer = errorAnswer(
       Call.Request_.id(), wire::RUN_UNKNOWN, StatusBadGateway,
       {ErrorKind::OutcomeUnknown,
-       "target " + Call.Target_ + " broke the connection before its answer",
+       "no complete answer came from target " + Call.Target_ + ": " + Reason,
        "find out whether the request ran before it is sent again"});
   Answer.set_target_lost(Lost);
   if (!Lost) {
--- a/src/TargetProxy.h
+++ b/src/TargetProxy.h
@@ -85,6 +85,10 @@
   std::uint64_t QuarantineRefusals_ = 0;
 };
 
+/// Status check of a target. Its answer may be much smaller than that to a
+/// call, because every target is asked all the time.
+HttpClientRequest healthRequest(Duration Deadline);
+
 class TargetProxy {
 public:
   TargetProxy(const Settings &Config, HttpClient &Client, ControlPlane &Control,
@@ -171,8 +175,9 @@
   HttpClientRequest makeRequest(std::uint64_t Id, const PendingCall &Call,
                                 Now Time) const;
   void onHttpResponse(std::uint64_t Id, HttpResponse Response);
-  void checkTargetLost(std::uint64_t Id);
-  void completeBrokenCall(std::uint64_t Id, bool Lost);
+  void checkTargetLost(std::uint64_t Id, std::string Reason);
+  void completeBrokenCall(std::uint64_t Id, const std::string &Reason,
+                          bool Lost);
   void complete(std::uint64_t Id, wire::CallAnswer Answer, std::string Body,
                 Now Time);
   void runQueue(LocalTarget &Target, Now Time);
--- a/test/correctness/SettingsTest.cpp
+++ b/test/correctness/SettingsTest.cpp
@@ -98,6 +98,15 @@
   }
 }
 
+TEST(Settings, OneAnswerOfTheLargestSizeFitsIntoTheDefaultBuffer) {
+  Json Document = minimalDaemonSettings();
+  Document["limits"] = {{"max_body_bytes", 64U << 20U}};
+  auto Parsed = parseSettings(Document, "d.json");
+  ASSERT_TRUE(Parsed.has_value());
+  EXPECT_EQ(Parsed->Limits_.ResponseBufferBytes_,
+            Parsed->Limits_.MaxBodyBytes_ + Parsed->Limits_.MaxHeaderBytes_);
+}
+
 TEST(Settings, RefusesContradictions) {
   struct Case {
     Json Change_;
@@ -110,6 +119,10 @@
       {{{"admin_listen", "127.0.0.1:80"}, {"caller_listen", "127.0.0.1:80"}},
        "another listener"},
       {{{"timing", {{"probe_timeout_ms", 1000}}}}, "not below"},
+      {{{"limits",
+         {{"max_body_bytes", 2000000}, {"response_buffer_bytes", 2000000}}}},
+       "limits.response_buffer_bytes: 2000000 is below max_header_bytes plus "
+       "max_body_bytes"},
       {{{"keys", {{"lease_s", 3}, {"clock_skew_ms", 3000}}}}, "not above"},
       {{{"operators", {Operator, Operator}}}, "listed twice"},
       {{{"operators", {Operator}}, {"require_second_operator", true}},
--- a/test/failure/HttpFailureTest.cpp
+++ b/test/failure/HttpFailureTest.cpp
@@ -292,36 +292,6 @@
   EXPECT_EQ(Pair.call({}).Outcome_, HttpOutcome::Broken);
 }
 
-namespace {
-
-/// Writes Start and then Repeated until the connection is closed or MaxBytes
-/// are written.
-struct EndlessWriter {
-  static constexpr std::size_t MaxBytes = 256U << 20U;
-
-  void start(bufferevent *Stream) {
-    bufferevent_setcb(Stream, nullptr, onWritable, nullptr, this);
-    bufferevent_write(Stream, Start_.data(), Start_.size());
-    onWritable(Stream, this);
-  }
-
-  static void onWritable(bufferevent *Stream, void *Self) {
-    auto *This = static_cast<EndlessWriter *>(Self);
-    std::string Block;
-    while (Block.size() < (64U << 10U))
-      Block += This->Repeated_;
-    This->WrittenBytes_ += Block.size();
-    if (This->WrittenBytes_ < MaxBytes)
-      bufferevent_write(Stream, Block.data(), Block.size());
-  }
-
-  std::string Start_;
-  std::string Repeated_;
-  std::size_t WrittenBytes_ = 0;
-};
-
-} // namespace
-
 TEST(HttpFailure, EndsAResponseWithoutEndAtTheSizeLimits) {
   const std::pair<std::string, std::string> EndlessResponses[] = {
       {"", "x"},
@@ -360,6 +330,42 @@
   }
 }
 
+// Guards against small responses that fail because a large one fills the
+// memory for unfinished responses.
+TEST(HttpFailure, EndsTheLargestUnfinishedResponse) {
+  constexpr std::size_t SmallBytes = 30000;
+  constexpr std::size_t LargeBytes = 90000;
+  HttpClientConfig Config;
+  Config.MaxUnfinishedBytes_ = 3 * SmallBytes + LargeBytes - 1000;
+  HttpPair Pair({}, Config);
+  RawServer Server(Pair.Loop_.base(), [&](RawServer::Peer &Remote) {
+    if (!hasCompleteHeader(Remote))
+      return;
+    bool Large = Remote.Input_.find("/large") != std::string::npos;
+    Remote.write("HTTP/1.1 200 OK\r\nContent-Length: " +
+                 std::to_string(Large ? LargeBytes * 2 : SmallBytes + 1) +
+                 "\r\n\r\n" +
+                 std::string(Large ? LargeBytes : SmallBytes, 'x'));
+  });
+  std::map<std::string, HttpResponse> Answers;
+  for (const char *Path : {"/1", "/large", "/2", "/3"}) {
+    HttpClientRequest Request;
+    Request.Path_ = Path;
+    Pair.Client_->send(
+        Server.Address_, Request,
+        [&Answers, Path](HttpResponse Value) { Answers[Path] = Value; });
+  }
+  ASSERT_TRUE(Pair.Loop_.runUntil([&] { return Answers.contains("/large"); }));
+  EXPECT_EQ(Answers["/large"].Outcome_, HttpOutcome::Broken);
+  EXPECT_TRUE(Answers["/large"].OverLimit_);
+  for (RawServer::Peer &Remote : Server.Peers_)
+    if (Remote.Input_.find("/large") == std::string::npos)
+      Remote.write("x");
+  ASSERT_TRUE(Pair.Loop_.runUntil([&] { return Answers.size() == 4; }));
+  for (const char *Path : {"/1", "/2", "/3"})
+    EXPECT_EQ(Answers[Path].Body_.size(), SmallBytes + 1) << Path;
+}
+
 // Guards against a hang, and against the outcome NotSent, when the server
 // responds and closes while the request is still being written.
 TEST(HttpFailure, EndsARequestWithAnEarlyResponse) {
--- a/test/support/Cluster.cpp
+++ b/test/support/Cluster.cpp
@@ -85,6 +85,16 @@
 
 bool Process::isRunning() { return !wait(Duration(0)); }
 
+std::size_t Process::peakMemoryBytes() const {
+  std::string Status = readFile("/proc/" + std::to_string(Id_) + "/status");
+  constexpr std::string_view Field = "VmHWM:";
+  std::size_t At = Status.find(Field);
+  constexpr std::size_t Kibibyte = 1024;
+  return At == std::string::npos
+             ? 0
+             : std::stoul(Status.substr(At + Field.size())) * Kibibyte;
+}
+
 Cluster::Cluster() : Client_(HttpClient::create(Loop_.base()).value()) {
   std::string Template =
       (std::filesystem::temp_directory_path() / "sycamore-XXXXXX").string();
--- a/test/support/Cluster.h
+++ b/test/support/Cluster.h
@@ -32,6 +32,8 @@
   /// Limit.
   std::optional<int> wait(Duration Limit);
   bool isRunning();
+  /// Most memory that the process has had in RAM; 0 when it cannot be read.
+  std::size_t peakMemoryBytes() const;
 
 private:
   pid_t Id_ = -1;
--- a/test/support/RawSocket.h
+++ b/test/support/RawSocket.h
@@ -85,6 +85,31 @@
   evconnlistener *Listener_;
 };
 
+/// Writes Start_ and then Repeated_ until the connection is closed or MaxBytes_
+/// are written.
+struct EndlessWriter {
+  void start(bufferevent *Stream) {
+    bufferevent_setcb(Stream, nullptr, onWritable, nullptr, this);
+    bufferevent_write(Stream, Start_.data(), Start_.size());
+    onWritable(Stream, this);
+  }
+
+  static void onWritable(bufferevent *Stream, void *Self) {
+    auto *This = static_cast<EndlessWriter *>(Self);
+    std::string Block;
+    while (Block.size() < (64U << 10U))
+      Block += This->Repeated_;
+    This->WrittenBytes_ += Block.size();
+    if (This->WrittenBytes_ < This->MaxBytes_)
+      bufferevent_write(Stream, Block.data(), Block.size());
+  }
+
+  std::string Start_;
+  std::string Repeated_;
+  std::size_t MaxBytes_ = 256U << 20U;
+  std::size_t WrittenBytes_ = 0;
+};
+
 /// A TCP client that sends the bytes it is given and collects received ones.
 class RawClient {
 public:
