End an answer whose chunk header is longer than the header limit

Found by EndlessBytesTest: with chunk headers without end, the calls ended at their deadline of 5 s instead of at the size limit. evhttp reads 4 KiB at a time and searches the whole line for its end each time, so that a line of 8 MiB costs gigabytes of memory reads, and the event loop serves nobody meanwhile.

Change: ChunkLines follows the framing of a chunked answer and measures the unfinished size line; it is limited by MaxHeaderBytes_. It stops at a line that is no size, which evhttp judges.

HttpFailureTest EndsASizeLineAtTheHeaderLimit fails on the code before: outcome TimedOut instead of Broken.

--- a/src/HttpClientPool.cpp
+++ b/src/HttpClientPool.cpp
@@ -118,20 +118,49 @@
     This->BytesWritten_ += Info->n_deleted;
 }
 
-// evhttp limits heads and bodies, but not the size line of a chunk, and neither
-// empty lines nor interim responses.
+// evhttp limits heads and bodies, but neither the size line of a chunk nor
+// empty lines and interim responses.
 bool ClientConnection::exceedsLimits() const {
   // A chunk with one byte of the body takes six bytes.
   constexpr std::size_t FramingPerBodyByte = 5;
   std::size_t MaxHeader = Core_.Config_.MaxHeaderBytes_;
   std::size_t Unread = unreadBytes();
-  if (Unread > MaxHeader + MaxBodyBytes_)
+  if (Unread > MaxHeader + MaxBodyBytes_ || ChunkLines_.LineBytes_ > MaxHeader)
     return true;
   std::size_t Body = PartBytes_ + parsedBodyBytes();
   std::size_t Consumed = BytesRead_ - std::min(BytesRead_, Unread + Body);
   return Consumed > MaxHeader + Body * FramingPerBodyByte;
 }
 
+void ClientConnection::followChunks(std::size_t Bytes) {
+  if (!ChunkLines_.Active_ || Bytes == 0)
+    return;
+  evbuffer *Input = bufferevent_get_input(Stream_);
+  evbuffer_ptr At{};
+  evbuffer_ptr_set(Input, &At, unreadBytes() - Bytes, EVBUFFER_PTR_SET);
+  auto Length = static_cast<ev_ssize_t>(Bytes);
+  std::vector<evbuffer_iovec> Blocks(
+      static_cast<std::size_t>(evbuffer_peek(Input, Length, &At, nullptr, 0)));
+  evbuffer_peek(Input, Length, &At, Blocks.data(),
+                static_cast<int>(Blocks.size()));
+  for (const evbuffer_iovec &Block : Blocks) {
+    std::size_t Size = std::min(Bytes, Block.iov_len);
+    addBytes(ChunkLines_, {static_cast<const char *>(Block.iov_base), Size});
+    Bytes -= Size;
+  }
+}
+
+int ClientConnection::onHeaders(evhttp_request *Request, void *Self) {
+  auto *This = static_cast<ClientConnection *>(Self);
+  const char *Encoding = evhttp_find_header(
+      evhttp_request_get_input_headers(Request), "Transfer-Encoding");
+  if (Encoding && equalHeaderNames(Encoding, "chunked")) {
+    This->ChunkLines_ = startChunkLines();
+    This->followChunks(This->unreadBytes());
+  }
+  return 0;
+}
+
 std::size_t ClientConnection::unreadBytes() const {
   return evbuffer_get_length(bufferevent_get_input(Stream_));
 }
@@ -160,6 +189,7 @@
   if (Info->n_added == 0 || !This->Call_ || !This->Request_)
     return;
   This->BytesRead_ += Info->n_added;
+  This->followChunks(Info->n_added);
   if (This->exceedsLimits())
     This->failOverLimit("the answer is over the size limit");
   else
@@ -192,6 +222,7 @@
   evbuffer_add(evhttp_request_get_output_buffer(Request), From.Body_.data(),
                From.Body_.size());
   evhttp_request_set_error_cb(Request, onError);
+  evhttp_request_set_header_cb(Request, onHeaders);
   if (From.OnBodyPart_)
     evhttp_request_set_chunked_cb(Request, onPart);
   return Request;
@@ -208,6 +239,7 @@
   BytesWritten_ = 0;
   BytesRead_ = 0;
   PartBytes_ = 0;
+  ChunkLines_ = {};
   Failure_.clear();
   MaxBodyBytes_ =
       std::min(Core_.Config_.MaxBodyBytes_, Call->Request_.MaxBodyBytes_);
--- a/src/HttpClientPool.h
+++ b/src/HttpClientPool.h
@@ -1,6 +1,7 @@
 // Connections and calls of the HTTP client.
 #pragma once
 
+#include "ChunkLines.h"
 #include "HttpSupport.h"
 #include "sycamore/HttpClient.h"
 
@@ -71,7 +72,10 @@
   /// Whether what was received since the start of the call is more than a
   /// response within the limits takes, whatever its form.
   bool exceedsLimits() const;
+  /// Follows the last bytes of the input, if the body is chunked.
+  void followChunks(std::size_t Bytes);
   static void onClose(evhttp_connection *Handle, void *Self);
+  static int onHeaders(evhttp_request *Request, void *Self);
   static void onDone(evhttp_request *Request, void *Self);
   static void onPart(evhttp_request *Request, void *Self);
   static void onError(evhttp_request_error Error, void *Self);
@@ -92,6 +96,7 @@
   /// OnBodyPart_ has received.
   std::size_t BytesRead_ = 0;
   std::size_t PartBytes_ = 0;
+  ChunkLines ChunkLines_;
   bool Closed_ = false;
   bool Kept_ = false;     ///< Has carried an earlier request.
   bool Starting_ = false; ///< Inside evhttp_make_request().
--- a/test/failure/HttpFailureTest.cpp
+++ b/test/failure/HttpFailureTest.cpp
@@ -330,6 +330,42 @@
   }
 }
 
+// Guards against an event loop that is held up by a size line of megabytes,
+// because evhttp searches all of it for its end with each read.
+TEST(HttpFailure, EndsASizeLineAtTheHeaderLimit) {
+  HttpClientConfig Config;
+  Config.MaxHeaderBytes_ = 4096;
+  HttpPair Pair({}, Config);
+  for (const char *Start : {"", "4\r\nbody\r\n"}) {
+    RawServer Server(Pair.Loop_.base(), [&](RawServer::Peer &Remote) {
+      if (hasCompleteHeader(Remote))
+        Remote.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                     (Start + std::string(8192, '0')));
+    });
+    HttpClientRequest Request;
+    Request.Deadline_ = seconds(2);
+    HttpResponse Response = Pair.call(Request, Server.Address_);
+    EXPECT_EQ(Response.Outcome_, HttpOutcome::Broken) << Response.Reason_;
+    EXPECT_TRUE(Response.OverLimit_) << Start;
+  }
+}
+
+TEST(HttpFailure, AcceptsAChunkWithoutLineEnds) {
+  HttpClientConfig Config;
+  Config.MaxHeaderBytes_ = 4096;
+  HttpPair Pair({}, Config);
+  const std::string Chunk(100000, '0');
+  RawServer Server(Pair.Loop_.base(), [&](RawServer::Peer &Remote) {
+    if (hasCompleteHeader(Remote))
+      Remote.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                   "186A0\r\n" +
+                   Chunk + "\r\n186a0\r\n" + Chunk + "\r\n0\r\n\r\n");
+  });
+  HttpResponse Response = Pair.call({}, Server.Address_);
+  EXPECT_EQ(Response.Status_, 200) << Response.Reason_;
+  EXPECT_TRUE(Response.Body_ == Chunk + Chunk);
+}
+
 // Guards against small responses that fail because a large one fills the
 // memory for unfinished responses.
 TEST(HttpFailure, EndsTheLargestUnfinishedResponse) {
