Do not run a request whose last bytes exceed the memory for requests

Change: such a request gets 503 and is not dispatched. In the client, a connection whose answer was completed by the bytes that exceed the limit is not kept.

--- a/include/sycamore/HttpServer.h
+++ b/include/sycamore/HttpServer.h
@@ -37,9 +37,9 @@
   std::size_t MaxBodyBytes_ = 8U << 20U;    ///< Status 413 above.
   /// Most bytes of requests over all connections, until they are answered.
   /// Beyond it, the connection of the unfinished request that holds most of
-  /// them is closed; requests with a small body never are.
+  /// them is closed; requests under 64 KiB never are.
   std::size_t MaxHeldBytes_ = 32U << 20U;
-  /// When set, is told of each request that MaxHeldBytes_ has ended.
+  /// When set, is told of each request whose connection is closed for its size.
   std::function<void(const DroppedRequest &)> OnDropped_ = nullptr;
   /// A connection without progress for this long is closed. The timeout is
   /// suspended while a request is being handled.
--- a/src/ChunkLines.cpp
+++ b/src/ChunkLines.cpp
@@ -8,31 +8,25 @@
 namespace sycamore {
 namespace {
 
-unsigned digitValue(char Digit) {
-  if (Digit >= '0' && Digit <= '9')
-    return static_cast<unsigned>(Digit - '0');
-  constexpr unsigned Ten = 10;
-  return static_cast<unsigned>(std::tolower(static_cast<unsigned char>(Digit)) -
-                               'a') +
-         Ten;
-}
+constexpr std::string_view Digits = "0123456789abcdef";
 
-void addDigit(ChunkLines &Lines, char Digit) {
-  constexpr unsigned Base = 16;
+void addDigit(ChunkLines &Lines, std::uint64_t Value) {
   constexpr std::uint64_t Max = std::numeric_limits<std::uint64_t>::max();
   Lines.HasDigits_ = true;
-  Lines.Size_ = Lines.Size_ > (Max - digitValue(Digit)) / Base
+  Lines.Size_ = Lines.Size_ > (Max - Value) / Digits.size()
                     ? Max
-                    : Lines.Size_ * Base + digitValue(Digit);
+                    : Lines.Size_ * Digits.size() + Value;
 }
 
 void addToLine(ChunkLines &Lines, std::string_view Part) {
   Lines.LineBytes_ += Part.size();
   for (std::size_t I = 0; I < Part.size() && !Lines.SizeEnded_; ++I) {
-    if (std::isxdigit(static_cast<unsigned char>(Part[I])))
-      addDigit(Lines, Part[I]);
-    else
+    std::size_t Value = Digits.find(
+        static_cast<char>(std::tolower(static_cast<unsigned char>(Part[I]))));
+    if (Value == std::string_view::npos)
       Lines.SizeEnded_ = true;
+    else
+      addDigit(Lines, Value);
   }
 }
 
--- a/src/HttpClientPool.cpp
+++ b/src/HttpClientPool.cpp
@@ -274,7 +274,8 @@
 void ClientConnection::onError(evhttp_request_error Error, void *Self) {
   auto *This = static_cast<ClientConnection *>(Self);
   This->Failure_ = errorText(Error);
-  This->OverLimit_ = Error == EVREQ_HTTP_DATA_TOO_LONG;
+  if (Error == EVREQ_HTTP_DATA_TOO_LONG)
+    This->OverLimit_ = true;
 }
 
 void ClientConnection::onPart(evhttp_request *Request, void *Self) {
@@ -320,6 +321,7 @@
     Response = std::move(Failed);
   }
   bool Keep = Response.Outcome_ == HttpOutcome::Answered && !This->Closed_ &&
+              !This->OverLimit_ &&
               (!Call->Request_.MayKeepConnection_ ||
                Call->Request_.MayKeepConnection_(Response));
   Call->Core_->finish(*Call, std::move(Response), Keep);
--- a/src/HttpExchange.cpp
+++ b/src/HttpExchange.cpp
@@ -175,6 +175,12 @@
       std::make_shared<HttpExchangeImpl>(*this, Request, readRequest(Request));
   CurrentExchange_ = Exchange;
   watchForClosure();
+  // The last bytes of a request can be those that exceed the limit.
+  if (Dropped_) {
+    Exchange->reply(503, {{"Connection", "close"}},
+                    "no memory for a request of this size; it did not run");
+    return;
+  }
   if (hasUnreadBody(Exchange->request())) {
     Exchange->reply(400, {{"Connection", "close"}},
                     "a request with this method cannot have a body");
--- a/test/failure/HttpFailureTest.cpp
+++ b/test/failure/HttpFailureTest.cpp
@@ -366,6 +366,31 @@
   EXPECT_TRUE(Response.Body_ == Chunk + Chunk);
 }
 
+// Guards against a request that runs although its connection is closed.
+TEST(HttpFailure, DoesNotRunARequestWhoseLastBytesExceedTheLimit) {
+  constexpr std::size_t MaxHeldBytes = 100000;
+  int Dropped = 0;
+  HttpServerConfig Config;
+  Config.MaxHeldBytes_ = MaxHeldBytes;
+  Config.OnDropped_ = [&](const DroppedRequest &) { ++Dropped; };
+  HttpPair Pair(Config);
+  int Handled = 0;
+  Pair.Server_->setHandler([&](HttpExchangePointer Exchange) {
+    ++Handled;
+    Exchange->reply(200, {}, "");
+  });
+  for (std::size_t Excess = 0; Excess < 2000; Excess += 100) {
+    std::size_t Length = MaxHeldBytes + Excess;
+    RawClient Caller(Pair.Loop_.base(), Pair.Address_);
+    Caller.write("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+                 std::to_string(Length) + "\r\n\r\n" +
+                 std::string(Length, 'x'));
+    EXPECT_TRUE(Pair.Loop_.runUntil([&] { return Caller.Closed_; })) << Excess;
+  }
+  EXPECT_EQ(Dropped, 20);
+  EXPECT_EQ(Handled, 0);
+}
+
 // Guards against small responses that fail because a large one fills the
 // memory for unfinished responses.
 TEST(HttpFailure, EndsTheLargestUnfinishedResponse) {
