--- a/review/standin/mesh.py
+++ b/review/standin/mesh.py
@@ -467,12 +467,16 @@
             "bounds": {"budgetSlack": 62},
         }
 
-    def start(self):
+    def write_settings(self):
         with open(os.path.join(ROOT, "platform", "settings.json.template"), encoding="utf-8") as file:
             text = render(file.read(), self.settings())
         path = os.path.join(self.mesh.folder, self.name + ".json")
         with open(path, "w", encoding="utf-8") as file:
             file.write(text)
+        return path
+
+    def start(self):
+        path = self.write_settings()
         log = open(os.path.join(self.mesh.folder, self.name + ".log"), "ab")
         self.process = subprocess.Popen(
             [os.path.join(ROOT, "target", "bin", "sycamored"), "--settings", path],
