--- a/review/2/case.py
+++ b/review/2/case.py
@@ -11,12 +11,12 @@
 
 SERVES_ON_S = 10.0  # The server exits so long after the ack of its leaving.
 LATE_S = 2.5  # The delay of the heartbeat.
-CALLERS = 3
+CALLERS = 6  # At each of two daemons.
 
 
 class Desk(AppServer):
     def work(self, run):
-        return 0.15
+        return 0.4
 
 
 def run_case(trouble):
