--- a/review/2/case.py
+++ b/review/2/case.py
@@ -12,6 +12,7 @@
 
 GREY_SHARE = 0.45  # x of srv_grey.
 GREY_S = 6.5  # for_s of srv_grey.
+DESKS = 8  # One grey server of eight stays under the share of 0.14.
 RETRIES = 2
 CREWS = 4  # At each daemon.
 PROMISES = (408, 421, 429, 503)
@@ -29,8 +30,7 @@
 
 
 def run_case(trouble):
-    machines = [("dalseo", "reservedesk"), ("dalseo", "reservedesk"), ("suseong", "reservedesk"),
-                ("suseong", "reservedesk"), ("buk", "reservedesk"), ("buk", "shelfview")]
+    machines = [(("dalseo", "suseong", "buk")[i % 3], "reservedesk") for i in range(DESKS)] + [("buk", "shelfview")]
     mesh = Mesh(os.path.join(HERE, "record.txt"), machines,
                 [route("lamps.example", "/reserve/", "non_idempotent", "reservedesk")], ["reservedesk", "shelfview"],
                 Desk)
