Return no headers of a target's answer with a 502 that replaces it

What callers saw: after three damaged copies of an answer, a call that is not idempotent ends with 502, and that 502 bore the headers of the target's answer, its seal among them. A caller takes a sealed failure for the target's own, which had answered with another status.

Cause: finishDoneWithoutAnswer() keeps the answer for its load and times, and EntryProxy::reply() sends the headers of every answer on.

Evidence: EntryCallsTest DamagedAnswerIsNotReturnedWithTheTargetsHeaders failed before (one header, expected none) and passes. The headers are dropped where the status and body are, so that every path that replaces an answer is covered.

--- a/src/EntryCallsDetail.cpp
+++ b/src/EntryCallsDetail.cpp
@@ -280,3 +280,5 @@
 }
 
 } // namespace sycamore::entrycalls
+  // They belong to the status and body that are not returned.
+  Out.Answer_.clear_headers();
--- a/test/correctness/EntryCallsTest.cpp
+++ b/test/correctness/EntryCallsTest.cpp
@@ -166,6 +166,22 @@
   EXPECT_TRUE(Outcome->Body_.empty());
 }
 
+// A caller takes the headers of a failure, such as a seal, for the target's.
+TEST_F(EntryCallsTest, DamagedAnswerIsNotReturnedWithTheTargetsHeaders) {
+  auto Request = begin(false);
+  auto Answer = doneAnswer(Request.id(), "whole");
+  wire::Header &Seal = *Answer.add_headers();
+  Seal.set_name("x-seal");
+  Seal.set_value("sealed");
+  CallActions Actions;
+  for (int I = 0; I < 3; ++I)
+    Actions = onAnswer(Calls_, "s1", Answer, "who", Policy_, at(10));
+  const CallResult *Outcome = findAction<CallResult>(Actions);
+  ASSERT_NE(Outcome, nullptr);
+  EXPECT_EQ(Outcome->Status_, 502U);
+  EXPECT_EQ(Outcome->Answer_.headers_size(), 0);
+}
+
 // Answers after the call ended, from another incarnation or from another server
 // would reach the wrong caller.
 TEST_F(EntryCallsTest, DropsAndCountsAnswersThatDoNotMatch) {
