Withhold a target's own refusal of a request that may have run

What callers saw: a 503 for a reservation that had been made.

Cause: the daemon recorded the target's answer as final and the request as run, and passed the status on. The outcome that it knows is stated in headers.run only, which such callers do not read. A false proof of "not run" is ruled out: the log line of these requests is request-failed with run "done".

Change: refusal_statuses names the statuses that callers read as a refusal. A target's answer with one of them to a request that is not idempotent and may have run becomes 502 without the target's headers. Refusals with proof, other statuses and idempotent requests are as before. Answers that the holder of an idempotency key returns itself go through the same function.

EntryCallsTest ATargetsOwnRefusalOfACallThatMayHaveRunIsWithheld fails with the mutation pass-on-refusals, which is the old decision; PlatformPathTest shows the same over sockets, and that 500, 503 of an idempotent request and a proven refusal still arrive.

--- a/include/sycamore/EntryCalls.h
+++ b/include/sycamore/EntryCalls.h
@@ -164,6 +164,7 @@
   std::uint64_t DuplicateAnswers_ = 0;    ///< The attempt was already resolved.
   std::uint64_t MismatchedAnswers_ = 0;   ///< No such call, or wrong server.
   std::uint64_t DamagedAnswers_ = 0;      ///< Body length or hash differs.
+  std::uint64_t RefusalsWithheld_ = 0;    ///< See withholdRefusal().
   std::uint64_t OtherProcessAnswers_ = 0; ///< Answers of restarted daemons.
   std::uint64_t UnknownProcesses_ = 0;    ///< Not sent; see ChosenTarget.
   std::uint64_t SilentLinks_ = 0;
@@ -212,6 +213,8 @@
   /// Number of damaged answers to an attempt after which no further copy of the
   /// answer is requested.
   std::uint32_t MaxDamagedAnswers_ = 2;
+  /// See Settings::RefusalStatuses_.
+  std::vector<std::uint32_t> RefusalStatuses_;
   /// Retry-After for refused calls when the refusal contains none.
   Duration RetryAfter_ = milliseconds(100);
   /// Minimum Retry-After of a call with a latency target, as a share of the
@@ -300,6 +303,12 @@
 /// call, unless ContinueAfterDisconnect_ is set.
 CallActions onCallerDisconnected(EntryCalls &Calls, std::uint64_t Sequence);
 
+/// Replaces a target's answer by 502 if its status is one of RefusalStatuses_:
+/// the target may have run the request, and a caller that sends it again may
+/// run it twice. For calls that are not idempotent. Returns whether it was
+/// replaced.
+bool withholdRefusal(const EntryCallLimits &Limits, CallResult &Out);
+
 /// Handles deadlines, hedges, silent links, repeated queries and retries.
 /// Called every 20 ms.
 CallActions tickEntryCalls(EntryCalls &Calls, const CallPolicy &Policy,
--- a/include/sycamore/Settings.h
+++ b/include/sycamore/Settings.h
@@ -204,6 +204,9 @@
   /// Whether Retry-After may hold fractions of a second, for callers that parse
   /// them.
   bool FractionalRetryAfter_ = false;
+  /// Statuses by which callers that do not read HeaderNames::Run_ recognise
+  /// that a request did not run.
+  std::vector<std::uint32_t> RefusalStatuses_;
   StoreSettings Store_;
   std::vector<BootstrapPeer> BootstrapPeers_;
   std::optional<ServerTlsSettings> CallerTls_;
--- a/src/CallCounters.cpp
+++ b/src/CallCounters.cpp
@@ -25,6 +25,7 @@
     {"duplicate_answers", &EntryCallsCounters::DuplicateAnswers_},
     {"mismatched_answers", &EntryCallsCounters::MismatchedAnswers_},
     {"damaged_answers", &EntryCallsCounters::DamagedAnswers_},
+    {"refusals_withheld", &EntryCallsCounters::RefusalsWithheld_},
     {"foreign_processes", &EntryCallsCounters::OtherProcessAnswers_},
     {"unnamed_processes", &EntryCallsCounters::UnknownProcesses_},
     {"silent_links", &EntryCallsCounters::SilentLinks_},
--- a/src/CallMutation.h
+++ b/src/CallMutation.h
@@ -26,6 +26,7 @@
   AcceptWhileHandingOver,
   LapsedIsSettled,
   StaleTime,
+  PassOnRefusals,
 };
 
 // Not const: tests set it before a run.
--- a/src/DaemonMetrics.cpp
+++ b/src/DaemonMetrics.cpp
@@ -48,7 +48,7 @@
      &EntryProxyCounters::AnswerPartsRejected_},
 }};
 
-constexpr std::array<CounterRow<EntryCallsCounters>, 15> CallRows = {{
+constexpr std::array<CounterRow<EntryCallsCounters>, 16> CallRows = {{
     {"sycamore_calls_begun_total", "Calls begun.", &EntryCallsCounters::Begun_},
     {"sycamore_attempts_total", "Attempts sent.",
      &EntryCallsCounters::Attempts_},
@@ -73,6 +73,10 @@
      &EntryCallsCounters::DuplicateAnswers_},
     {"sycamore_answers_mismatched_total", "Answers that were not asked for.",
      &EntryCallsCounters::MismatchedAnswers_},
+    {"sycamore_refusals_withheld_total",
+     "Answers of targets that callers would take for a refusal although the "
+     "request may have run.",
+     &EntryCallsCounters::RefusalsWithheld_},
     {"sycamore_answers_damaged_total", "Answers that arrived incomplete.",
      &EntryCallsCounters::DamagedAnswers_},
     {"sycamore_links_silent_total", "Links found silent.",
--- a/src/EntryCallsDetail.cpp
+++ b/src/EntryCallsDetail.cpp
@@ -264,6 +264,11 @@
   Out.Status_ = Answer.status();
   Out.Answer_ = Answer;
   Out.Body_ = std::move(Body);
+  // A holder keeps the target's answer for later requests with the same key.
+  bool Delivered = !Call.ContinueAfterDisconnect_;
+  if (Delivered && !Call.Idempotent_ &&
+      withholdRefusal(Context.Calls_.Limits_, Out))
+    ++Context.Calls_.Counters_.RefusalsWithheld_;
   endCall(Context, Call, std::move(Out));
 }
 
@@ -276,9 +281,31 @@
   Out.Status_ = 502;
   Out.Error_ = std::move(Reason);
   Out.Answer_ = Answer;
+  // They belong to the status and body that are not returned.
+  Out.Answer_.clear_headers();
   endCall(Context, Call, std::move(Out));
 }
 
 } // namespace sycamore::entrycalls
-  // They belong to the status and body that are not returned.
+
+namespace sycamore {
+
+bool withholdRefusal(const EntryCallLimits &Limits, CallResult &Out) {
+  const auto &Statuses = Limits.RefusalStatuses_;
+  if (Out.Run_ != wire::RUN_DONE || Out.Error_ ||
+      mutationEnabled(CallMutation::PassOnRefusals) ||
+      std::find(Statuses.begin(), Statuses.end(), Out.Status_) ==
+          Statuses.end())
+    return false;
+  Out.Error_ = Error{ErrorKind::OutcomeUnknown,
+                     "the target answered " + std::to_string(Out.Status_) +
+                         " without stating that it did not run the request",
+                     "find out whether the request took effect before it is "
+                     "sent again"};
+  Out.Status_ = 502;
   Out.Answer_.clear_headers();
+  Out.Body_.clear();
+  return true;
+}
+
+} // namespace sycamore
--- a/src/EntryProxy.cpp
+++ b/src/EntryProxy.cpp
@@ -71,6 +71,7 @@
   Calls_.Self_ = Config.Server_;
   Calls_.Incarnation_ = Process;
   Calls_.Limits_.LinkDeadline_ = Config.Timing_.LinkDeadline_;
+  Calls_.Limits_.RefusalStatuses_ = Config.RefusalStatuses_;
   Placement_.Options_.SpillCost_ = Config.Limits_.SpillCost_;
   Retries_.Options_ = {Config.Retries_.Share_, Config.Retries_.Constant_,
                        Config.Retries_.FleetConstant_};
--- a/src/KeyedProxy.cpp
+++ b/src/KeyedProxy.cpp
@@ -113,8 +113,9 @@
     Pending.Span_ = SharedRequest->Span_;
     Pending.OnAnswer_ = [this, SharedRequest, Exchange](
                             const wire::CallAnswer &Answer, std::string Body) {
-      Entry_.reply(Exchange, *SharedRequest,
-                   toCallResult(Answer, std::move(Body)));
+      CallResult Outcome = toCallResult(Answer, std::move(Body));
+      withholdRefusal(Entry_.calls().Limits_, Outcome);
+      Entry_.reply(Exchange, *SharedRequest, Outcome);
     };
     submit(Call.Request_, Call.Body_, std::move(Pending), Time);
   } else if (Holder && Holder->Server_ != Settings_.Server_) {
--- a/src/Settings.cpp
+++ b/src/Settings.cpp
@@ -176,6 +176,7 @@
     readHeaders(Section, Out.Headers_);
   });
   Reader.flag("fractional_retry_after", Out.FractionalRetryAfter_);
+  Reader.errorStatuses("refusal_statuses", Out.RefusalStatuses_);
   Reader.section("records", [&](SettingsReader &Section) {
     Section.duration("keep_ms", Out.Records_.Keep_, 1000, 600'000);
     Section.duration("loss_hold_ms", Out.Records_.LossHold_, 0, 10'000);
--- a/src/SettingsReader.cpp
+++ b/src/SettingsReader.cpp
@@ -154,6 +154,30 @@
                              quotedList(Allowed));
 }
 
+void SettingsReader::errorStatuses(std::string_view Field,
+                                   std::vector<std::uint32_t> &Out) {
+  constexpr std::int64_t MinStatus = 400;
+  constexpr std::int64_t MaxStatus = 599;
+  recordField(Field);
+  const Json *Value = find(Field);
+  if (!Value)
+    return;
+  std::set<std::int64_t> Statuses;
+  bool Valid = Value->is_array();
+  for (std::size_t I = 0; Valid && I < Value->size(); ++I) {
+    const Json &Item = (*Value)[I];
+    std::int64_t Status =
+        Item.is_number_integer() ? Item.get<std::int64_t>() : 0;
+    Valid = Status >= MinStatus && Status <= MaxStatus &&
+            Statuses.insert(Status).second;
+  }
+  if (Valid)
+    Out.assign(Statuses.begin(), Statuses.end());
+  else
+    reportProblem(Field,
+                  "is not an array of distinct HTTP statuses from 400 to 599");
+}
+
 bool SettingsReader::section(std::string_view Field, const Section &Read) {
   const Json *Value = find(Field);
   if (!Value && !Context_.Fields_)
--- a/src/SettingsReader.h
+++ b/src/SettingsReader.h
@@ -41,6 +41,8 @@
   /// Reads a non-empty array of distinct strings, each one of Allowed.
   void subsetOf(std::string_view Field, std::vector<std::string> &Out,
                 const std::vector<std::string> &Allowed);
+  /// Reads an array of distinct HTTP statuses from 400 to 599.
+  void errorStatuses(std::string_view Field, std::vector<std::uint32_t> &Out);
   template <typename Unit>
   void duration(std::string_view Field, Unit &Out, std::uint64_t Min,
                 std::uint64_t Max) {
--- a/test/correctness/EntryCallsTest.cpp
+++ b/test/correctness/EntryCallsTest.cpp
@@ -182,6 +182,46 @@
   EXPECT_EQ(Outcome->Answer_.headers_size(), 0);
 }
 
+// A caller that reads 503 as "not run" sends the request again, and it runs
+// twice.
+TEST_F(EntryCallsTest, ATargetsOwnRefusalOfACallThatMayHaveRunIsWithheld) {
+  Calls_.Limits_.RefusalStatuses_ = {408, 421, 429, 503};
+  for (std::uint32_t Status : {408U, 421U, 429U, 503U, 500U, 504U, 404U})
+    for (bool Idempotent : {false, true}) {
+      auto Request = begin(Idempotent);
+      auto Answer = doneAnswer(Request.id(), "the ledger is read-only");
+      Answer.set_status(Status);
+      wire::Header &Seal = *Answer.add_headers();
+      Seal.set_name("x-seal");
+      Seal.set_value("sealed");
+      auto Actions = onAnswer(Calls_, "s1", Answer, "the ledger is read-only",
+                              Policy_, at(10));
+      const CallResult *Outcome = findAction<CallResult>(Actions);
+      ASSERT_NE(Outcome, nullptr);
+      EXPECT_EQ(Outcome->Run_, wire::RUN_DONE);
+      bool Withheld =
+          !Idempotent && Status != 500 && Status != 504 && Status != 404;
+      EXPECT_EQ(Outcome->Status_, Withheld ? 502U : Status) << Idempotent;
+      EXPECT_EQ(Outcome->Error_.has_value(), Withheld) << Status;
+      EXPECT_EQ(Outcome->Answer_.headers_size(), Withheld ? 0 : 1) << Status;
+      EXPECT_EQ(Outcome->Body_,
+                Withheld ? "" : std::string("the ledger is read-only"));
+    }
+  EXPECT_EQ(Calls_.Counters_.RefusalsWithheld_, 4U);
+}
+
+// Callers that read the outcome of a run in a header get every answer.
+TEST_F(EntryCallsTest,
+       ATargetsOwnRefusalIsReturnedToCallersThatReadTheOutcome) {
+  auto Request = begin(false);
+  auto Answer = doneAnswer(Request.id(), "x");
+  Answer.set_status(503);
+  auto Actions = onAnswer(Calls_, "s1", Answer, "x", Policy_, at(10));
+  ASSERT_NE(findAction<CallResult>(Actions), nullptr);
+  EXPECT_EQ(findAction<CallResult>(Actions)->Status_, 503U);
+  EXPECT_EQ(findAction<CallResult>(Actions)->Run_, wire::RUN_DONE);
+}
+
 // Answers after the call ended, from another incarnation or from another server
 // would reach the wrong caller.
 TEST_F(EntryCallsTest, DropsAndCountsAnswersThatDoNotMatch) {
--- a/test/correctness/SettingsTest.cpp
+++ b/test/correctness/SettingsTest.cpp
@@ -87,6 +87,23 @@
     EXPECT_NE(Problems.find(Expected), std::string::npos) << Problems;
 }
 
+TEST(Settings, RefusalStatusesAreDistinctErrors) {
+  Json Document = minimalDaemonSettings();
+  Document["refusal_statuses"] = {429, 503};
+  EXPECT_EQ(parseSettings(Document, "d.json").value().RefusalStatuses_,
+            (std::vector<std::uint32_t>{429, 503}));
+  for (const Json &Wrong :
+       {Json(503), Json::array({200}), Json::array({600}), Json::array({"503"}),
+        Json::array({503, 503}), Json::array({-503})}) {
+    Document["refusal_statuses"] = Wrong;
+    EXPECT_NE(problemsOf(Document).find(
+                  "d.json: refusal_statuses: " + Wrong.dump() +
+                  " is not an array of distinct HTTP statuses from 400 to 599"),
+              std::string::npos)
+        << problemsOf(Document);
+  }
+}
+
 TEST(Settings, CutsQuotedValuesBetweenCharacters) {
   for (std::size_t Offset = 0; Offset < 3; ++Offset) {
     std::string Value(Offset, 'a');
--- a/test/platform/PlatformPathTest.cpp
+++ b/test/platform/PlatformPathTest.cpp
@@ -40,7 +40,7 @@
         Headers.push_back({"x-id", SendsWrongId_ ? "other" : *Id});
       if (ShedsRequests_)
         Headers.push_back({"x-not-run", "1"});
-      Exchange->reply(ShedsRequests_ ? 503 : 200, Headers, "from " + Name_);
+      Exchange->reply(ShedsRequests_ ? 503 : Status_, Headers, "from " + Name_);
     });
     Address_ = Server_->listen("127.0.0.1:0").value();
   }
@@ -49,6 +49,7 @@
   std::string Name_;
   std::string Address_;
   std::vector<HttpRequest> Requests_;
+  int Status_ = 200; ///< Of the requests that it runs.
   bool OmitsSeal_ = false;
   bool SendsWrongId_ = false;
   bool ShedsRequests_ = false;
@@ -177,6 +178,7 @@
                        {"expected_target", "x-expected"},
                        {"caller_service", "x-caller"}}},
                      {"fractional_retry_after", true},
+                     {"refusal_statuses", {408, 421, 429, 503}},
                      {"keys", {{"buckets", 0}}},
                      {"timing",
                       {{"start_jitter_ms", 50},
@@ -454,6 +456,30 @@
   EXPECT_EQ(call(2, "POST", "/once/y").Status_, 502);
 }
 
+// A caller takes 503 for the promise that its request did not run, and sends it
+// again.
+TEST_F(PlatformPath, AServersOwn503AfterARunIsNoRefusal) {
+  startAll();
+  for (auto &Server : Servers_)
+    Server->Status_ = 503;
+  HttpResponse Response = call(2, "POST", "/once/y");
+  EXPECT_EQ(Response.Status_, 502);
+  EXPECT_EQ(findHeader(Response.Headers_, "x-seal"), nullptr);
+  EXPECT_EQ(findHeader(Response.Headers_, "retry-after"), nullptr);
+  EXPECT_EQ(metric(2, "sycamore_refusals_withheld_total"), 1);
+  HttpResponse Repeatable = call(2, "GET", "/x/y");
+  EXPECT_EQ(Repeatable.Status_, 503);
+  EXPECT_NE(findHeader(Repeatable.Headers_, "x-seal"), nullptr);
+  for (auto &Server : Servers_)
+    Server->Status_ = 500;
+  HttpResponse Failure = call(2, "POST", "/once/y");
+  EXPECT_EQ(Failure.Status_, 500);
+  EXPECT_NE(findHeader(Failure.Headers_, "x-seal"), nullptr);
+  for (auto &Server : Servers_)
+    Server->ShedsRequests_ = true;
+  EXPECT_EQ(call(2, "POST", "/once/y").Status_, 503);
+}
+
 TEST_F(PlatformPath, SendsNothingAfterAnAcknowledgedDeparture) {
   startAll();
   ASSERT_EQ(announce(0, "draining", 2), 200);
--- a/test/support/CallWorld.cpp
+++ b/test/support/CallWorld.cpp
@@ -34,6 +34,7 @@
       {"accept-while-handing-over", AcceptWhileHandingOver},
       {"lapsed-is-settled", LapsedIsSettled},
       {"stale-time", StaleTime},
+      {"pass-on-refusals", PassOnRefusals},
   };
   return Table;
 }
