Keep the departures of targets beyond the daemon beside them

What callers saw: requests went to a target for as long as it answered, up to 8 s after it had left for good, and those that it was working on when it ended were lost.

Cause: departures were a table in the memory of TargetProxy. Peers knew of them only as a state of the target's record, which a new process of the daemon voids. Log of the restarted daemon: target-announced with the started_unix_ms of the target-leaving line before the kill; no peer reported the target.

Announcements with a start time wait until the departures are known. A started daemon asks for a peer's table as soon as it knows one, not a second later.

MembershipTest ARestartedServerLearnsItsDeparturesFromAnyPeer fails with the mutation return-departures.

--- a/include/sycamore/Membership.h
+++ b/include/sycamore/Membership.h
@@ -50,6 +50,9 @@
   /// Records of departed servers and removed targets are kept this long, so
   /// that an outdated copy cannot bring them back.
   Duration DepartedRetention_ = std::chrono::hours(1);
+  /// Departed targets that are remembered for one server. At most one target at
+  /// a time runs beside a server, so older ones ended long ago.
+  std::uint32_t MaxDepartedTargets_ = 64;
   /// A longer gap between two ticks counts as a freeze of this process.
   Duration FreezeThreshold_ = seconds(2);
   std::uint32_t ReadersPerDataCentre_ = 2; ///< Daemons that read the store.
@@ -60,6 +63,7 @@
   bool OwnerOnlyForTest_ = true;
   bool IndirectForTest_ = true;
   bool CountTransitForTest_ = true;
+  bool ReturnDeparturesForTest_ = true;
 };
 
 struct MembershipCounters {
@@ -138,12 +142,18 @@
   TimePoint StartedAt_;
 };
 
-enum class GossipKind { Server, Target, Quarantine };
+/// A target process that announced that it leaves, see wire::DepartedTarget.
+struct DepartureRow {
+  std::int64_t StartedUnixMs_ = 0;
+  TimePoint LearnedAt_;
+};
+
+enum class GossipKind { Server, Target, Quarantine, Departure };
 
 struct GossipKey {
   GossipKind Kind_ = GossipKind::Server;
   std::string Name_;  ///< Server, target or fingerprint.
-  std::string Owner_; ///< Server of a target, else empty.
+  std::string Owner_; ///< Server of a target or departure, else empty.
 
   auto operator<=>(const GossipKey &) const = default;
 };
@@ -174,6 +184,9 @@
   MembershipConfig Config_;
   std::map<std::string, ServerRow> Servers_; ///< Includes this server.
   std::map<TargetKey, TargetRow> Targets_;
+  /// By server and target name. Kept for other servers so that their restarted
+  /// daemons can learn them again.
+  std::map<std::pair<std::string, std::string>, DepartureRow> Departures_;
   Overlay Overlay_;
   bool OverlayStale_ = false;
   bool Joined_ = false; ///< A complete table has arrived from a peer.
@@ -241,6 +254,27 @@
 /// Excludes the target from new work.
 void markTargetLeaving(Membership &Members, std::string_view Name, Now Time);
 
+/// Records that a target process beside this server, and every earlier one of
+/// its name, has announced that it leaves, and notifies all neighbours at once.
+/// Returns false if that was known.
+bool recordDeparture(Membership &Members, std::string_view Target,
+                     std::int64_t StartedUnixMs, Now Time, Outbox &Out);
+
+/// Adds departures from the store or from an answer to this server. They are
+/// not gossiped.
+void learnDepartures(Membership &Members,
+                     std::span<const wire::DepartedTarget> Departures,
+                     Now Time);
+
+/// Start time of the latest departed process of a target beside this server;
+/// unset if none is known.
+std::optional<std::int64_t> departedProcess(const Membership &Members,
+                                            std::string_view Target);
+
+/// The known departed targets of a server, for an answer to it.
+std::vector<wire::DepartedTarget> departuresOf(const Membership &Members,
+                                               const std::string &Server);
+
 /// Excludes this server and its targets from new work, and notifies all
 /// neighbours at once.
 void startLeaving(Membership &Members, Now Time, Outbox &Out);
--- a/include/sycamore/Store.h
+++ b/include/sycamore/Store.h
@@ -137,6 +137,9 @@
 std::string ticketKey(std::uint64_t Number);
 std::string snapshotKey(std::uint64_t Number);
 std::string seedsKey(std::string_view DataCentre);
+/// Below the prefix of the seeds, so that one read returns both to a starting
+/// daemon.
+std::string departuresPrefix();
 std::string bucketKey(std::uint32_t Bucket);
 
 } // namespace sycamore
--- a/src/Bootstrap.cpp
+++ b/src/Bootstrap.cpp
@@ -137,6 +137,9 @@
   Answer.set_question(Request.QueryNonce_);
   for (std::string &Name : aliveServers(Members, Members.Config_.DataCentre_))
     Answer.add_alive_servers(std::move(Name));
+  for (wire::DepartedTarget &Departure :
+       departuresOf(Members, Request.Requester_))
+    *Answer.add_departed() = std::move(Departure);
   ++Boot.Counters_.AnswersSent_;
   Boot.Counters_.VerifiedAnswersSent_ += Verified ? 1 : 0;
 }
--- a/src/ControlPlane.cpp
+++ b/src/ControlPlane.cpp
@@ -192,6 +192,7 @@
     writeSeeds(*ReaderActions.WriteSeeds_);
   tickWatch(Time, Out);
   send(Out);
+  tickDepartures(Time);
 }
 
 void ControlPlane::receive(const wire::PeerMessage &Message, Now Time) {
@@ -212,9 +213,13 @@
   }
   if (Message.has_floor_query())
     answerFloorQuery(Bootstrap_, Members_, Replica_, Message, Time, Out);
-  if (Message.has_floor_answer())
+  if (Message.has_floor_answer()) {
+    const auto &Departed = Message.floor_answer().departed();
+    learnDepartures(Members_, std::vector(Departed.begin(), Departed.end()),
+                    Time);
     logBootstrap(
         receiveFloorAnswer(Bootstrap_, Members_, Replica_, Message, Time));
+  }
   receiveWatchMessage(Message, Time, Out);
   send(Out);
 }
@@ -402,7 +407,12 @@
   std::string OwnKey = seedsKey(Settings_.DataCentre_);
   SeedsRevision_ = 0;
   std::vector<wire::ServerRecord> OwnSeeds;
+  Txn Removal;
   for (const KeyValue &Entry : Seeds.Values_) {
+    if (Entry.Key_.starts_with(departuresPrefix())) {
+      applyStoredDeparture(Entry, Removal, Time);
+      continue;
+    }
     std::vector<std::string> Problems;
     std::vector<wire::ServerRecord> Listed = parseSeeds(Entry, Problems);
     if (!Problems.empty())
@@ -421,6 +431,7 @@
     OwnSeeds = std::move(Listed);
   }
   recordSeeds(Bootstrap_, OwnSeeds);
+  removeStoredDepartures(Removal);
 }
 
 void ControlPlane::writeSeeds(std::span<const wire::ServerRecord> Seeds) {
--- a/src/ControlPlane.h
+++ b/src/ControlPlane.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "LoopWork.h"
+#include "StoredDepartures.h"
 #include "WatchRetry.h"
 #include "sycamore/Bootstrap.h"
 #include "sycamore/Dissemination.h"
@@ -18,11 +19,22 @@
   std::uint64_t HeadReads_ = 0;
   std::uint64_t SnapshotReads_ = 0;
   std::uint64_t SeedWrites_ = 0;
+  std::uint64_t DeparturesStored_ = 0;
+  std::uint64_t DepartureStoreFailures_ = 0;
   std::uint64_t WatchesStarted_ = 0;
   std::uint64_t WatchEvents_ = 0;
   std::uint64_t StoreFailures_ = 0;
 };
 
+/// A departure of a target that the store does not hold yet.
+struct UnstoredDeparture {
+  StoredDeparture Departure_;
+  TimePoint RecordedAt_;
+  TimePoint NextWriteAt_;
+  bool WriteInFlight_ = false;
+  bool WriteFailed_ = false; ///< At least once.
+};
+
 /// Sends the messages of an outbox.
 using OutboxSender = std::function<void(Outbox &)>;
 
@@ -76,6 +88,20 @@
   const WatchDelegation &watchDelegation() const { return Delegation_; }
   const ControlPlaneCounters &counters() const { return Counters_; }
 
+  /// Records that a target process beside this server has announced that it
+  /// leaves, for this and later processes of this daemon: notifies the peers
+  /// and writes to the store.
+  void recordDeparture(std::string_view Target, std::int64_t StartedUnixMs,
+                       Now Time);
+
+  /// Calls Done once the store has answered for every departure recorded so far
+  /// or has failed to within DepartureStoreTimeout; possibly at once.
+  void whenDeparturesStored(std::function<void()> Done);
+
+  /// Whether the departures that earlier processes of this daemon recorded are
+  /// known, as far as the store and the peers can tell.
+  bool departuresKnown(Now Time) const;
+
   /// Records of all servers, for choosing the holders of buckets.
   std::vector<wire::ServerRecord> serverRecords() const;
 
@@ -102,6 +128,13 @@
   WatchState watchState() const;
   /// Servers to which tickets from the store are announced.
   std::vector<std::string> announcementTargets() const;
+  /// Applies the departures among the seeds; a reader removes the old ones.
+  void applyStoredDeparture(const KeyValue &Entry, Txn &Removal, Now Time);
+  void removeStoredDepartures(const Txn &Removal);
+  void tickDepartures(Now Time);
+  void writeDeparture(UnstoredDeparture &Unstored);
+  void onDepartureWritten(const std::string &Target, std::int64_t StartedUnixMs,
+                          const Result<TxnResult> &Answer);
   void writeSeeds(std::span<const wire::ServerRecord> Seeds);
   void onOfferResult(const OfferResult &Offer, Now Time);
   void send(Outbox &Out);
@@ -125,6 +158,8 @@
   /// Read the store once it answers the current watch.
   bool ReadAfterGap_ = false;
   std::int64_t SeedsRevision_ = 0;
+  std::map<std::string, UnstoredDeparture> UnstoredDepartures_; ///< By target.
+  std::vector<std::function<void()>> DepartureWaiters_;
   WallTime AppliedAt_;
   bool StoreReachable_ = true;
   bool IsReader_ = false;
--- a/src/Daemon.cpp
+++ b/src/Daemon.cpp
@@ -279,7 +279,7 @@
   auto Notices = startHttpServer(
       Settings_.Target_->AnnounceListen_, std::nullopt,
       [this](const HttpExchangePointer &Exchange) {
-        handleNotice(*Exchange, readClocks());
+        handleNotice(Exchange, readClocks());
       },
       Addresses_.Announce_);
   if (!Notices)
@@ -305,8 +305,8 @@
 
 bool DaemonImpl::isReady() const { return Control_->mayServe() && !Stopping_; }
 
-void DaemonImpl::handleNotice(HttpExchange &Exchange, Now Time) {
-  auto Notice = Integration_->parseNotice(Exchange.request());
+void DaemonImpl::handleNotice(const HttpExchangePointer &Exchange, Now Time) {
+  auto Notice = Integration_->parseNotice(Exchange->request());
   Result<void> Handled;
   if (!Notice)
     Handled = tl::unexpected<Error>(Notice.error());
@@ -315,14 +315,18 @@
   else
     Targets_->handle(std::get<TargetDeparture>(*Notice), Time);
   if (Handled) {
-    Exchange.reply(200, {{"content-type", "application/json"}}, "{}");
+    // The acknowledgement of a departure also binds the next process of this
+    // daemon.
+    Control_->whenDeparturesStored([Exchange] {
+      Exchange->reply(200, {{"content-type", "application/json"}}, "{}");
+    });
     return;
   }
   logEvent(LogEvent::NoticeRejected,
-           {{"path", Exchange.request().Path_.substr(0, MaxLoggedPathBytes)},
+           {{"path", Exchange->request().Path_.substr(0, MaxLoggedPathBytes)},
             {"error", describe(Handled.error())}});
-  Exchange.reply(Handled.error().Kind_ == ErrorKind::NotFound ? 404 : 400, {},
-                 describe(Handled.error()));
+  Exchange->reply(Handled.error().Kind_ == ErrorKind::NotFound ? 404 : 400, {},
+                  describe(Handled.error()));
 }
 
 void DaemonImpl::startTicking() {
--- a/src/DaemonImpl.h
+++ b/src/DaemonImpl.h
@@ -71,7 +71,7 @@
   startHttpServer(const std::string &Address,
                   const std::optional<ServerTlsSettings> &Tls,
                   HttpHandler Handler, std::string &Bound);
-  void handleNotice(HttpExchange &Exchange, Now Time);
+  void handleNotice(const HttpExchangePointer &Exchange, Now Time);
   bool isReady() const;
   void writePeriodicLogs(Now Time);
 
--- a/src/DaemonMetrics.cpp
+++ b/src/DaemonMetrics.cpp
@@ -174,13 +174,19 @@
          &DisseminationCounters::BodiesRejected_},
     }};
 
-constexpr std::array<CounterRow<ControlPlaneCounters>, 6> ControlRows = {{
+constexpr std::array<CounterRow<ControlPlaneCounters>, 8> ControlRows = {{
     {"sycamore_head_reads_total", "Reads of the head.",
      &ControlPlaneCounters::HeadReads_},
     {"sycamore_snapshot_reads_total", "Reads of a base snapshot.",
      &ControlPlaneCounters::SnapshotReads_},
     {"sycamore_seed_writes_total", "Writes of the seeds.",
      &ControlPlaneCounters::SeedWrites_},
+    {"sycamore_departures_stored_total",
+     "Departures of targets written to the store.",
+     &ControlPlaneCounters::DeparturesStored_},
+    {"sycamore_departure_store_failures_total",
+     "Writes of departures that failed.",
+     &ControlPlaneCounters::DepartureStoreFailures_},
     {"sycamore_watches_started_total", "Watches of the head.",
      &ControlPlaneCounters::WatchesStarted_},
     {"sycamore_watch_events_total", "New heads by watch.",
--- a/src/Membership.cpp
+++ b/src/Membership.cpp
@@ -125,8 +125,10 @@
     mergeServer(Members, Record, Context);
   for (const wire::TargetRecord &Record : Gossip.targets())
     mergeTarget(Members, Record, Context);
+  for (const wire::DepartedTarget &Departure : Gossip.departed())
+    mergeDeparture(Members, Departure, Context);
   Members.Counters_.RecordsReceived_ +=
-      Gossip.servers_size() + Gossip.targets_size();
+      Gossip.servers_size() + Gossip.targets_size() + Gossip.departed_size();
   if (ownRow(Members).Record_.incarnation() != Before)
     sendOwnRecords(Members, Out);
 }
@@ -230,6 +232,9 @@
     break;
   case wire::PeerMessage::kSyncDigest:
     receiveHeartbeats(Members, Message.sync_digest());
+    for (const wire::DepartedTarget &Departure :
+         Message.sync_digest().departed())
+      mergeDeparture(Members, Departure, Context);
     receiveSync(Members, Message, Out);
     break;
   default:
--- a/src/MembershipGossip.cpp
+++ b/src/MembershipGossip.cpp
@@ -27,8 +27,7 @@
 }
 
 bool originatesLocally(const Membership &Members, const GossipKey &Key) {
-  const std::string &Server =
-      Key.Kind_ == GossipKind::Target ? Key.Owner_ : Key.Name_;
+  const std::string &Server = Key.Owner_.empty() ? Key.Name_ : Key.Owner_;
   auto Found = Members.Servers_.find(Server);
   return Key.Kind_ == GossipKind::Quarantine ||
          (Found != Members.Servers_.end() &&
@@ -60,6 +59,16 @@
     *Out.add_quarantine() = Item.Quarantine_;
     return true;
   }
+  if (Key.Kind_ == GossipKind::Departure) {
+    auto Found = Members.Departures_.find({Key.Owner_, Key.Name_});
+    if (Found == Members.Departures_.end())
+      return false;
+    wire::DepartedTarget &Departure = *Out.add_departed();
+    Departure.set_server(Key.Owner_);
+    Departure.set_name(Key.Name_);
+    Departure.set_started_unix_ms(Found->second.StartedUnixMs_);
+    return true;
+  }
   if (Key.Kind_ == GossipKind::Target) {
     auto Found = Members.Targets_.find({Key.Name_, Key.Owner_});
     if (Found == Members.Targets_.end())
@@ -76,7 +85,7 @@
 
 int recordsIn(const wire::Gossip &Gossip) {
   return Gossip.servers_size() + Gossip.targets_size() +
-         Gossip.quarantine_size();
+         Gossip.quarantine_size() + Gossip.departed_size();
 }
 
 void sendGossip(Membership &Members, const std::string &To,
--- a/src/MembershipInternal.h
+++ b/src/MembershipInternal.h
@@ -53,6 +53,15 @@
 /// Derives the overlay from the server table.
 void refreshOverlay(Membership &Members);
 
+// MembershipDepartures.cpp
+
+/// Merges a departed target from gossip; one of an unknown server is ignored.
+void mergeDeparture(Membership &Members, const wire::DepartedTarget &Departure,
+                    MergeContext &Context);
+
+/// Drops departures older than DepartedRetention_.
+void expireDepartures(Membership &Members, TimePoint Time);
+
 // MembershipGossip.cpp
 
 /// Queues a record for bounded gossip. Source is the server that sent it,
@@ -97,7 +106,8 @@
 void receiveSync(Membership &Members, const wire::PeerMessage &Message,
                  Outbox &Out);
 
-/// Sends the hashes of both tables for comparison.
+/// Sends the hashes of both tables for comparison, and the receiver's departed
+/// targets.
 void sendDigest(const Membership &Members, const std::string &To, Outbox &Out);
 
 } // namespace sycamore::membership
--- a/src/MembershipSync.cpp
+++ b/src/MembershipSync.cpp
@@ -230,17 +230,19 @@
     sendDigest(Members, Peers[randomIndex(Rng, Peers.size())], Out);
 }
 
-void requestTable(Membership &Members, Random &Rng, Outbox &Out) {
+/// Returns false if no peer is known.
+bool requestTable(Membership &Members, Random &Rng, Outbox &Out) {
   std::vector<std::string> Peers = Members.Overlay_.LocalNeighbours_;
   if (Peers.empty())
     Peers = otherServers(
         Members, [](const ServerRow &Row) { return isLive(Row.Record_); });
   if (Peers.empty())
-    return;
+    return false;
   const std::string &To = Peers[randomIndex(Rng, Peers.size())];
   addServer(ownRow(Members), false,
             *appendMessage(Members, Out, To).mutable_gossip());
   appendMessage(Members, Out, To).mutable_sync_digest()->set_want_all(true);
+  return true;
 }
 
 } // namespace
@@ -250,6 +252,8 @@
       *appendMessage(Members, Out, To).mutable_sync_digest();
   Digest.set_servers_hash(tableHash(serverBuckets(Members)));
   Digest.set_targets_hash(tableHash(targetBuckets(Members)));
+  for (wire::DepartedTarget &Departure : departuresOf(Members, To))
+    *Digest.add_departed() = std::move(Departure);
 }
 
 void tickSync(Membership &Members, Random &Rng, Outbox &Out) {
@@ -257,8 +261,8 @@
   if (Time < Members.NextSync_)
     return;
   if (!Members.Joined_) {
-    Members.NextSync_ = Time + jittered(JoinInterval, Rng);
-    requestTable(Members, Rng, Out);
+    if (requestTable(Members, Rng, Out))
+      Members.NextSync_ = Time + jittered(JoinInterval, Rng);
     return;
   }
   Members.NextSync_ = Time + jittered(Members.Config_.SyncInterval_, Rng);
--- a/src/MembershipTables.cpp
+++ b/src/MembershipTables.cpp
@@ -295,6 +295,7 @@
     Members.NextScan_ = Time + MaxScanInterval;
     expireServers(Members, Context);
     expireTargets(Members, Time);
+    expireDepartures(Members, Time);
   }
   if (Members.OverlayStale_ && Time >= Members.NextOverlay_) {
     Members.NextOverlay_ = Time + OverlayInterval;
--- a/src/Store.cpp
+++ b/src/Store.cpp
@@ -65,6 +65,8 @@
   return std::string(StoreKeyPrefix) + "seeds/" + std::string(DataCentre);
 }
 
+std::string departuresPrefix() { return seedsKey("departures/"); }
+
 std::string bucketKey(std::uint32_t Bucket) {
   return std::string(StoreKeyPrefix) + "buckets/" + std::to_string(Bucket);
 }
--- a/src/TargetAnnouncements.cpp
+++ b/src/TargetAnnouncements.cpp
@@ -120,22 +120,50 @@
     return tl::unexpected<Error>(*Failure);
   }
   ++Counters_.Announcements_;
+  if (Announcement.StartedUnixMs_ && !Announcement.Leaving_ &&
+      !Control_.departuresKnown(Time)) {
+    holdAnnouncement(Announcement);
+    return {};
+  }
+  apply(Announcement, Time);
+  return {};
+}
+
+void TargetProxy::holdAnnouncement(const TargetAnnouncement &Announcement) {
+  constexpr std::size_t MaxHeldAnnouncements = 16;
+  if (HeldAnnouncements_.size() == MaxHeldAnnouncements)
+    HeldAnnouncements_.pop_front();
+  HeldAnnouncements_.push_back(Announcement);
+}
+
+void TargetProxy::applyHeldAnnouncements(Now Time) {
+  if (HeldAnnouncements_.empty() || !Control_.departuresKnown(Time))
+    return;
+  for (const TargetAnnouncement &Announcement :
+       std::exchange(HeldAnnouncements_, {}))
+    apply(Announcement, Time);
+}
+
+void TargetProxy::apply(const TargetAnnouncement &Announcement, Now Time) {
   if (!Targets_.contains(Announcement.Name_) && hasDeparted(Announcement)) {
     ++Counters_.AnnouncementsIgnored_;
-    return {};
+    logEvent(LogEvent::AnnouncementLate,
+             {{"target", Announcement.Name_},
+              {"started_unix_ms", startTime(Announcement.StartedUnixMs_)}});
+    return;
   }
   for (const auto &[Name, Target] : Targets_)
     if (Name != Announcement.Name_ &&
         Target.Address_ == Announcement.Address_ &&
         isEarlier(Announcement.StartedUnixMs_, Target.StartedUnixMs_)) {
       ++Counters_.AnnouncementsIgnored_;
-      return {};
+      return;
     }
   auto [Found, New] = Targets_.try_emplace(Announcement.Name_);
   LocalTarget &Target = Found->second;
   if (!New && isOutdated(Announcement, Target)) {
     ++Counters_.AnnouncementsIgnored_;
-    return {};
+    return;
   }
   // A departure without a start time is that of a process that had started by
   // then.
@@ -183,7 +211,6 @@
     announceTarget(Control_.members(), Announcement.Name_,
                    Announcement.Service_, Announcement.Slots_, Time);
   }
-  return {};
 }
 
 void TargetProxy::handle(const TargetDeparture &Departure, Now Time) {
@@ -203,25 +230,29 @@
 
 void TargetProxy::recordDeparture(LocalTarget &Target, Now Time) {
   Target.AnnouncedLeaving_ = true;
-  // Only one target at a time runs beside a daemon, so the entries beyond this
-  // limit belong to processes that ended long ago.
-  constexpr std::size_t MaxDepartedProcesses = 64;
-  std::int64_t &Started = DepartedProcesses_[Target.Name_];
   std::int64_t NowUnixMs =
       std::chrono::floor<milliseconds>(Time.Wall_).time_since_epoch().count();
-  Started = std::max(Started, Target.StartedUnixMs_.value_or(NowUnixMs));
-  if (DepartedProcesses_.size() > MaxDepartedProcesses)
-    DepartedProcesses_.erase(
-        std::min_element(DepartedProcesses_.begin(), DepartedProcesses_.end(),
-                         [](const auto &Left, const auto &Right) {
-                           return Left.second < Right.second;
-                         }));
+  Control_.recordDeparture(Target.Name_,
+                           Target.StartedUnixMs_.value_or(NowUnixMs), Time);
+}
+
+bool TargetProxy::hasDeparted(
+    std::string_view Name,
+    const std::optional<std::int64_t> &StartedUnixMs) const {
+  auto Departed = departedProcess(Control_.members(), Name);
+  return Departed && StartedUnixMs && *StartedUnixMs <= *Departed;
 }
 
 bool TargetProxy::hasDeparted(const TargetAnnouncement &Announcement) const {
-  auto Found = DepartedProcesses_.find(Announcement.Name_);
-  return Found != DepartedProcesses_.end() && Announcement.StartedUnixMs_ &&
-         *Announcement.StartedUnixMs_ <= Found->second;
+  return hasDeparted(Announcement.Name_, Announcement.StartedUnixMs_);
+}
+
+void TargetProxy::applyLearnedDepartures(Now Time) {
+  for (auto &[Name, Target] : Targets_)
+    if (!Target.AnnouncedLeaving_ && hasDeparted(Name, Target.StartedUnixMs_)) {
+      Target.AnnouncedLeaving_ = true;
+      setLeaving(Target, Time);
+    }
 }
 
 void TargetProxy::setLeaving(LocalTarget &Target, Now Time) {
--- a/src/TargetProxy.cpp
+++ b/src/TargetProxy.cpp
@@ -608,6 +608,8 @@
 
 void TargetProxy::tick(Now Time) {
   tickTargetCalls(Calls_, Time.Monotonic_);
+  applyHeldAnnouncements(Time);
+  applyLearnedDepartures(Time);
   expireAnnouncements(Time);
   for (auto &[Name, Target] : Targets_) {
     requestHealth(Target, Time);
--- a/src/TargetProxy.h
+++ b/src/TargetProxy.h
@@ -187,9 +187,19 @@
   void requestHealth(LocalTarget &Target, Now Time);
   void onHealthResponse(const std::string &Name, const HttpResponse &Response);
   void setLeaving(LocalTarget &Target, Now Time);
+  void apply(const TargetAnnouncement &Announcement, Now Time);
+  /// Keeps an announcement that may be a delayed one of a target that left.
+  void holdAnnouncement(const TargetAnnouncement &Announcement);
+  void applyHeldAnnouncements(Now Time);
+  /// Records the departure of the target's process, or of all processes until
+  /// now if it stated no start time.
   void recordDeparture(LocalTarget &Target, Now Time);
-  /// Whether the announcing process, or a later process of the same target
-  /// name, has already announced that it leaves.
+  /// Stops the targets whose departure a peer has reported.
+  void applyLearnedDepartures(Now Time);
+  /// Whether this process, or a later one of the same target name, has
+  /// announced that it leaves.
+  bool hasDeparted(std::string_view Name,
+                   const std::optional<std::int64_t> &StartedUnixMs) const;
   bool hasDeparted(const TargetAnnouncement &Announcement) const;
   std::optional<Error>
   checkIsLocal(const TargetAnnouncement &Announcement) const;
@@ -214,11 +224,8 @@
   LoopWork &Work_;
   AnswerSender &Answers_;
   std::map<std::string, LocalTarget, std::less<>> Targets_;
-  /// Start times of the target processes that announced that they leave, by
-  /// target name; for one without a start time, when it announced that. Kept
-  /// after the targets are removed, so that a delayed announcement does not add
-  /// them again.
-  std::map<std::string, std::int64_t, std::less<>> DepartedProcesses_;
+  /// Announcements that arrived before ControlPlane::departuresKnown().
+  std::deque<TargetAnnouncement> HeldAnnouncements_;
   TargetCalls Calls_;
   PendingTable Pending_;
   /// Admission ids of pending attempts by entry server, incarnation and
--- a/test/correctness/MembershipTest.cpp
+++ b/test/correctness/MembershipTest.cpp
@@ -165,6 +165,58 @@
     EXPECT_TRUE(Daemon.Members_.Targets_.contains({"t1", "server-0"}));
 }
 
+// Its own record of the departure is lost with the process; only peers that
+// tell it can prevent that a delayed announcement is used.
+TEST(Membership, ARestartedServerLearnsItsDeparturesFromAnyPeer) {
+  Node Owner{makeMember("a")};
+  Node Peer{makeMember("b")};
+  Owner.learn(record(Peer.Members_, "b"), seconds(1));
+  Peer.learn(record(Owner.Members_, "a"), seconds(1));
+  tickMembership(Owner.Members_, at(seconds(1)), Owner.Rng_, Owner.Out_);
+  Owner.Out_.clear();
+  ASSERT_TRUE(
+      recordDeparture(Owner.Members_, "t", 5000, at(seconds(2)), Owner.Out_));
+  EXPECT_FALSE(
+      recordDeparture(Owner.Members_, "t", 4000, at(seconds(2)), Owner.Out_));
+  ASSERT_EQ(Owner.Out_.size(), 1U);
+  Owner.Out_[0].Message_.set_sender("a");
+  Peer.receive(Owner.Out_[0].Message_, seconds(2));
+
+  Node Restarted{makeMember("a", seconds(3))};
+  EXPECT_EQ(departedProcess(Restarted.Members_, "t"), std::nullopt);
+  wire::PeerMessage Request;
+  Request.set_sender("a");
+  Request.mutable_sync_digest()->set_want_all(true);
+  Peer.Out_.clear();
+  Peer.receive(Request, seconds(3));
+  for (const OutgoingMessage &Answer : Peer.Out_)
+    Restarted.receive(Answer.Message_, seconds(3));
+  EXPECT_EQ(departedProcess(Restarted.Members_, "t"), 5000);
+}
+
+// Peers could fill the memory otherwise.
+TEST(Membership, DeparturesAreLimitedInNumberAndTime) {
+  Node Node{makeMember("a")};
+  Node.learn(record(makeMember("b"), "b"), seconds(1));
+  wire::PeerMessage Message = gossip("b");
+  for (const char *Server : {"b", "unknown"})
+    for (int I = 0; I < 1000; ++I) {
+      wire::DepartedTarget &Departure =
+          *Message.mutable_gossip()->add_departed();
+      Departure.set_server(Server);
+      Departure.set_name("t-" + std::to_string(I));
+      Departure.set_started_unix_ms(I);
+    }
+  Node.receive(Message, seconds(1));
+  EXPECT_EQ(Node.Members_.Departures_.size(),
+            Node.Members_.Config_.MaxDepartedTargets_);
+  EXPECT_TRUE(Node.Members_.Departures_.contains({"b", "t-999"}));
+  for (int Minute = 1; Minute <= 65; ++Minute)
+    tickMembership(Node.Members_, at(std::chrono::minutes(Minute)), Node.Rng_,
+                   Node.Out_);
+  EXPECT_TRUE(Node.Members_.Departures_.empty());
+}
+
 RC_GTEST_PROP(Membership, SurvivesArbitraryBytes, (const std::string &Bytes)) {
   Node Node{makeMember("a")};
   Node.learn(record(makeMember("b"), "b"), seconds(1));
--- a/test/support/FleetOptions.h
+++ b/test/support/FleetOptions.h
@@ -53,6 +53,7 @@
       {"owner-only", &Members.OwnerOnlyForTest_},
       {"indirect-probes", &Members.IndirectForTest_},
       {"transit-time", &Members.CountTransitForTest_},
+      {"return-departures", &Members.ReturnDeparturesForTest_},
       {"monotone", &Options.Replica_.MonotoneForTest_},
       {"signatures", &Options.Replica_.SignaturesForTest_},
       {"anti-entropy", &Options.DisseminationConfig_.AntiEntropyForTest_},
