Give peers 0.1 s to be told before a departure is acknowledged without the store

What callers would see: if the store refuses the write at once and the daemon is killed right after the acknowledgement, its messages to the peers may still be in its memory, and the departure is lost.

Cause: the acknowledgement followed the store's refusal within the same event.

Change: without the store's answer, the acknowledgement is given 0.1 s after the departure was recorded at the earliest. RestartedDaemonTest LearnsFromPeersIfTheStoreWasDownAtTheDeparture checks the time.

--- a/src/ControlPlane.h
+++ b/src/ControlPlane.h
@@ -94,9 +94,10 @@
   void recordDeparture(std::string_view Target, std::int64_t StartedUnixMs,
                        Now Time);
 
-  /// Calls Done once the store has answered for every departure recorded so far
-  /// or has failed to within DepartureStoreTimeout; possibly at once.
-  void whenDeparturesStored(std::function<void()> Done);
+  /// Calls Done, possibly at once, when the store holds every departure that
+  /// was recorded, or has failed to answer in time and the peers have been sent
+  /// it.
+  void whenDeparturesSaved(std::function<void()> Done, Now Time);
 
   /// Whether the departures that earlier processes of this daemon recorded are
   /// known, as far as the store and the peers can tell.
@@ -133,6 +134,7 @@
   void removeStoredDepartures(const Txn &Removal);
   void tickDepartures(Now Time);
   void writeDeparture(UnstoredDeparture &Unstored);
+  void acknowledgeSaved(TimePoint Time);
   void onDepartureWritten(const std::string &Target, std::int64_t StartedUnixMs,
                           const Result<TxnResult> &Answer);
   void writeSeeds(std::span<const wire::ServerRecord> Seeds);
--- a/src/ControlPlaneDepartures.cpp
+++ b/src/ControlPlaneDepartures.cpp
@@ -15,6 +15,9 @@
 
 constexpr Duration DepartureRetryInterval = seconds(1);
 
+/// Time for a departure to leave this process for its peers.
+constexpr Duration PeerNoticeTime = milliseconds(100);
+
 /// Time after the floor is reached for which announcements wait for a peer's
 /// table.
 constexpr Duration PeerTableTimeout = seconds(1);
@@ -22,12 +25,16 @@
 /// Old departures that one reader removes after one read.
 constexpr std::size_t MaxRemovals = 32;
 
-/// Whether the first write of a departure is in flight.
-bool isAwaitingStore(
-    const std::map<std::string, UnstoredDeparture> &Departures) {
-  return std::any_of(
-      Departures.begin(), Departures.end(),
-      [](const auto &Item) { return !Item.second.WriteFailed_; });
+/// Whether a departure is neither stored nor, if the store failed, sent to the
+/// peers.
+bool isUnsaved(const std::map<std::string, UnstoredDeparture> &Departures,
+               TimePoint Time) {
+  return std::any_of(Departures.begin(), Departures.end(),
+                     [Time](const auto &Item) {
+                       const UnstoredDeparture &Unstored = Item.second;
+                       return !Unstored.WriteFailed_ ||
+                              Time - Unstored.RecordedAt_ < PeerNoticeTime;
+                     });
 }
 
 } // namespace
@@ -83,16 +90,18 @@
     Unstored.WriteInFlight_ = false;
     Unstored.NextWriteAt_ = monotonicNow() + DepartureRetryInterval;
   }
-  if (isAwaitingStore(UnstoredDepartures_))
-    return;
-  for (const auto &Done : std::exchange(DepartureWaiters_, {}))
-    Done();
+  acknowledgeSaved(monotonicNow());
 }
 
-void ControlPlane::whenDeparturesStored(std::function<void()> Done) {
-  if (isAwaitingStore(UnstoredDepartures_))
-    DepartureWaiters_.push_back(std::move(Done));
-  else
+void ControlPlane::whenDeparturesSaved(std::function<void()> Done, Now Time) {
+  DepartureWaiters_.push_back(std::move(Done));
+  acknowledgeSaved(Time.Monotonic_);
+}
+
+void ControlPlane::acknowledgeSaved(TimePoint Time) {
+  if (DepartureWaiters_.empty() || isUnsaved(UnstoredDepartures_, Time))
+    return;
+  for (const auto &Done : std::exchange(DepartureWaiters_, {}))
     Done();
 }
 
@@ -115,6 +124,7 @@
   // A write may end, and remove its entry, before the call returns.
   for (const std::string &Target : Due)
     writeDeparture(UnstoredDepartures_.at(Target));
+  acknowledgeSaved(Time.Monotonic_);
 }
 
 void ControlPlane::applyStoredDeparture(const KeyValue &Entry, Txn &Removal,
--- a/src/Daemon.cpp
+++ b/src/Daemon.cpp
@@ -317,9 +317,11 @@
   if (Handled) {
     // The acknowledgement of a departure also binds the next process of this
     // daemon.
-    Control_->whenDeparturesStored([Exchange] {
-      Exchange->reply(200, {{"content-type", "application/json"}}, "{}");
-    });
+    Control_->whenDeparturesSaved(
+        [Exchange] {
+          Exchange->reply(200, {{"content-type", "application/json"}}, "{}");
+        },
+        Time);
     return;
   }
   logEvent(LogEvent::NoticeRejected,
--- a/test/platform/RestartedDaemonTest.cpp
+++ b/test/platform/RestartedDaemonTest.cpp
@@ -82,7 +82,10 @@
 TEST_F(RestartedDaemon, LearnsFromPeersIfTheStoreWasDownAtTheDeparture) {
   startAll();
   Store_->Faults_.Unavailable_ = true;
+  TimePoint Start = monotonicNow();
   ASSERT_EQ(deregister(0), 200);
+  // The messages to the peers need time to leave the process.
+  EXPECT_GE(monotonicNow() - Start, milliseconds(100));
   EXPECT_EQ(metric(0, "sycamore_departure_store_failures_total"), 1);
   killDaemon(0);
   Store_->Faults_.Unavailable_ = false;
