Wait for a peer's table also when a started daemon knows no peer yet

What callers saw: RestartedDaemonTest LearnsFromPeersIfTheStoreWasDownAtTheDeparture failed in 4 of 9 runs. In two of them the target that had left got requests again for 1 s.

Cause, from the log of such a run: the daemon was killed before any reader had written seeds. Its next process read the store, found no seeds, knew no peer and took itself for the only daemon of the fleet, so that it used the late announcement at once. It met its peers 1.04 s later and stopped the target.

Change: announcements wait for a peer's table until 2 s after the floor (two intervals of table requests), whether or not a peer is known.

The other failures were the test's: it waited for the new process of the target through the daemon beside the other target, which prefers its own. It waits through the third daemon now, which has no target of the service.

--- a/src/ControlPlaneDepartures.cpp
+++ b/src/ControlPlaneDepartures.cpp
@@ -19,8 +19,9 @@
 constexpr Duration PeerNoticeTime = milliseconds(100);
 
 /// Time after the floor is reached for which announcements wait for a peer's
-/// table.
-constexpr Duration PeerTableTimeout = seconds(1);
+/// table. A daemon without peers, such as the first of a fleet, waits that
+/// long.
+constexpr Duration PeerTableTimeout = seconds(2);
 
 /// Old departures that one reader removes after one read.
 constexpr std::size_t MaxRemovals = 32;
@@ -106,9 +107,10 @@
 }
 
 bool ControlPlane::departuresKnown(Now Time) const {
-  if (!hasFloor(Bootstrap_))
-    return Bootstrap_.StoreFailed_ && Members_.Joined_;
-  return Members_.Joined_ || Members_.Servers_.size() == 1 ||
+  // With the store down, the word of one peer has to do.
+  if (Members_.Joined_)
+    return hasFloor(Bootstrap_) || Bootstrap_.StoreFailed_;
+  return hasFloor(Bootstrap_) &&
          Time.Monotonic_ - *Bootstrap_.FloorReachedAt_ >= PeerTableTimeout;
 }
 
--- a/test/platform/RestartedDaemonTest.cpp
+++ b/test/platform/RestartedDaemonTest.cpp
@@ -33,7 +33,7 @@
     std::size_t Before = Servers_[0]->Requests_.size();
     EXPECT_EQ(announce(0, "ready", 1, 2000), 200);
     EXPECT_TRUE(eventually([&] {
-      call(1, "GET", "/x/y");
+      call(2, "GET", "/x/y");
       return Servers_[0]->Requests_.size() > Before;
     }));
   }
@@ -112,7 +112,7 @@
   std::size_t Before = Servers_[0]->Requests_.size();
   EXPECT_EQ(announce(0, "ready", 2), 200);
   EXPECT_TRUE(eventually([&] {
-    call(1, "GET", "/x/y");
+    call(2, "GET", "/x/y");
     return Servers_[0]->Requests_.size() > Before;
   }));
 }
