Let the seeded call runs answer with a target's own 503, and fill int64 fields of random messages

- CallHistoryTest: no run withheld a refusal, so the rule was unchecked.
The choice is not random, so that known seeds run as before but for these answers.
- PeerMessageFuzzTest: no random value for int64, a type that the messages did not have before.
- RestartedDaemonTest DoesNotBringBackATargetThatDeregistered: the new process of the target got no request within 20 s, because the only caller had a second target that it preferred.

--- a/test/platform/RestartedDaemonTest.cpp
+++ b/test/platform/RestartedDaemonTest.cpp
@@ -29,15 +29,17 @@
     EXPECT_EQ(Servers_[0]->Requests_.size(), Before);
   }
 
-  void expectNewProcessUsed() {
-    std::size_t Before = Servers_[0]->Requests_.size();
-    EXPECT_EQ(announce(0, "ready", 1, 2000), 200);
-    EXPECT_TRUE(eventually([&] {
-      call(2, "GET", "/x/y");
-      return Servers_[0]->Requests_.size() > Before;
-    }));
+  /// Announces the target beside daemon 0 and expects that calls reach it once
+  /// the only other target of its service has left.
+  void expectUsed(std::uint64_t Sequence, std::int64_t Born) {
+    EXPECT_EQ(announce(0, "ready", Sequence, Born), 200);
+    EXPECT_EQ(deregister(1), 200);
+    EXPECT_TRUE(
+        eventually([&] { return call(2, "GET", "/x/y").Body_ == "from i-1"; }));
   }
 
+  void expectNewProcessUsed() { expectUsed(1, 2000); }
+
   /// Starts daemon 0 again and announces the target while it is not ready yet,
   /// and once it is.
   void restartAndAnnounceLate() {
@@ -109,12 +111,7 @@
   startAll();
   killDaemon(0);
   startDaemon(0);
-  std::size_t Before = Servers_[0]->Requests_.size();
-  EXPECT_EQ(announce(0, "ready", 2), 200);
-  EXPECT_TRUE(eventually([&] {
-    call(2, "GET", "/x/y");
-    return Servers_[0]->Requests_.size() > Before;
-  }));
+  expectUsed(2, 1000);
 }
 
 TEST_F(RestartedDaemon, OldDeparturesAreRemovedFromTheStore) {
--- a/test/support/CallWorld.cpp
+++ b/test/support/CallWorld.cpp
@@ -74,6 +74,7 @@
   Out.Keyed_.MaxRemoteRunTime_ = seconds(3);
   Out.Keyed_.HandoverPartBytes_ = 150;
   Out.StoreDeadline_ = 500'000;
+  Out.Entry_.RefusalStatuses_ = {RefusalStatus};
   // Small enough that runs reach every bound.
   Out.Keyed_.MaxRecords_ = 16;
   Out.Keyed_.MaxAnswerBytes_ = 200;
--- a/test/support/CallWorld.h
+++ b/test/support/CallWorld.h
@@ -17,6 +17,9 @@
 /// Microseconds of simulated time, which no skewed clock affects.
 using Micros = std::int64_t;
 
+/// Status that callers take as the statement that a call did not run.
+constexpr std::uint32_t RefusalStatus = 503;
+
 struct Config {
   std::uint64_t Seed_ = 1;
   std::size_t Nodes_ = 5;
--- a/test/support/CallWorldCalls.cpp
+++ b/test/support/CallWorldCalls.cpp
@@ -246,11 +246,14 @@
     Ran.Body_ = "answer " + std::to_string(++RunCount_) + " to " + Body +
                 " by " + Call.target();
     History_.add(Ran);
+    // Not random, so that the runs of known seeds stay as they are.
+    constexpr std::uint64_t RunsPerOwnRefusal = 7;
+    bool OwnRefusal = Config_.Faults_ && RunCount_ % RunsPerOwnRefusal == 0;
     runOnNode(Sender, Length, [=, this](Node &Local) {
       wire::CallAnswer Out;
       *Out.mutable_id() = Call.id();
       Out.set_run(Crashes ? wire::RUN_UNKNOWN : wire::RUN_DONE);
-      Out.set_status(Crashes ? 502 : 200);
+      Out.set_status(Crashes ? 502 : OwnRefusal ? RefusalStatus : 200);
       Out.set_target_lost(Crashes);
       std::string Text = Crashes ? "" : Ran.Body_;
       Out.set_body_size(Text.size());
@@ -454,7 +457,12 @@
                  Local.KnownRecords_);
     if (Holder && Holder->Server_ == Local.Name_) {
       admitKeyedRequest(Local, ReadAt, NewCall.Request_,
-                        CallerRequest->Content_, Reply);
+                        CallerRequest->Content_,
+                        [=, &Local](const CallResult &Result) {
+                          CallResult Copy = Result;
+                          withholdRefusal(Local.Entry_.Limits_, Copy);
+                          Reply(Copy);
+                        });
       return;
     }
   }
--- a/test/support/History.cpp
+++ b/test/support/History.cpp
@@ -135,6 +135,18 @@
                                         " got the answer to another request"});
 }
 
+/// Callers that read only the status take 503 for "not-run".
+void checkRefusalStatus(const Index &Idx, const Event &Answer,
+                        Violations &Out) {
+  constexpr std::uint32_t RefusalStatus = 503;
+  auto Runs = Idx.RunsByCall_.find(Answer.Call_);
+  if (Answer.Status_ == RefusalStatus && Runs != Idx.RunsByCall_.end() &&
+      !Runs->second[0]->Idempotent_)
+    Out.push_back({"refusal-status", "call " + Answer.Call_ +
+                                         " got 503 and ran on " +
+                                         Runs->second[0]->Target_});
+}
+
 void checkAnswers(const Index &Idx, Violations &Out) {
   for (const auto &[Call, Answers] : Idx.AnswersByCall_) {
     if (Answers.size() > 1)
@@ -142,6 +154,7 @@
                                        std::to_string(Answers.size()) +
                                        " times"});
     for (const Event *Answer : Answers) {
+      checkRefusalStatus(Idx, *Answer, Out);
       if (Answer->Run_ == "not-run")
         checkNotRun(Idx, *Answer, Out);
       if (Answer->Run_ == "done")
--- a/test/support/History.h
+++ b/test/support/History.h
@@ -65,6 +65,8 @@
 ///   at-most-once-key     a key runs at most once
 ///   at-most-once-call    a call that is not idempotent runs at most once
 ///   not-run              a call answered "not-run" never runs
+///   refusal-status       a call answered 503 does not run, if it is not
+///                        idempotent
 ///   not-run-settled      with NoEarlierRun_, no run of its key preceded it
 ///   done-ran             a call answered "done", or its key, has run
 ///   whole-answer         its body is complete and unchanged
--- a/test/support/RandomPeer.h
+++ b/test/support/RandomPeer.h
@@ -94,6 +94,12 @@
       Repeated ? Reflection->AddUInt64(&Out, &Field, number())
                : Reflection->SetUInt64(&Out, &Field, number());
       break;
+    case FieldDescriptor::CPPTYPE_INT64: {
+      auto Value = static_cast<std::int64_t>(number());
+      Repeated ? Reflection->AddInt64(&Out, &Field, Value)
+               : Reflection->SetInt64(&Out, &Field, Value);
+      break;
+    }
     case FieldDescriptor::CPPTYPE_UINT32: {
       auto Value = static_cast<std::uint32_t>(number());
       Repeated ? Reflection->AddUInt32(&Out, &Field, Value)
