--- a/test/failure/ReaderFailureTest.cpp
+++ b/test/failure/ReaderFailureTest.cpp
@@ -33,6 +33,49 @@
     return Out;
   }
 
+  /// With the probe times of the deployed settings, and more servers than a
+  /// started daemon learns from the seeds.
+  static FleetOptions withDeployedProbes(std::uint64_t Seed) {
+    FleetOptions Out = options(Seed, 25);
+    Out.Membership_.ProbeInterval_ = milliseconds(500);
+    Out.Membership_.ProbeTimeout_ = milliseconds(200);
+    Out.Membership_.SuspicionTimeout_ = milliseconds(1500);
+    return Out;
+  }
+
+  /// A server that is not a reader.
+  std::size_t someNonReader() const {
+    std::size_t Out = 0;
+    while (isReader(Daemons_[Out].Members_))
+      ++Out;
+    return Out;
+  }
+
+  /// Starts a server that finds its peers by the seeds in the store alone.
+  void startFromSeeds(std::size_t I) {
+    Options_.BootstrapPeers_ = false;
+    start(I);
+  }
+
+  /// Drops all messages between these servers and the others.
+  void cutOff(const std::set<std::size_t> &Group) {
+    DropsLink_ = [Group](std::size_t From, std::size_t To) {
+      return Group.contains(From) != Group.contains(To);
+    };
+  }
+
+  bool waitForFloor(const std::set<std::size_t> &Group) {
+    auto HasFloor = [this](std::size_t I) {
+      return hasFloor(Daemons_[I].Bootstrap_);
+    };
+    return runUntil(
+               [&] {
+                 return std::all_of(Group.begin(), Group.end(), HasFloor);
+               },
+               seconds(3))
+        .has_value();
+  }
+
   std::vector<std::size_t> readers() const {
     std::vector<std::size_t> Out;
     for (std::size_t I = 0; I < Daemons_.size(); ++I)
@@ -123,13 +166,9 @@
   std::uint64_t First = testSeed(1);
   for (std::uint64_t Seed = First; Seed < First + 10; ++Seed) {
     Fleet Sim(Seed);
-    std::size_t Alone = 0;
-    while (isReader(Sim.Daemons_[Alone].Members_))
-      ++Alone;
+    std::size_t Alone = Sim.someNonReader();
     Sim.kill(Alone);
-    Sim.DropsLink_ = [Alone](std::size_t From, std::size_t To) {
-      return From == Alone || To == Alone;
-    };
+    Sim.cutOff({Alone});
     Sim.start(Alone);
     EXPECT_TRUE(Sim.runUntil(
         [&] { return hasFloor(Sim.Daemons_[Alone].Bootstrap_); }, seconds(2)));
@@ -137,3 +176,55 @@
     EXPECT_TRUE(Sim.convergesInTime()) << "seed " << Seed;
   }
 }
+
+// A table comparison that arrives before the peers go dark proves nothing
+// later.
+TEST(ReaderFailure, AStartedServerWhoseSeedsGoDarkReadsTheStoreItself) {
+  std::uint64_t First = testSeed(1);
+  for (std::uint64_t Seed = First; Seed < First + 10; ++Seed) {
+    Fleet Sim(Fleet::withDeployedProbes(Seed));
+    std::size_t Started = Sim.someNonReader();
+    Sim.kill(Started);
+    Sim.run(milliseconds(100));
+    Sim.startFromSeeds(Started);
+    Sim.Daemons_[Started].Members_.Joined_ = true;
+    Sim.cutOff({Started});
+    EXPECT_TRUE(Sim.waitForFloor({Started}));
+    Sim.acceptTicket();
+    EXPECT_TRUE(Sim.convergesInTime()) << "seed " << Seed;
+  }
+}
+
+// Two such servers hear each other, but neither of them reads the store.
+TEST(ReaderFailure, TwoStartedServersWhoseSeedsGoDarkReadTheStoreThemselves) {
+  std::uint64_t First = testSeed(1);
+  for (std::uint64_t Seed = First; Seed < First + 10; ++Seed) {
+    Fleet Sim(Fleet::withDeployedProbes(Seed));
+    std::set<std::size_t> Started;
+    for (std::size_t I = 0; Started.size() < 2; I += 3)
+      if (!isReader(Sim.Daemons_[I].Members_))
+        Started.insert(I);
+    for (std::size_t I : Started)
+      Sim.kill(I);
+    Sim.run(milliseconds(100));
+    Sim.cutOff(Started);
+    for (std::size_t I : Started) {
+      Sim.startFromSeeds(I);
+      Sim.Daemons_[I].Members_.Joined_ = true;
+    }
+    EXPECT_TRUE(Sim.waitForFloor(Started));
+    Sim.acceptTicket();
+    EXPECT_TRUE(Sim.convergesInTime()) << "seed " << Seed;
+  }
+}
+
+// A server that had a complete table may lose all its peers later.
+TEST(ReaderFailure, AServerThatLosesAllPeersReadsTheStoreItself) {
+  std::uint64_t First = testSeed(1);
+  for (std::uint64_t Seed = First; Seed < First + 10; ++Seed) {
+    Fleet Sim(Fleet::withDeployedProbes(Seed));
+    Sim.cutOff({Sim.someNonReader()});
+    Sim.acceptTicket();
+    EXPECT_TRUE(Sim.convergesInTime()) << "seed " << Seed;
+  }
+}
--- a/test/support/KvStandin.cpp
+++ b/test/support/KvStandin.cpp
@@ -43,10 +43,6 @@
           {"lease", Item.Lease_}};
 }
 
-void reply(HttpExchange &Exchange, int Status, const Json &Body) {
-  Exchange.reply(Status, {{"Content-Type", "application/json"}}, Body.dump());
-}
-
 } // namespace
 
 KvStandin::KvStandin(event_base *Base)
@@ -64,6 +60,35 @@
   Unanswered_.clear();
 }
 
+void KvStandin::reply(HttpExchange &Exchange, int Status, const Json &Body) {
+  replyText(Exchange, Status, Body.dump());
+}
+
+void KvStandin::replyText(HttpExchange &Exchange, int Status,
+                          const std::string &Text) {
+  HttpHeaders Headers = {{"Content-Type", "application/json"}};
+  if (!Faults_.OmitsEra_)
+    Headers.push_back({"Store-Era", std::to_string(Era_)});
+  Exchange.reply(Status, Headers, Text);
+}
+
+void KvStandin::returnToCopy(bool CutsWatches) {
+  Items_ = Copy_.Items_;
+  Revision_ = Copy_.Revision_;
+  ++Era_;
+  Leases_.clear();
+  std::erase_if(Items_,
+                [](const auto &Entry) { return Entry.second.Lease_ != 0; });
+  std::erase_if(History_, [this](const KvChange &Change) {
+    return Change.Item_.Revision_ > Revision_;
+  });
+  if (!CutsWatches)
+    return;
+  for (const Watcher &Each : Watchers_)
+    Each.Exchange_->abort();
+  Watchers_.clear();
+}
+
 void KvStandin::onTick(int, short, void *Self) {
   static_cast<KvStandin *>(Self)->tick();
 }
@@ -128,7 +153,7 @@
   if (Faults_.Silent_)
     Unanswered_.push_back(Exchange);
   else if (Faults_.Unavailable_)
-    Exchange->reply(503, {}, "");
+    replyText(*Exchange, 503, "");
   else
     dispatch(Exchange);
 }
@@ -157,9 +182,9 @@
         std::strtoll(Path.c_str() + LeaseEndPrefix.size(), nullptr, 10);
     bool Known = Leases_.contains(Lease);
     expireLease(Lease);
-    Exchange->reply(Known ? 200 : 404, {}, "");
+    replyText(*Exchange, Known ? 200 : 404, "");
   } else {
-    Exchange->reply(404, {}, "");
+    replyText(*Exchange, 404, "");
   }
 }
 
@@ -194,7 +219,7 @@
   if (!Faults_.OddRangeItem_.empty())
     Body.insert(Body.find("\"items\":[") + std::string("\"items\":[").size(),
                 Faults_.OddRangeItem_ + (Items.empty() ? "" : ","));
-  Exchange.reply(200, {{"Content-Type", "application/json"}}, Body);
+  replyText(Exchange, 200, Body);
 }
 
 void KvStandin::startWatch(const HttpExchangePointer &Exchange) {
@@ -203,6 +228,10 @@
     Exchange->abort();
     return;
   }
+  if (integerParameter(Query, "after") > Revision_) {
+    reply(*Exchange, 410, Json::object());
+    return;
+  }
   Watchers_.push_back(
       {Exchange, Query["prefix"], integerParameter(Query, "after"),
        monotonicNow() + milliseconds(integerParameter(Query, "waitMs"))});
--- a/test/support/KvStandin.h
+++ b/test/support/KvStandin.h
@@ -34,11 +34,18 @@
   TimePoint ExpiresAt_;
 };
 
+/// What the store loses when it comes back from a copy.
+struct KvCopy {
+  std::map<std::string, KvItem> Items_;
+  std::int64_t Revision_ = 0;
+};
+
 struct KvFaults {
   bool Unavailable_ = false;        ///< Responds to every call with 503.
   bool Silent_ = false;             ///< Accepts calls and never responds.
   bool DropWriteResponses_ = false; ///< Applies writes, closes unanswered.
   bool AbortWatches_ = false;       ///< Closes watch requests at once.
+  bool OmitsEra_ = false;           ///< Responds without the header Store-Era.
   std::size_t PageItems_ = 500;
   std::string OddRangeItem_; ///< JSON text added to the items of each range.
 };
@@ -59,6 +66,14 @@
   void compact();
   void expireLease(std::int64_t Lease);
 
+  /// Keeps a copy of the items for returnToCopy().
+  void keepCopy() { Copy_ = {Items_, Revision_}; }
+  /// Goes back to the copy and to its revision, without any lease, and raises
+  /// the era. Watches that wait are not answered before their deadline, unless
+  /// CutsWatches closes them.
+  void returnToCopy(bool CutsWatches = false);
+  std::int64_t revision() const { return Revision_; }
+
   KvFaults Faults_;
   std::map<std::string, KvItem> Items_;
   std::map<std::string, std::uint64_t> Calls_; ///< Counts by method and path.
@@ -76,6 +91,8 @@
   void readKey(HttpExchange &Exchange);
   void readRange(HttpExchange &Exchange);
   void startWatch(const HttpExchangePointer &Exchange);
+  void reply(HttpExchange &Exchange, int Status, const Json &Body);
+  void replyText(HttpExchange &Exchange, int Status, const std::string &Text);
   void runTxn(HttpExchange &Exchange);
   void grantLease(HttpExchange &Exchange);
   void keepLeaseAlive(HttpExchange &Exchange, std::int64_t Lease);
@@ -92,6 +109,8 @@
   std::int64_t Revision_ = 10;
   std::int64_t NextLease_ = 100;
   std::int64_t CompactedTo_ = 0;
+  std::int64_t Era_ = 1;
+  KvCopy Copy_;
   std::vector<KvChange> History_;
   std::map<std::int64_t, KvLease> Leases_;
   std::deque<Watcher> Watchers_;
