Watch the store on a daemon that hears from no peer, or knows its readers from seeds alone

Cause: a daemon relied on its peers from its first table comparison on (Membership::Joined_), whatever it heard later.

Fix: a daemon reads the store itself when it has had no message of a peer for two probe intervals, or when it knows no reader of its data centre but from seeds. The second covers started daemons that hear only each other. The log line reader-began says isolated and unheard_ms; sycamore_peer_silence_seconds is a gauge.

--- a/include/sycamore/Membership.h
+++ b/include/sycamore/Membership.h
@@ -64,6 +64,8 @@
   bool IndirectForTest_ = true;
   bool CountTransitForTest_ = true;
   bool ReturnDeparturesForTest_ = true;
+  bool HeardPeersForTest_ = true;
+  bool ConfirmReadersForTest_ = true;
 };
 
 struct MembershipCounters {
@@ -190,6 +192,8 @@
   Overlay Overlay_;
   bool OverlayStale_ = false;
   bool Joined_ = false; ///< A complete table has arrived from a peer.
+  /// Time of the last message from a peer; the start before the first one.
+  TimePoint HeardAt_;
   std::map<GossipKey, GossipItem> GossipQueue_;
   std::map<std::string, ProbeState> Probes_;
   std::map<std::uint64_t, RelayedProbe> RelayedProbes_;
@@ -302,6 +306,11 @@
                                    std::string_view DataCentre);
 bool isReader(const Membership &Members);
 
+/// Whether nothing shows that tickets reach this server from its peers: no peer
+/// has been heard for two probe intervals, or the readers of its data centre
+/// are known from seeds alone.
+bool isIsolated(const Membership &Members, Now Time);
+
 /// Names of alive and suspect servers; leaving, left and dead ones are
 /// excluded. An empty DataCentre means all.
 std::vector<std::string> aliveServers(const Membership &Members,
--- a/src/ControlPlane.cpp
+++ b/src/ControlPlane.cpp
@@ -182,9 +182,12 @@
   ReaderStep ReaderActions = tickReader(Bootstrap_, Members_, Time, Rng_);
   if (ReaderActions.WatchHead_ != IsReader_) {
     IsReader_ = ReaderActions.WatchHead_;
-    logEvent(IsReader_ ? LogEvent::ReaderBegan : LogEvent::ReaderEnded,
-             {{"data_centre", Settings_.DataCentre_},
-              {"servers", Members_.Servers_.size()}});
+    logEvent(
+        IsReader_ ? LogEvent::ReaderBegan : LogEvent::ReaderEnded,
+        {{"data_centre", Settings_.DataCentre_},
+         {"servers", Members_.Servers_.size()},
+         {"isolated", isIsolated(Members_, Time)},
+         {"unheard_ms", toMilliseconds(Time.Monotonic_ - Members_.HeardAt_)}});
   }
   if (ReaderActions.ReadHead_)
     readStore(/*ForFloor=*/false, Time);
--- a/src/DaemonMetrics.cpp
+++ b/src/DaemonMetrics.cpp
@@ -301,6 +301,12 @@
              Control.replica().Rejection_
                  ? static_cast<double>(Control.replica().Rejection_->Number_)
                  : 0);
+  writeGauge(Page, "sycamore_peer_silence_seconds",
+             "Time since the last message of a peer; since the start before "
+             "the first.",
+             std::chrono::duration<double>(monotonicNow() -
+                                           Context.Control_.members().HeardAt_)
+                 .count());
   writeGauge(Page, "sycamore_servers_known", "Rows of the server table.",
              static_cast<double>(Control.members().Servers_.size()));
   writeGauge(Page, "sycamore_targets_known", "Rows of the target table.",
--- a/src/Events.cpp
+++ b/src/Events.cpp
@@ -74,7 +74,8 @@
         {LogEvent::FloorReached, "floor-reached", Info, RarePerSecond, false,
          "the configuration is at the floor: requests are served"},
         {LogEvent::ReaderBegan, "reader-began", Info, RarePerSecond, false,
-         "this daemon watches the store for its data centre"},
+         "this daemon watches the store for its data centre, or for itself "
+         "when isolated; unheard_ms since the last message of a peer"},
         {LogEvent::ReaderEnded, "reader-ended", Info, RarePerSecond, false,
          "other daemons watch the store for this data centre"},
         {LogEvent::WatchStarted, "watch-started", Info, RarePerSecond, false,
--- a/src/Membership.cpp
+++ b/src/Membership.cpp
@@ -187,6 +187,7 @@
                          &Out.NextSync_, &Out.NextScan_})
     *Due = Time.Monotonic_;
   Out.ResumedAt_ = Time.Monotonic_ - seconds(60);
+  Out.HeardAt_ = Time.Monotonic_;
   enqueue(Out, {GossipKind::Server, Out.Config_.Name_, ""}, "");
   refreshOverlay(Out);
   return Out;
@@ -215,6 +216,7 @@
   if (Message.sender().empty() || isOwn(Members, Message.sender()))
     return Events;
   Members.Time_ = Time;
+  Members.HeardAt_ = Time.Monotonic_;
   recoverIfFrozen(Members, Time, Events, Out);
   MergeContext Context{Time, Message.sender(), Events};
   switch (Message.body_case()) {
--- a/src/MembershipViews.cpp
+++ b/src/MembershipViews.cpp
@@ -67,6 +67,21 @@
          Readers.end();
 }
 
+bool isIsolated(const Membership &Members, Now Time) {
+  const MembershipConfig &Config = Members.Config_;
+  if (Config.HeardPeersForTest_ &&
+      Time.Monotonic_ - Members.HeardAt_ >= 2 * Config.ProbeInterval_)
+    return true;
+  std::vector<std::string> Readers = readersOf(Members, Config.DataCentre_);
+  // Only a server itself states its incarnation; seeds carry none.
+  return Config.ConfirmReadersForTest_ &&
+         std::none_of(
+             Readers.begin(), Readers.end(), [&](const std::string &Name) {
+               const wire::ServerRecord *Record = findServer(Members, Name);
+               return Record && Record->incarnation() > 0;
+             });
+}
+
 std::vector<std::string> aliveServers(const Membership &Members,
                                       std::string_view DataCentre) {
   std::vector<std::string> Out;
--- a/src/ReaderSchedule.cpp
+++ b/src/ReaderSchedule.cpp
@@ -62,8 +62,8 @@
       Time.Monotonic_ - *Boot.FloorReachedAt_ < Boot.Config_.ReaderDelay_)
     return Step;
   // Without a table from a peer, no peer is known to pass tickets on.
-  bool Alone = !Members.Joined_ && Boot.Config_.WatchUntilJoinedForTest_;
-  if (!isReader(Members) && !Alone)
+  bool Joined = Members.Joined_ || !Boot.Config_.WatchUntilJoinedForTest_;
+  if (!isReader(Members) && Joined && !isIsolated(Members, Time))
     return Step;
   Step.WatchHead_ = true;
   if (Time.Monotonic_ >= Boot.NextHead_) {
--- a/test/support/FleetOptions.h
+++ b/test/support/FleetOptions.h
@@ -54,6 +54,8 @@
       {"indirect-probes", &Members.IndirectForTest_},
       {"transit-time", &Members.CountTransitForTest_},
       {"return-departures", &Members.ReturnDeparturesForTest_},
+      {"heard-peers", &Members.HeardPeersForTest_},
+      {"confirm-readers", &Members.ConfirmReadersForTest_},
       {"monotone", &Options.Replica_.MonotoneForTest_},
       {"signatures", &Options.Replica_.SignaturesForTest_},
       {"anti-entropy", &Options.DisseminationConfig_.AntiEntropyForTest_},
