Notice a store that came back from a copy, and write again what it lost

What callers saw: after the store went back to a copy, the next version was in force nowhere for up to 7.2 s (bound 2 s) although the store had acknowledged it and answered every call; a departure that it had acknowledged was gone for good, and so were the seeds for up to 10 s.

Cause: a watch kept the revision that it waited after across the return, and never lowered it. The store gives those revisions out again, so the watch missed every change until its revision was passed or the read of every 10 s. Nothing else was told of the loss: what the store had acknowledged counted as kept for ever.

An answer given before a restoration that is known fails. Every daemon that sees a restoration starts its watch anew and reads the store; a reader writes the seeds again if they differ, and the departures of its data centre that are missing; each daemon writes its own. Leases count as lost: buckets are freed, and acquired only when the leases of holders that noticed nothing have ended. Log line store-restored, sycamore_store_restorations_total and sycamore_departures_restored_total.

--- a/include/sycamore/Bootstrap.h
+++ b/include/sycamore/Bootstrap.h
@@ -187,6 +187,10 @@
 /// unchanged seeds are not written again.
 void recordSeeds(Bootstrap &Boot, std::span<const wire::ServerRecord> Seeds);
 
+/// The store was restored from a copy and may have lost the seeds: a reader
+/// writes them as soon as the next read shows that they differ.
+void recordStoreRestored(Bootstrap &Boot, Now Time);
+
 /// Call it every 20 ms, also on daemons that are not readers.
 ReaderStep tickReader(Bootstrap &Boot, const Membership &Members, Now Time,
                       Random &Rng);
--- a/include/sycamore/KeyBuckets.h
+++ b/include/sycamore/KeyBuckets.h
@@ -215,6 +215,10 @@
   /// are acquired one at a time, to limit the number of calls during an outage.
   std::uint32_t StoreFailures_ = 0;
   TimePoint NextAcquire_; ///< After a failure.
+  /// Restorations of the store that this daemon has seen, and the time until
+  /// which a lease that it lost may still be valid to its holder.
+  std::uint64_t StoreRestorations_ = 0;
+  TimePoint LostLeasesUntil_;
   std::size_t Records_ = 0;
   std::size_t AnswerBytes_ = 0;
   /// Bucket and key of stored answers, oldest first.
@@ -321,6 +325,11 @@
 void onHandover(BucketTable &Table, const wire::BucketHandover &Handover,
                 Now At);
 
+/// The store was restored from a copy, without the leases granted since. Frees
+/// all buckets, and acquires none until every lease has ended by its holder's
+/// clock: holders that have not noticed accept keys until then.
+void onStoreRestored(BucketTable &Table, Now At);
+
 /// Ends a planned stop, when no keyed call runs any more: releases the buckets
 /// that no daemon has taken over.
 BucketActions releaseBuckets(BucketTable &Table);
--- a/include/sycamore/Store.h
+++ b/include/sycamore/Store.h
@@ -81,6 +81,17 @@
 
 template <typename T> using StoreCallback = std::function<void(Result<T>)>;
 
+/// The store was restored from a copy. What it acknowledged after the copy was
+/// made is gone, leases included, and it gives the revisions of that time out
+/// again.
+struct StoreRestoration {
+  std::string
+      Identity_; ///< Stated by the store since; empty if it states none.
+  std::int64_t RevisionBefore_ = 0; ///< Highest one answered before.
+};
+
+using RestorationHandler = std::function<void(const StoreRestoration &)>;
+
 /// Stops its watch when destroyed.
 class WatchHandle {
 public:
@@ -92,12 +103,20 @@
 };
 
 /// A call that fails with ErrorKind::Unavailable did not take effect; one that
-/// fails with ErrorKind::OutcomeUnknown may have. Done runs exactly once, on
-/// the event loop's thread, possibly before the call returns.
+/// fails with ErrorKind::OutcomeUnknown may have. A call that was answered
+/// before a restoration which another answer has shown meanwhile fails. Done
+/// runs exactly once, on the event loop's thread, possibly before the call
+/// returns.
 class Store {
 public:
   virtual ~Store() = default;
 
+  /// Handler runs on the event loop's thread when an answer shows a
+  /// restoration, before the callback of that answer.
+  void setRestorationHandler(RestorationHandler Handler) {
+    OnRestored_ = std::move(Handler);
+  }
+
   virtual void range(const RangeRequest &Request, Duration Deadline,
                      StoreCallback<RangeResult> Done) = 0;
   virtual void txn(const Txn &Request, Duration Deadline,
@@ -117,6 +136,9 @@
   watch(const std::string &Key, std::int64_t FromRevision,
         std::function<void(const KeyValue &)> OnChange,
         std::function<void(const Error &)> OnFailure) = 0;
+
+protected:
+  RestorationHandler OnRestored_;
 };
 
 /// Blocking store calls, one at a time. Pump_ runs the event loop until it has
--- a/src/Bootstrap.cpp
+++ b/src/Bootstrap.cpp
@@ -310,6 +310,10 @@
   return Events;
 }
 
+void recordStoreRestored(Bootstrap &Boot, Now Time) {
+  Boot.NextSeeds_ = Time.Monotonic_;
+}
+
 bool hasFloor(const Bootstrap &Boot) {
   return Boot.FloorReachedAt_.has_value();
 }
--- a/src/BucketStore.cpp
+++ b/src/BucketStore.cpp
@@ -36,14 +36,20 @@
   Read.Key_ = Key;
   Request.Reads_.push_back(Read);
   Now Sent = Context.Clock_();
-  Context.Store_->txn(
-      Request, Context.Deadline_,
-      [&Context, Action, Granted, Sent](const Result<TxnResult> &Answer) {
-        Now At = mutationEnabled(CallMutation::TakeoverFromRequest)
-                     ? Sent
-                     : Context.Clock_();
-        handlePutResult(Context, Action, Granted, Answer, At);
-      });
+  Context.Store_->txn(Request, Context.Deadline_,
+                      [&Context, Action, Granted, Sent,
+                       Restorations = Context.Table_->StoreRestorations_](
+                          const Result<TxnResult> &Answer) {
+                        Now At =
+                            mutationEnabled(CallMutation::TakeoverFromRequest)
+                                ? Sent
+                                : Context.Clock_();
+                        if (Restorations == Context.Table_->StoreRestorations_)
+                          handlePutResult(Context, Action, Granted, Answer, At);
+                        else
+                          onAcquireFailed(*Context.Table_, Action.Bucket_,
+                                          std::nullopt, At, *Context.Rng_);
+                      });
 }
 
 void acquire(BucketStore &Context, const AcquireBucket &Action) {
@@ -54,8 +60,11 @@
   TimePoint Sent = Context.Clock_().Monotonic_;
   Context.Store_->grantLease(
       Action.LeaseTtl_, Context.Deadline_,
-      [&Context, Action, Sent](Result<Lease> Granted) {
-        if (Granted)
+      [&Context, Action, Sent,
+       Restorations =
+           Context.Table_->StoreRestorations_](Result<Lease> Granted) {
+        bool Restored = Restorations != Context.Table_->StoreRestorations_;
+        if (Granted && !Restored)
           put(Context, Action, Granted->Id_,
               LeaseGrant{Granted->Id_, Granted->Ttl_, Sent});
         else
--- a/src/ControlPlane.cpp
+++ b/src/ControlPlane.cpp
@@ -196,6 +196,7 @@
   tickWatch(Time, Out);
   send(Out);
   tickDepartures(Time);
+  tickRestoration(Time);
 }
 
 void ControlPlane::receive(const wire::PeerMessage &Message, Now Time) {
@@ -315,6 +316,10 @@
           {{"key", seedsKey("")}, {"error", describe(*Seeds.ParseError_)}});
     else
       applySeeds(Seeds, Time);
+    if (RestoredAt_ && StartedAt >= *RestoredAt_ && !Seeds.ParseError_) {
+      RestoredAt_.reset();
+      restoreDepartures(Seeds, Time);
+    }
     Read.Number_ = applyConfigurationRead(Answer->Reads_[0], Read.Digest_);
   }
   if (!ForFloor)
--- a/src/ControlPlane.h
+++ b/src/ControlPlane.h
@@ -24,6 +24,8 @@
   std::uint64_t WatchesStarted_ = 0;
   std::uint64_t WatchEvents_ = 0;
   std::uint64_t StoreFailures_ = 0;
+  std::uint64_t StoreRestorations_ = 0;
+  std::uint64_t DeparturesRestored_ = 0;
 };
 
 /// A departure of a target that the store does not hold yet.
@@ -54,6 +56,10 @@
   /// Called every 20 ms.
   void tick(Now Time);
 
+  /// The store lacks what it acknowledged last: its configuration, seeds and
+  /// departures are read again, and those that it lost are written again.
+  void onStoreRestored(const StoreRestoration &Restoration, Now Time);
+
   /// Handles a message from a peer; call messages count as signs of life.
   void receive(const wire::PeerMessage &Message, Now Time);
 
@@ -129,6 +135,13 @@
   WatchState watchState() const;
   /// Servers to which tickets from the store are announced.
   std::vector<std::string> announcementTargets() const;
+  /// Reads a restored store until a read that began after the restoration
+  /// succeeds.
+  void tickRestoration(Now Time);
+  /// Writes the departures that a restored store lacks: those of this server,
+  /// and as a reader those of its data centre.
+  void restoreDepartures(const RangeResult &Seeds, Now Time);
+  void writeRestoredDepartures(Txn Request);
   /// Applies the departures among the seeds; a reader removes the old ones.
   void applyStoredDeparture(const KeyValue &Entry, Txn &Removal, Now Time);
   void removeStoredDepartures(const Txn &Removal);
@@ -160,6 +173,8 @@
   /// Read the store once it answers the current watch.
   bool ReadAfterGap_ = false;
   std::int64_t SeedsRevision_ = 0;
+  std::optional<TimePoint> RestoredAt_; ///< Until the store was read since.
+  TimePoint NextRestoredRead_;
   std::map<std::string, UnstoredDeparture> UnstoredDepartures_; ///< By target.
   std::vector<std::function<void()>> DepartureWaiters_;
   WallTime AppliedAt_;
--- a/src/Daemon.cpp
+++ b/src/Daemon.cpp
@@ -194,6 +194,11 @@
       [this](const std::string &Server) { Peers_->closeLink(Server); });
   Keyed_ = std::make_unique<KeyedProxy>(
       Settings_, *Control_, *Entry_, *Targets_, *Store_, Rng_, Process_, Send);
+  Store_->setRestorationHandler([this](const StoreRestoration &Restoration) {
+    Now At = readClocks();
+    Control_->onStoreRestored(Restoration, At);
+    Keyed_->onStoreRestored(At);
+  });
   Entry_->setKeyedHandler(
       [this](AcceptedRequest Request, const HttpExchangePointer &Exchange,
              Now At) { Keyed_->receive(std::move(Request), Exchange, At); });
--- a/src/DaemonMetrics.cpp
+++ b/src/DaemonMetrics.cpp
@@ -174,13 +174,19 @@
          &DisseminationCounters::BodiesRejected_},
     }};
 
-constexpr std::array<CounterRow<ControlPlaneCounters>, 8> ControlRows = {{
+constexpr std::array<CounterRow<ControlPlaneCounters>, 10> ControlRows = {{
     {"sycamore_head_reads_total", "Reads of the head.",
      &ControlPlaneCounters::HeadReads_},
     {"sycamore_snapshot_reads_total", "Reads of a base snapshot.",
      &ControlPlaneCounters::SnapshotReads_},
     {"sycamore_seed_writes_total", "Writes of the seeds.",
      &ControlPlaneCounters::SeedWrites_},
+    {"sycamore_store_restorations_total",
+     "Times that the store came back from a copy.",
+     &ControlPlaneCounters::StoreRestorations_},
+    {"sycamore_departures_restored_total",
+     "Departures of targets written again to a restored store.",
+     &ControlPlaneCounters::DeparturesRestored_},
     {"sycamore_departures_stored_total",
      "Departures of targets written to the store.",
      &ControlPlaneCounters::DeparturesStored_},
--- a/src/Events.cpp
+++ b/src/Events.cpp
@@ -36,6 +36,10 @@
         {LogEvent::StoreUnreachable, "store-unreachable", Warning,
          RarePerSecond, false,
          "a call to the store failed after one that did not"},
+        {LogEvent::StoreRestored, "store-restored", Warning, RarePerSecond,
+         false,
+         "the store came back from a copy and lacks what it acknowledged "
+         "since; identity it states now, revision_before it had reached"},
         {LogEvent::PeerLinkSilent, "link-silent", Warning, RarePerSecond, false,
          "nothing came over a link with calls under way; it is replaced"},
         {LogEvent::LinesDropped, "lines-dropped", Warning, RarePerSecond, false,
@@ -61,6 +65,10 @@
          RarePerSecond, false,
          "the leaving of a target was acknowledged on the word of peers only; "
          "the write is tried again"},
+        {LogEvent::DeparturesNotRestored, "departures-not-restored", Warning,
+         RarePerSecond, false,
+         "departures that a restored store lacks could not be written; they "
+         "are written again"},
         {LogEvent::DeparturesNotRemoved, "departures-not-removed", Warning,
          RarePerSecond, false,
          "departures of more than 10 min ago stay in the store for now"},
--- a/src/KeyBuckets.cpp
+++ b/src/KeyBuckets.cpp
@@ -177,7 +177,8 @@
                     const FleetView &Fleet, BucketActions &Out) {
   KeyBucket &Bucket = Table.Buckets_[BucketIndex];
   TimePoint Now = Fleet.At_.Monotonic_;
-  if (Table.Leaving_ || Now < Bucket.NextAttempt_ || Now < Table.NextAcquire_)
+  if (Table.Leaving_ || Now < Bucket.NextAttempt_ || Now < Table.NextAcquire_ ||
+      Now < Table.LostLeasesUntil_)
     return;
   if (Bucket.Pending_ &&
       Bucket.Pending_->ReceivedParts_.size() == Bucket.Pending_->PartCount_) {
@@ -435,6 +436,15 @@
       freeBucket(Table, BucketIndex);
 }
 
+void onStoreRestored(BucketTable &Table, Now At) {
+  onLeaseLost(Table, Table.LeaseId_);
+  ++Table.StoreRestorations_;
+  Table.LostLeasesUntil_ = At.Monotonic_ + Table.Limits_.LeaseTtl_;
+  // The fence of a handover may be given out again.
+  for (KeyBucket &Bucket : Table.Buckets_)
+    Bucket.Pending_.reset();
+}
+
 BucketActions releaseBuckets(BucketTable &Table) {
   BucketActions Out;
   Table.Leaving_ = true;
--- a/src/KeyedProxy.cpp
+++ b/src/KeyedProxy.cpp
@@ -294,6 +294,10 @@
   onHandover(Holder_.Buckets_, Handover, Time);
 }
 
+void KeyedProxy::onStoreRestored(Now Time) {
+  sycamore::onStoreRestored(Holder_.Buckets_, Time);
+}
+
 void KeyedProxy::startLeaving(Now Time) {
   execute(
       beginHandover(Holder_.Buckets_, aliveServers(Control_.members()), Time));
--- a/src/KeyedProxy.h
+++ b/src/KeyedProxy.h
@@ -34,6 +34,9 @@
 
   void tick(Now Time);
 
+  /// The store may have lost this daemon's lease and its claims.
+  void onStoreRestored(Now Time);
+
   /// Hands the buckets over to other daemons.
   void startLeaving(Now Time);
   /// Releases the buckets that no daemon has taken over.
