Notice a restored store over the etcd protocol too, and restore it in the soak

Revisions in answers to lease calls are one member's and do not count.

The stand-in of the store keeps a copy (POST /copy) and goes back to it (POST /restore) as another cluster: leases and watches end, revisions are given out again, and the operators' keys are written again. The soak does both among its faults of the store.

--- a/include/sycamore/Bootstrap.h
+++ b/include/sycamore/Bootstrap.h
@@ -29,6 +29,9 @@
   Duration StableTime_ = seconds(2);
   /// A store read without an answer counts as failed after this time.
   Duration ReadTimeout_ = seconds(3);
+  /// After its first store read, time for which a daemon waits for a peer that
+  /// has a floor: a restored store may lack a ticket that peers run.
+  Duration PeerWait_ = milliseconds(500);
   /// Minimum time between two store reads that answer floor queries.
   Duration VerifyInterval_ = milliseconds(200);
   Duration HeadInterval_ = seconds(10); ///< Of reads of `head`, less up to 10%.
@@ -43,6 +46,7 @@
   bool CombineReadsForTest_ = true;
   bool VerifyByReadForTest_ = true;
   bool WatchUntilJoinedForTest_ = true;
+  bool PeersBeforeStoreForTest_ = true;
 };
 
 struct BootstrapCounters {
@@ -58,7 +62,7 @@
 
 enum class FloorBasis {
   None,
-  Store,          ///< This daemon's own read of `head`.
+  Store, ///< This daemon's own read of `head`, or a newer ticket of a peer.
   VerifiedAnswer, ///< A reader's read of `head`, begun after the query.
   Peers,          ///< All alive servers of the data centre; the store is down.
 };
@@ -82,6 +86,12 @@
   std::optional<TimePoint> AnsweredAt_;
 };
 
+/// Result of the first store read, until the floor is established.
+struct StoreTicket {
+  std::uint64_t Number_ = 0;
+  TimePoint ReadAt_;
+};
+
 struct Bootstrap {
   BootstrapConfig Config_;
   /// Random for each start; the answers repeat it.
@@ -94,6 +104,7 @@
   bool StoreFailed_ = false;
   TimePoint NextRead_;
   std::optional<TimePoint> ReadStartedAt_; ///< Start of the pending read.
+  std::optional<StoreTicket> StoreTicket_;
   std::map<std::string, PeerFloor> Peers_; ///< Servers queried so far.
   std::uint64_t HighestTicket_ = 0;        ///< Among the answers.
   TimePoint HighestTicketSince_;
--- a/src/Bootstrap.cpp
+++ b/src/Bootstrap.cpp
@@ -110,6 +110,25 @@
   setFloor(Boot, FloorBasis::Peers, Boot.HighestTicket_, Events);
 }
 
+/// Takes the store's ticket as the floor, or a newer one that a peer has shown,
+/// once a peer with a floor or every server to query has answered.
+void establishFloorByStore(Bootstrap &Boot, const Membership &Members, Now Time,
+                           std::vector<BootstrapEvent> &Events) {
+  if (!Boot.StoreTicket_)
+    return;
+  bool PeerHasFloor =
+      std::any_of(Boot.Peers_.begin(), Boot.Peers_.end(), [](const auto &Item) {
+        return Item.second.AnsweredAt_ && Item.second.HasFloor_;
+      });
+  Duration Waited = Time.Monotonic_ - Boot.StoreTicket_->ReadAt_;
+  if (Boot.Config_.PeersBeforeStoreForTest_ && !PeerHasFloor &&
+      !allAnswered(Boot, Members) && Waited < Boot.Config_.PeerWait_)
+    return;
+  setFloor(Boot, FloorBasis::Store,
+           std::max(Boot.StoreTicket_->Number_, Boot.HighestTicket_), Events);
+  Boot.StoreTicket_.reset();
+}
+
 // Store reads.
 
 void onReadFailed(Bootstrap &Boot, Now Time, Random &Rng) {
@@ -212,6 +231,7 @@
   if (Boot.Basis_ == FloorBasis::None) {
     queryPeers(Boot, Members, Time, Out);
     establishFloorByPeers(Boot, Members, Time, Step.Events_);
+    establishFloorByStore(Boot, Members, Time, Step.Events_);
   }
   checkFloorReached(Boot, Replica, Time, Step.Events_);
   if (needsRead(Boot, Time)) {
@@ -300,7 +320,13 @@
   }
   Boot.StoreFailed_ = false;
   if (!Boot.FloorReachedAt_) {
-    setFloor(Boot, FloorBasis::Store, *Read.Number_, Events);
+    // A floor that is known but not reached is that of a peer, which may have
+    // ended before it sent the ticket.
+    if (Boot.Basis_ == FloorBasis::None)
+      Boot.StoreTicket_ = StoreTicket{*Read.Number_, Time.Monotonic_};
+    else
+      setFloor(Boot, FloorBasis::Store, *Read.Number_, Events);
+    establishFloorByStore(Boot, Members, Time, Events);
     Boot.NextRead_ =
         Time.Monotonic_ +
         uniform(Boot.Config_.MinRetryDelay_, Boot.Config_.MaxRetryDelay_, Rng);
--- a/src/EtcdCodec.cpp
+++ b/src/EtcdCodec.cpp
@@ -111,6 +111,17 @@
       .number("revision");
 }
 
+void readHeader(const FieldReader &ResponseReader, AnswerHeader *Header,
+                std::string &Problem) {
+  if (!Header || !ResponseReader.find("header"))
+    return;
+  FieldReader Reader(ResponseReader.object("header"), Problem);
+  const Json *Id = Reader.find("cluster_id");
+  if (Id)
+    Header->ClusterId_ = Id->is_string() ? Id->get<std::string>() : Id->dump();
+  Header->Revision_ = Reader.number("revision");
+}
+
 KeyValue readKeyValue(const Json &Value, std::string &Problem) {
   FieldReader Reader(Value, Problem);
   KeyValue Out;
@@ -187,22 +198,26 @@
   return {{"create_request", std::move(Create)}};
 }
 
-Result<RangeResult> parseRangeResponse(std::string_view Text) {
+Result<RangeResult> parseRangeResponse(std::string_view Text,
+                                       AnswerHeader *Header) {
   auto Root = parseResponse(Text);
   if (!Root)
     return tl::unexpected(Root.error());
   std::string Problem;
+  readHeader(FieldReader(*Root, Problem), Header, Problem);
   RangeResult Out = readRange(*Root, Problem);
   return valueOrError(std::move(Out), Problem);
 }
 
-Result<TxnResult> parseTxnResponse(std::string_view Text, std::size_t Reads) {
+Result<TxnResult> parseTxnResponse(std::string_view Text, std::size_t Reads,
+                                   AnswerHeader *Header) {
   auto Root = parseResponse(Text);
   if (!Root)
     return tl::unexpected(Root.error());
   std::string Problem;
   FieldReader Reader(*Root, Problem);
   TxnResult Out;
+  readHeader(Reader, Header, Problem);
   Out.Succeeded_ = Reader.flag("succeeded");
   Out.Revision_ = headerRevision(Reader, Problem);
   for (const Json &Item : Reader.array("responses"))
@@ -214,24 +229,28 @@
   return valueOrError(std::move(Out), Problem);
 }
 
-Result<Lease> parseLeaseGrantResponse(std::string_view Text) {
+Result<Lease> parseLeaseGrantResponse(std::string_view Text,
+                                      AnswerHeader *Header) {
   auto Root = parseResponse(Text);
   if (!Root)
     return tl::unexpected(Root.error());
   std::string Problem;
   FieldReader Reader(*Root, Problem);
+  readHeader(Reader, Header, Problem);
   Lease Out{Reader.number("ID"), seconds(Reader.number("TTL"))};
   if (Out.Id_ == 0 || Out.Ttl_ <= seconds(0))
     Reader.reportProblem("ID or TTL", "positive");
   return valueOrError(Out, Problem);
 }
 
-Result<Lease> parseKeepAliveResponse(std::string_view Text) {
+Result<Lease> parseKeepAliveResponse(std::string_view Text,
+                                     AnswerHeader *Header) {
   auto Root = parseResponse(Text);
   if (!Root)
     return tl::unexpected(Root.error());
   std::string Problem;
   FieldReader Reader(FieldReader(*Root, Problem).object("result"), Problem);
+  readHeader(Reader, Header, Problem);
   Lease Out{Reader.number("ID"), seconds(Reader.number("TTL"))};
   if (Out.Id_ == 0 || Out.Ttl_ < seconds(0))
     Reader.reportProblem("ID or TTL", "valid");
--- a/src/EtcdCodec.h
+++ b/src/EtcdCodec.h
@@ -15,13 +15,24 @@
 Json encodeTxn(const Txn &Request);
 Json encodeWatch(const std::string &Key, std::int64_t FromRevision);
 
-/// Parsers of responses. Errors: InvalidData.
-Result<RangeResult> parseRangeResponse(std::string_view Text);
+/// States by which cluster and at which revision a call was answered.
+struct AnswerHeader {
+  std::string ClusterId_; ///< Another one after a restoration from a snapshot.
+  std::int64_t Revision_ = 0;
+};
+
+/// Parsers of responses; they set Header if it is not null. Errors:
+/// InvalidData.
+Result<RangeResult> parseRangeResponse(std::string_view Text,
+                                       AnswerHeader *Header = nullptr);
 /// Reads is the number of reads in the request; a response with another number
 /// of range responses is an error.
-Result<TxnResult> parseTxnResponse(std::string_view Text, std::size_t Reads);
-Result<Lease> parseLeaseGrantResponse(std::string_view Text);
-Result<Lease> parseKeepAliveResponse(std::string_view Text);
+Result<TxnResult> parseTxnResponse(std::string_view Text, std::size_t Reads,
+                                   AnswerHeader *Header = nullptr);
+Result<Lease> parseLeaseGrantResponse(std::string_view Text,
+                                      AnswerHeader *Header = nullptr);
+Result<Lease> parseKeepAliveResponse(std::string_view Text,
+                                     AnswerHeader *Header = nullptr);
 
 struct WatchResponse {
   std::int64_t Revision_ = 0;
--- a/src/EtcdStore.cpp
+++ b/src/EtcdStore.cpp
@@ -4,6 +4,7 @@
 #include "CallBudget.h"
 #include "EtcdCodec.h"
 #include "EtcdWatch.h"
+#include "StoreHistory.h"
 #include "sycamore/Clock.h"
 #include "sycamore/HttpClient.h"
 
@@ -34,6 +35,8 @@
   std::string Path_;
   std::string Body_;
   bool IsRead_ = false;
+  /// Whether answers state the revision of the store, not that of one member.
+  bool StatesRevision_ = false;
   TimePoint DeadlineAt_;
   std::size_t AttemptsLeft_ = 0;
   std::size_t Endpoint_ = 0;
@@ -119,12 +122,16 @@
   void completeCall(const EtcdCallPointer &Call, Result<std::string> Response);
   bool canRetry(const EtcdCall &Call, const HttpResponse &Response) const;
   void countOutcome(const std::string &Kind, std::string_view Outcome);
+  /// Whether the answer was given before a restoration that is known.
+  bool recordHeader(const HistoryMark &Sent, const AnswerHeader &Header,
+                    bool StatesRevision);
   std::optional<Error> admissionError(const EtcdCall &Call);
 
   event_base *Base_;
   EtcdStoreConfig Config_;
   std::shared_ptr<StoreCounters> Counters_;
   CallBudget Budget_;
+  StoreHistory History_;
   std::unique_ptr<HttpClient> Client_;
   std::unique_ptr<HttpClient> WatchClient_;
   std::optional<Error> SetupError_;
@@ -235,6 +242,16 @@
                                              : unavailableError(*Call, Why)));
 }
 
+bool EtcdStore::recordHeader(const HistoryMark &Sent,
+                             const AnswerHeader &Header, bool StatesRevision) {
+  std::int64_t Before = History_.Revision_;
+  AnswerAge Age = recordAnswer(History_, Sent, Header.ClusterId_,
+                               StatesRevision ? Header.Revision_ : 0);
+  if (Age == AnswerAge::Restored && OnRestored_)
+    OnRestored_({History_.Identity_, Before});
+  return Age == AnswerAge::Outdated;
+}
+
 template <typename T, typename Parser>
 void EtcdStore::startCall(EtcdCall Call, Duration Deadline, Parser Parse,
                           StoreCallback<T> Done) {
@@ -244,14 +261,22 @@
       std::max<std::size_t>(Config_.Endpoints_.size(), 1);
   SharedCall->Endpoint_ = PreferredEndpoint_;
   // The call owns this callback: capturing the call would be a reference cycle.
-  SharedCall->Done_ = [Parse = std::move(Parse), Done = std::move(Done),
-                       Kind = SharedCall->Kind_, IsRead = SharedCall->IsRead_](
+  SharedCall->Done_ = [this, Parse = std::move(Parse), Done = std::move(Done),
+                       Kind = SharedCall->Kind_, IsRead = SharedCall->IsRead_,
+                       StatesRevision = SharedCall->StatesRevision_,
+                       Sent = markHistory(History_)](
                           Result<std::string> Response) {
     if (!Response) {
       Done(tl::unexpected(std::move(Response.error())));
       return;
     }
-    Result<T> Parsed = Parse(*Response);
+    AnswerHeader Header;
+    Result<T> Parsed = Parse(*Response, &Header);
+    if (Parsed && recordHeader(Sent, Header, StatesRevision))
+      Parsed =
+          fail(ErrorKind::Unavailable,
+               "store: " + Kind + ": answered before the store was restored",
+               "try again");
     if (!Parsed && !IsRead)
       Parsed = fail(ErrorKind::OutcomeUnknown,
                     "store: " + Kind + ": " + Parsed.error().Message_,
@@ -268,6 +293,7 @@
   Call.Path_ = "/v3/kv/range";
   Call.Body_ = encodeRange(Request).dump();
   Call.IsRead_ = true;
+  Call.StatesRevision_ = true;
   startCall(std::move(Call), Deadline, parseRangeResponse, std::move(Done));
 }
 
@@ -278,10 +304,13 @@
   Call.Path_ = "/v3/kv/txn";
   Call.Body_ = encodeTxn(Request).dump();
   Call.IsRead_ = Request.Puts_.empty() && Request.Deletes_.empty();
+  Call.StatesRevision_ = true;
   std::size_t Reads = Request.Reads_.size();
   startCall(
       std::move(Call), Deadline,
-      [Reads](std::string_view Text) { return parseTxnResponse(Text, Reads); },
+      [Reads](std::string_view Text, AnswerHeader *Header) {
+        return parseTxnResponse(Text, Reads, Header);
+      },
       std::move(Done));
 }
 
@@ -303,8 +332,8 @@
   Call.Body_ = Json{{"ID", std::to_string(Id)}}.dump();
   startCall(
       std::move(Call), Deadline,
-      [Id](std::string_view Text) -> Result<Lease> {
-        auto Parsed = parseKeepAliveResponse(Text);
+      [Id](std::string_view Text, AnswerHeader *Header) -> Result<Lease> {
+        auto Parsed = parseKeepAliveResponse(Text, Header);
         if (Parsed && Parsed->Id_ != Id)
           return fail(ErrorKind::InvalidData,
                       "keep-alive: the answer is for another lease",
@@ -322,7 +351,7 @@
   Call.Body_ = Json{{"ID", std::to_string(Id)}}.dump();
   startCall(
       std::move(Call), Deadline,
-      [](std::string_view) -> Result<bool> { return true; },
+      [](std::string_view, AnswerHeader *) -> Result<bool> { return true; },
       StoreCallback<bool>([Done = std::move(Done)](Result<bool> Revoked) {
         if (!Revoked && Revoked.error().Kind_ == ErrorKind::NotFound)
           Revoked = false;
--- a/standin/StandinStore.cpp
+++ b/standin/StandinStore.cpp
@@ -3,6 +3,7 @@
 
 #include "sycamore/Clock.h"
 
+#include <array>
 #include <event2/event.h>
 #include <limits>
 
@@ -14,6 +15,10 @@
 
 constexpr int GrpcResourceExhausted = 8;
 
+/// Keys of the operators, who write again what the store lost.
+constexpr std::array<std::string_view, 3> RewrittenPrefixes = {
+    "/sycamore/head", "/sycamore/tickets/", "/sycamore/snapshots/"};
+
 std::string callKind(const std::string &Path) {
   static const std::map<std::string, std::string> Kinds = {
       {"/v3/kv/range", "range"},
@@ -107,6 +112,13 @@
   return std::nullopt;
 }
 
+void StandinStore::restore() {
+  Model_.restoreCopy(RewrittenPrefixes);
+  for (OpenWatch &Watch : Watches_)
+    Watch.Exchange_->abort();
+  Watches_.clear();
+}
+
 Json StandinStore::counters() {
   TimePoint Now = monotonicNow();
   Json Kinds = Json::object();
@@ -137,6 +149,10 @@
     Status = Failure ? 400 : 200;
     if (Failure)
       Out["error"] = describe(*Failure);
+  } else if (Endpoint == "POST /copy") {
+    Model_.keepCopy();
+  } else if (Endpoint == "POST /restore") {
+    restore();
   } else if (Endpoint == "GET /counters") {
     Out = counters();
   } else if (Endpoint == "POST /counters/reset") {
@@ -257,7 +273,7 @@
                             ? Watch.Request_.FromRevision_
                             : Model_.revision() + 1;
   Exchange->startReply(200, {{"Content-Type", "application/json"}});
-  Exchange->sendPart(encodeWatchCreated(Model_.revision()).dump() + "\n");
+  Exchange->sendPart(encodeWatchCreated(Model_).dump() + "\n");
   Watches_.push_back(std::move(Watch));
   updateWatches();
 }
@@ -271,8 +287,7 @@
   auto Events = Model_.eventsFrom(Watch.NextRevision_);
   if (!Events) {
     Watch.Exchange_->sendPart(
-        encodeWatchCancelled(Model_.revision(), Model_.revision()).dump() +
-        "\n");
+        encodeWatchCancelled(Model_, Model_.revision()).dump() + "\n");
     Watch.Exchange_->endReply();
     return false;
   }
@@ -282,10 +297,10 @@
   });
   std::string Text;
   if (!Events->empty())
-    Text = encodeWatchEvents(*Events, Model_.revision()).dump() + "\n";
+    Text = encodeWatchEvents(*Events, Model_).dump() + "\n";
   else if (Watch.Request_.ProgressNotify_ &&
            monotonicNow() >= Watch.NextProgressAt_)
-    Text = encodeWatchProgress(Model_.revision()).dump() + "\n";
+    Text = encodeWatchProgress(Model_).dump() + "\n";
   if (Text.empty())
     return true;
   Watch.NextProgressAt_ = monotonicNow() + Config_.ProgressInterval_;
--- a/standin/StandinStore.h
+++ b/standin/StandinStore.h
@@ -15,6 +15,9 @@
 //   fault_reads     lose_answers and refuse apply to reads as well
 //   reads_per_second, writes_per_second
 //                   calls above this rate get status 429; 0 for no limit
+// POST /copy keeps a copy of the items. POST /restore goes back to it as a
+// cluster with another id: revisions are given out again, leases and open
+// watches end, and the operators' keys are written again.
 // GET /counters returns the calls by kind; POST /counters/reset resets them.
 #pragma once
 
@@ -60,6 +63,8 @@
   StoreModel &model() { return Model_; }
   std::optional<Error> setFaults(const Json &Document);
   Json counters();
+  /// Goes back to the copy that the model keeps.
+  void restore();
 
 private:
   struct OpenWatch {
--- a/standin/StoreCodec.cpp
+++ b/standin/StoreCodec.cpp
@@ -66,10 +66,10 @@
   return Key;
 }
 
-Json header(std::int64_t Revision) {
-  return {{"cluster_id", "1"},
+Json header(const StoreModel &Model) {
+  return {{"cluster_id", std::to_string(Model.clusterId())},
           {"member_id", "1"},
-          {"revision", std::to_string(Revision)},
+          {"revision", std::to_string(Model.revision())},
           {"raft_term", "1"}};
 }
 
@@ -161,10 +161,9 @@
       Out.push_back(
           {{"response_range", runRange(Model, Item["request_range"])}});
     else if (Item.contains("request_put"))
-      Out.push_back({{"response_put", {{"header", header(Model.revision())}}}});
+      Out.push_back({{"response_put", {{"header", header(Model)}}}});
     else
-      Out.push_back(
-          {{"response_delete_range", {{"header", header(Model.revision())}}}});
+      Out.push_back({{"response_delete_range", {{"header", header(Model)}}}});
   }
   return Out;
 }
@@ -209,7 +208,7 @@
   if (Limit > 0 && Found.size() > Limit)
     Found.erase(Found.begin() + static_cast<std::ptrdiff_t>(Limit),
                 Found.end());
-  Json Out{{"header", header(Model.revision())}};
+  Json Out{{"header", header(Model)}};
   if (Count == 0)
     return Out;
   if (Found.size() < Count)
@@ -227,7 +226,7 @@
       });
   const Json &Chosen = operations(Body, Succeeded ? "success" : "failure");
   Model.apply(parseWrites(Model, Chosen));
-  Json Out{{"header", header(Model.revision())},
+  Json Out{{"header", header(Model)},
            {"responses", encodeResponses(Model, Chosen)}};
   if (Succeeded)
     Out["succeeded"] = true;
@@ -239,14 +238,14 @@
   if (Ttl <= 0)
     throwInvalid("TTL is not positive");
   std::int64_t Id = Model.grant(seconds(Ttl), Now);
-  return {{"header", header(Model.revision())},
+  return {{"header", header(Model)},
           {"ID", std::to_string(Id)},
           {"TTL", std::to_string(Ttl)}};
 }
 
 Json runKeepAlive(StoreModel &Model, const Json &Body, TimePoint Now) {
   std::int64_t Id = numberField(Body, "ID");
-  Json Out{{"header", header(Model.revision())}, {"ID", std::to_string(Id)}};
+  Json Out{{"header", header(Model)}, {"ID", std::to_string(Id)}};
   if (auto Ttl = Model.keepAlive(Id, Now))
     Out["TTL"] = std::to_string(Ttl->count());
   return {{"result", std::move(Out)}};
@@ -255,7 +254,7 @@
 Json runLeaseRevoke(StoreModel &Model, const Json &Body) {
   if (!Model.revoke(numberField(Body, "ID")))
     throw GatewayFailure(404, 5, "etcdserver: requested lease not found");
-  return {{"header", header(Model.revision())}};
+  return {{"header", header(Model)}};
 }
 
 WatchRequest parseWatchRequest(const Json &Body) {
@@ -269,23 +268,24 @@
   return inRange(Key, Request.Key_, Request.RangeEnd_);
 }
 
-Json encodeWatchCreated(std::int64_t Revision) {
-  return {{"result", {{"header", header(Revision)}, {"created", true}}}};
+Json encodeWatchCreated(const StoreModel &Model) {
+  return {{"result", {{"header", header(Model)}, {"created", true}}}};
 }
 
-Json encodeWatchProgress(std::int64_t Revision) {
-  return {{"result", {{"header", header(Revision)}}}};
+Json encodeWatchProgress(const StoreModel &Model) {
+  return {{"result", {{"header", header(Model)}}}};
 }
 
-Json encodeWatchCancelled(std::int64_t Revision, std::int64_t CompactRevision) {
+Json encodeWatchCancelled(const StoreModel &Model,
+                          std::int64_t CompactRevision) {
   return {{"result",
-           {{"header", header(Revision)},
+           {{"header", header(Model)},
             {"canceled", true},
             {"compact_revision", std::to_string(CompactRevision)}}}};
 }
 
 Json encodeWatchEvents(const std::vector<StoreEvent> &Events,
-                       std::int64_t Revision) {
+                       const StoreModel &Model) {
   Json List = Json::array();
   for (const StoreEvent &Event : Events) {
     if (Event.Item_) {
@@ -297,8 +297,7 @@
                      {{"key", encodeBase64(Event.Key_)},
                       {"mod_revision", std::to_string(Event.Revision_)}}}});
   }
-  return {
-      {"result", {{"header", header(Revision)}, {"events", std::move(List)}}}};
+  return {{"result", {{"header", header(Model)}, {"events", std::move(List)}}}};
 }
 
 } // namespace sycamore::standin
--- a/standin/StoreCodec.h
+++ b/standin/StoreCodec.h
@@ -38,10 +38,11 @@
 WatchRequest parseWatchRequest(const Json &Body);
 bool matchesWatch(const WatchRequest &Request, const std::string &Key);
 
-Json encodeWatchCreated(std::int64_t Revision);
-Json encodeWatchProgress(std::int64_t Revision);
-Json encodeWatchCancelled(std::int64_t Revision, std::int64_t CompactRevision);
+Json encodeWatchCreated(const StoreModel &Model);
+Json encodeWatchProgress(const StoreModel &Model);
+Json encodeWatchCancelled(const StoreModel &Model,
+                          std::int64_t CompactRevision);
 Json encodeWatchEvents(const std::vector<StoreEvent> &Events,
-                       std::int64_t Revision);
+                       const StoreModel &Model);
 
 } // namespace sycamore::standin
--- a/standin/StoreModel.cpp
+++ b/standin/StoreModel.cpp
@@ -1,6 +1,9 @@
 // Keys, revisions and leases of the stand-in store.
 #include "StoreModel.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace sycamore::standin {
 namespace {
 
@@ -90,6 +93,27 @@
     revoke(Id);
 }
 
+void StoreModel::restoreCopy(
+    std::span<const std::string_view> RewrittenPrefixes) {
+  auto Lost = std::exchange(Items_, Copy_.Items_);
+  Revision_ = Copy_.Revision_;
+  ++ClusterId_;
+  Leases_.clear();
+  std::erase_if(Items_,
+                [](const auto &Entry) { return Entry.second.Lease_ != 0; });
+  // History before the copy is not restored either.
+  Events_.clear();
+  CompactedUpTo_ = Revision_;
+  for (const auto &[Key, Item] : Lost) {
+    const StoredItem *Current = find(Key);
+    bool Rewritten = std::any_of(
+        RewrittenPrefixes.begin(), RewrittenPrefixes.end(),
+        [&](std::string_view Prefix) { return Key.starts_with(Prefix); });
+    if (Rewritten && (!Current || Current->Value_ != Item.Value_))
+      apply({{Key, Item.Value_, 0}});
+  }
+}
+
 std::optional<std::vector<StoreEvent>>
 StoreModel::eventsFrom(std::int64_t From) const {
   if (From <= CompactedUpTo_)
--- a/standin/StoreModel.h
+++ b/standin/StoreModel.h
@@ -8,7 +8,9 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace sycamore::standin {
@@ -52,6 +54,13 @@
   bool revoke(std::int64_t Id);
   void expireLeases(TimePoint Now);
 
+  /// Keeps a copy of the items for restoreCopy().
+  void keepCopy() { Copy_ = {Items_, Revision_}; }
+  /// Goes back to the copy as a cluster with another id, without leases, and
+  /// writes the lost values of keys with one of these prefixes again.
+  void restoreCopy(std::span<const std::string_view> RewrittenPrefixes);
+  std::int64_t clusterId() const { return ClusterId_; }
+
   /// Events from a revision on, or nothing if some of them were compacted.
   std::optional<std::vector<StoreEvent>> eventsFrom(std::int64_t From) const;
 
@@ -65,7 +74,14 @@
   void detachLease(const std::string &Key);
   void appendEvent(StoreEvent Event);
 
+  struct Copy {
+    std::map<std::string, StoredItem> Items_;
+    std::int64_t Revision_ = 1;
+  };
+
   std::map<std::string, StoredItem> Items_;
+  Copy Copy_;
+  std::int64_t ClusterId_ = 1;
   std::map<std::int64_t, LeaseState> Leases_;
   std::deque<StoreEvent> Events_;
   std::int64_t Revision_ = 1;
--- a/test/correctness/EtcdStoreTest.cpp
+++ b/test/correctness/EtcdStoreTest.cpp
@@ -177,3 +177,20 @@
   Setup.Store_ = makeEtcdStore(Setup.Loop_.base(), Setup.Config_);
   EXPECT_EQ(Setup.get("/k").error().Kind_, ErrorKind::Unavailable);
 }
+
+// Leases and revisions of a restored store are given out again.
+TEST(EtcdStore, ReportsARestorationFromACopyOnce) {
+  StoreSetup Setup;
+  ASSERT_TRUE(Setup.put("/k", "1").has_value());
+  Setup.Standin_->model().keepCopy();
+  ASSERT_TRUE(Setup.put("/k", "2").has_value());
+  std::vector<StoreRestoration> Reported;
+  Setup.Store_->setRestorationHandler(
+      [&](const StoreRestoration &Each) { Reported.push_back(Each); });
+  Setup.Standin_->restore();
+  EXPECT_EQ(Setup.get("/k")->Values_[0].Value_, "1");
+  EXPECT_TRUE(Setup.grant(seconds(10)).has_value());
+  EXPECT_TRUE(Setup.put("/k", "3").has_value());
+  ASSERT_EQ(Reported.size(), 1U);
+  EXPECT_EQ(Reported.front().Identity_, "2");
+}
--- a/test/platform/KvStoreTest.cpp
+++ b/test/platform/KvStoreTest.cpp
@@ -202,3 +202,66 @@
   EXPECT_GE(Refused, 7);
   EXPECT_LE(Standin_->Calls_["GET /v1/kv-key"], 3U);
 }
+
+TEST_F(KvStoreTest, ARestorationIsReportedOnceBeforeTheAnswerThatShowsIt) {
+  Standin_->put("key", "1");
+  Standin_->keepCopy();
+  std::vector<StoreRestoration> Reported;
+  Store_->setRestorationHandler(
+      [&](const StoreRestoration &Each) { Reported.push_back(Each); });
+  for (int I = 0; I < 20; ++I)
+    Standin_->put("other", "x");
+  ASSERT_TRUE(range("key").has_value());
+  std::int64_t Before = Standin_->revision();
+  Standin_->returnToCopy();
+  std::size_t ReportedBefore = 9;
+  Store_->range(
+      {"key", "", 0, false, false}, Deadline_,
+      [&](const Result<RangeResult> &) { ReportedBefore = Reported.size(); });
+  ASSERT_TRUE(Loop_.runUntil([&] { return ReportedBefore != 9; }));
+  EXPECT_EQ(ReportedBefore, 1U);
+  EXPECT_TRUE(range("key").has_value());
+  EXPECT_TRUE(put("new", 0).has_value());
+  ASSERT_EQ(Reported.size(), 1U);
+  EXPECT_EQ(Reported.front().Identity_, "2");
+  EXPECT_EQ(Reported.front().RevisionBefore_, Before);
+}
+
+// A response of the store before may be on its way while the store returns.
+TEST_F(KvStoreTest, AResponseFromBeforeARestorationThatIsKnownFails) {
+  Standin_->put("key", "lost later");
+  ASSERT_TRUE(range("key").has_value());
+  Standin_->Faults_.HoldResponses_ = true;
+  std::optional<Result<RangeResult>> Late;
+  Store_->range({"key", "", 0, false, false}, Deadline_,
+                [&](Result<RangeResult> Read) { Late = std::move(Read); });
+  ASSERT_TRUE(Loop_.runUntil([&] { return Standin_->heldResponses() == 1; }));
+  Standin_->Faults_.HoldResponses_ = false;
+  Standin_->keepCopy();
+  Standin_->returnToCopy();
+  ASSERT_TRUE(range("key").has_value());
+  Standin_->sendHeldResponses();
+  ASSERT_TRUE(Loop_.runUntil([&] { return Late.has_value(); }));
+  ASSERT_FALSE(Late->has_value());
+  EXPECT_EQ(Late->error().Kind_, ErrorKind::Unavailable);
+}
+
+TEST_F(KvStoreTest, AWatchThatWaitedThroughARestorationReportsTheNextValue) {
+  for (bool OmitsEra : {false, true}) {
+    Standin_->Faults_.OmitsEra_ = OmitsEra;
+    Standin_->put("op/doc", "1");
+    Standin_->keepCopy();
+    for (int I = 0; I < 20; ++I)
+      Standin_->put("other", "x");
+    std::vector<std::string> Seen;
+    auto Watch = Store_->watch(
+        "op/doc", 0,
+        [&](const KeyValue &Entry) { Seen.push_back(Entry.Value_); },
+        [](const Error &Failure) { ADD_FAILURE() << describe(Failure); });
+    ASSERT_TRUE(Loop_.runUntil([&] { return Seen.size() == 1; }));
+    Loop_.runFor(milliseconds(50));
+    Standin_->returnToCopy();
+    Standin_->put("op/doc", "2");
+    ASSERT_TRUE(Loop_.runUntil([&] { return Seen.back() == "2"; }));
+  }
+}
--- a/test/soak/Soak.cpp
+++ b/test/soak/Soak.cpp
@@ -235,7 +235,20 @@
   }
 }
 
+void Soak::restoreStoreLater() {
+  logEvent("store keeps a copy");
+  Cluster_.copyStore();
+  schedule(milliseconds(500 + randomIndex(Rng_, 3000)), [this] {
+    logEvent("store restored from its copy");
+    Cluster_.restoreStore();
+  });
+}
+
 void Soak::injectStoreFault() {
+  if (randomIndex(Rng_, 4) == 0) {
+    restoreStoreLater();
+    return;
+  }
   const std::array<Json, 4> Switches = {
       Json{{"down", true}}, Json{{"silent", true}}, Json{{"slow_ms", 400}},
       Json{{"lose_answers", 2}, {"fault_reads", true}}};
--- a/test/soak/Soak.h
+++ b/test/soak/Soak.h
@@ -60,6 +60,7 @@
   void injectProcessFault(Member &Victim);
   void injectLinkFault(Member &Victim);
   void injectStoreFault();
+  void restoreStoreLater();
   void issueTicket();
   void restart(Member &Victim);
   void sampleTickets();
--- a/test/support/Cluster.cpp
+++ b/test/support/Cluster.cpp
@@ -331,6 +331,14 @@
   EXPECT_EQ(Response.Status_, 200) << Response.Body_;
 }
 
+void Cluster::copyStore() {
+  EXPECT_EQ(call(StoreAddress_, "POST", "/copy").Status_, 200);
+}
+
+void Cluster::restoreStore() {
+  EXPECT_EQ(call(StoreAddress_, "POST", "/restore").Status_, 200);
+}
+
 double Cluster::metric(const Server &TestServer, const std::string &Name) {
   std::istringstream Lines(call(TestServer.Admin_, "GET", "/metrics").Body_);
   for (std::string Line; std::getline(Lines, Line);)
--- a/test/support/Cluster.h
+++ b/test/support/Cluster.h
@@ -106,6 +106,9 @@
                     HttpHeaders Headers = {}, Duration Limit = seconds(10));
   Json admin(const Server &TestServer, const std::string &Path);
   void fault(const std::string &Address, const Json &Switches);
+  /// Lets the store keep a copy, or go back to it.
+  void copyStore();
+  void restoreStore();
   /// Value of a metric without labels; -1 if absent.
   double metric(const Server &TestServer, const std::string &Name);
 
--- a/test/support/FleetOptions.h
+++ b/test/support/FleetOptions.h
@@ -68,6 +68,8 @@
       {"combined-reads", &Options.BootstrapConfig_.CombineReadsForTest_},
       {"watch-until-joined",
        &Options.BootstrapConfig_.WatchUntilJoinedForTest_},
+      {"peers-before-store",
+       &Options.BootstrapConfig_.PeersBeforeStoreForTest_},
       {"verify-by-read", &Options.BootstrapConfig_.VerifyByReadForTest_}};
   for (const auto &[Name, Flag] : Rules)
     if (mutationEnabled(Name))
--- a/test/support/FleetSim.h
+++ b/test/support/FleetSim.h
@@ -252,6 +252,15 @@
         });
   }
 
+  /// A watch that waited through a restoration of the store shows it at its
+  /// next answer, within a second.
+  void noticeRestoration(std::size_t I) {
+    callLater(I, Duration(randomIndex(Rng_, 1000000)), [this, I] {
+      recordStoreRestored(Daemons_[I].Bootstrap_, now(Daemons_[I]));
+      readStore(I, false);
+    });
+  }
+
   void clearTraffic() {
     for (SimDaemon &Daemon : Daemons_)
       Daemon.Traffic_ = {};
--- a/test/support/KvStandin.cpp
+++ b/test/support/KvStandin.cpp
@@ -60,16 +60,28 @@
   Unanswered_.clear();
 }
 
-void KvStandin::reply(HttpExchange &Exchange, int Status, const Json &Body) {
+void KvStandin::reply(const HttpExchangePointer &Exchange, int Status,
+                      const Json &Body) {
   replyText(Exchange, Status, Body.dump());
 }
 
-void KvStandin::replyText(HttpExchange &Exchange, int Status,
+void KvStandin::replyText(const HttpExchangePointer &Exchange, int Status,
                           const std::string &Text) {
   HttpHeaders Headers = {{"Content-Type", "application/json"}};
   if (!Faults_.OmitsEra_)
     Headers.push_back({"Store-Era", std::to_string(Era_)});
-  Exchange.reply(Status, Headers, Text);
+  auto Send = [Exchange, Status, Headers, Text] {
+    Exchange->reply(Status, Headers, Text);
+  };
+  if (Faults_.HoldResponses_)
+    Held_.push_back(std::move(Send));
+  else
+    Send();
+}
+
+void KvStandin::sendHeldResponses() {
+  for (const auto &Send : std::exchange(Held_, {}))
+    Send();
 }
 
 void KvStandin::returnToCopy(bool CutsWatches) {
@@ -153,7 +165,7 @@
   if (Faults_.Silent_)
     Unanswered_.push_back(Exchange);
   else if (Faults_.Unavailable_)
-    replyText(*Exchange, 503, "");
+    replyText(Exchange, 503, "");
   else
     dispatch(Exchange);
 }
@@ -164,32 +176,31 @@
   constexpr std::string_view KeepAlivePrefix = "/v1/kv-keep/";
   constexpr std::string_view LeaseEndPrefix = "/v1/kv-lease-end/";
   if (Path == "/v1/kv-key") {
-    readKey(*Exchange);
+    readKey(Exchange);
   } else if (Path == "/v1/kv-range") {
-    readRange(*Exchange);
+    readRange(Exchange);
   } else if (Path == "/v1/kv-watch") {
     startWatch(Exchange);
   } else if (Path == "/v1/kv-txn") {
-    runTxn(*Exchange);
+    runTxn(Exchange);
   } else if (Path == "/v1/kv-lease") {
-    grantLease(*Exchange);
+    grantLease(Exchange);
   } else if (Path.starts_with(KeepAlivePrefix)) {
-    keepLeaseAlive(
-        *Exchange,
-        std::strtoll(Path.c_str() + KeepAlivePrefix.size(), nullptr, 10));
+    keepLeaseAlive(Exchange, std::strtoll(Path.c_str() + KeepAlivePrefix.size(),
+                                          nullptr, 10));
   } else if (Path.starts_with(LeaseEndPrefix)) {
     std::int64_t Lease =
         std::strtoll(Path.c_str() + LeaseEndPrefix.size(), nullptr, 10);
     bool Known = Leases_.contains(Lease);
     expireLease(Lease);
-    replyText(*Exchange, Known ? 200 : 404, "");
+    replyText(Exchange, Known ? 200 : 404, "");
   } else {
-    replyText(*Exchange, 404, "");
+    replyText(Exchange, 404, "");
   }
 }
 
-void KvStandin::readKey(HttpExchange &Exchange) {
-  auto Query = queryParameters(Exchange.request().Path_);
+void KvStandin::readKey(const HttpExchangePointer &Exchange) {
+  auto Query = queryParameters(Exchange->request().Path_);
   auto Found = Items_.find(Query["key"]);
   if (Found == Items_.end()) {
     reply(Exchange, 404, {{"at", Revision_}});
@@ -200,8 +211,8 @@
   reply(Exchange, 200, Body);
 }
 
-void KvStandin::readRange(HttpExchange &Exchange) {
-  auto Query = queryParameters(Exchange.request().Path_);
+void KvStandin::readRange(const HttpExchangePointer &Exchange) {
+  auto Query = queryParameters(Exchange->request().Path_);
   Json Items = Json::array();
   bool More = false;
   for (const auto &[Key, Item] : Items_) {
@@ -229,7 +240,7 @@
     return;
   }
   if (integerParameter(Query, "after") > Revision_) {
-    reply(*Exchange, 410, Json::object());
+    reply(Exchange, 410, Json::object());
     return;
   }
   Watchers_.push_back(
@@ -240,7 +251,7 @@
 
 bool KvStandin::respondIfReady(Watcher &Waiting, bool Expired) {
   if (Waiting.AfterRevision_ < CompactedTo_) {
-    reply(*Waiting.Exchange_, 410, Json::object());
+    reply(Waiting.Exchange_, 410, Json::object());
     return true;
   }
   Json Events = Json::array();
@@ -257,7 +268,7 @@
   }
   if (Events.empty() && !Expired)
     return false;
-  reply(*Waiting.Exchange_, 200, {{"events", Events}, {"at", Revision_}});
+  reply(Waiting.Exchange_, 200, {{"events", Events}, {"at", Revision_}});
   return true;
 }
 
@@ -271,8 +282,8 @@
       Watchers_.push_back(std::move(Each));
 }
 
-void KvStandin::runTxn(HttpExchange &Exchange) {
-  Json Body = Json::parse(Exchange.request().Body_);
+void KvStandin::runTxn(const HttpExchangePointer &Exchange) {
+  Json Body = Json::parse(Exchange->request().Body_);
   Json FailedCompares = Json::array();
   for (const Json &Row : Body["expected"]) {
     auto Found = Items_.find(Row["key"]);
@@ -298,21 +309,22 @@
   for (const Json &Key : Body["deletes"])
     erase(Key);
   if (Faults_.DropWriteResponses_)
-    Exchange.abort();
+    Exchange->abort();
   else
     reply(Exchange, 200, {{"revision", Revision_}});
   respondToWatches();
 }
 
-void KvStandin::grantLease(HttpExchange &Exchange) {
-  Json Body = Json::parse(Exchange.request().Body_);
+void KvStandin::grantLease(const HttpExchangePointer &Exchange) {
+  Json Body = Json::parse(Exchange->request().Body_);
   milliseconds Ttl(Body["ttlMs"].get<std::int64_t>());
   std::int64_t Id = NextLease_++;
   Leases_[Id] = {Ttl, monotonicNow() + Ttl};
   reply(Exchange, 200, {{"lease", Id}, {"ttlMs", Ttl.count()}});
 }
 
-void KvStandin::keepLeaseAlive(HttpExchange &Exchange, std::int64_t Lease) {
+void KvStandin::keepLeaseAlive(const HttpExchangePointer &Exchange,
+                               std::int64_t Lease) {
   auto Found = Leases_.find(Lease);
   if (Found == Leases_.end()) {
     reply(Exchange, 404, Json::object());
--- a/test/support/KvStandin.h
+++ b/test/support/KvStandin.h
@@ -7,6 +7,7 @@
 #include "sycamore/Time.h"
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -45,6 +46,7 @@
   bool Silent_ = false;             ///< Accepts calls and never responds.
   bool DropWriteResponses_ = false; ///< Applies writes, closes unanswered.
   bool AbortWatches_ = false;       ///< Closes watch requests at once.
+  bool HoldResponses_ = false;      ///< See KvStandin::sendHeldResponses().
   bool OmitsEra_ = false;           ///< Responds without the header Store-Era.
   std::size_t PageItems_ = 500;
   std::string OddRangeItem_; ///< JSON text added to the items of each range.
@@ -74,6 +76,10 @@
   void returnToCopy(bool CutsWatches = false);
   std::int64_t revision() const { return Revision_; }
 
+  /// Sends the responses that were held, as they were when they were made.
+  void sendHeldResponses();
+  std::size_t heldResponses() const { return Held_.size(); }
+
   KvFaults Faults_;
   std::map<std::string, KvItem> Items_;
   std::map<std::string, std::uint64_t> Calls_; ///< Counts by method and path.
@@ -88,14 +94,15 @@
 
   void handle(const HttpExchangePointer &Exchange);
   void dispatch(const HttpExchangePointer &Exchange);
-  void readKey(HttpExchange &Exchange);
-  void readRange(HttpExchange &Exchange);
+  void readKey(const HttpExchangePointer &Exchange);
+  void readRange(const HttpExchangePointer &Exchange);
   void startWatch(const HttpExchangePointer &Exchange);
-  void reply(HttpExchange &Exchange, int Status, const Json &Body);
-  void replyText(HttpExchange &Exchange, int Status, const std::string &Text);
-  void runTxn(HttpExchange &Exchange);
-  void grantLease(HttpExchange &Exchange);
-  void keepLeaseAlive(HttpExchange &Exchange, std::int64_t Lease);
+  void reply(const HttpExchangePointer &Exchange, int Status, const Json &Body);
+  void replyText(const HttpExchangePointer &Exchange, int Status,
+                 const std::string &Text);
+  void runTxn(const HttpExchangePointer &Exchange);
+  void grantLease(const HttpExchangePointer &Exchange);
+  void keepLeaseAlive(const HttpExchangePointer &Exchange, std::int64_t Lease);
   void write(const std::string &Key, const std::string &Value,
              std::int64_t Lease);
   bool respondIfReady(Watcher &Waiting, bool Expired);
@@ -114,6 +121,7 @@
   std::vector<KvChange> History_;
   std::map<std::int64_t, KvLease> Leases_;
   std::deque<Watcher> Watchers_;
+  std::vector<std::function<void()>> Held_;
   std::vector<HttpExchangePointer> Unanswered_; ///< Kept open, see Silent_.
 };
 
