--- a/test/soak/Soak.cpp
+++ b/test/soak/Soak.cpp
@@ -386,6 +386,10 @@
           NextTicketAt_ = Now + seconds(3);
           issueTicket();
         }
+        if (Config_.RestoreInterval_ > Duration(0) && Now >= NextRestoreAt_) {
+          NextRestoreAt_ = Now + Config_.RestoreInterval_;
+          restoreStoreLater();
+        }
         if (Now >= NextSampleAt_) {
           NextSampleAt_ = Now + milliseconds(500);
           sampleTickets();
--- a/test/soak/Soak.h
+++ b/test/soak/Soak.h
@@ -19,6 +19,9 @@
   std::size_t Servers_ = 6;
   /// Time during which faults are injected; the recovery follows.
   Duration FaultDuration_ = seconds(12);
+  /// Between two restorations of the store from a copy, beside those among the
+  /// random faults; none if 0.
+  Duration RestoreInterval_{0};
   /// Only for the test of the check itself: "done" answers are recorded as
   /// "not-run".
   bool RecordDoneAsNotRun_ = false;
@@ -85,6 +88,7 @@
   TimePoint StartedAt_;
   TimePoint NextFaultAt_;
   TimePoint NextTicketAt_;
+  TimePoint NextRestoreAt_;
   TimePoint NextSampleAt_;
   std::size_t OpenRequests_ = 0; ///< Requests without an answer.
   std::uint64_t AcceptedTicket_ = 0;
--- a/test/soak/SoakTest.cpp
+++ b/test/soak/SoakTest.cpp
@@ -35,10 +35,7 @@
   return Out;
 }
 
-} // namespace
-
-TEST(Soak, NoViolationUnderFaults) {
-  SoakConfig Config = configFromEnvironment();
+void expectNoViolation(SoakConfig Config) {
   std::uint64_t First = fromEnvironment("SYCAMORE_SOAK_SEED", 1);
   std::uint64_t Runs = fromEnvironment("SYCAMORE_SOAK_RUNS", 1);
   for (Config.Seed_ = First; Config.Seed_ < First + Runs; ++Config.Seed_) {
@@ -57,6 +54,18 @@
   }
 }
 
+} // namespace
+
+TEST(Soak, NoViolationUnderFaults) {
+  expectNoViolation(configFromEnvironment());
+}
+
+TEST(Soak, NoViolationThoughTheStoreIsRestoredAgainAndAgain) {
+  SoakConfig Config = configFromEnvironment();
+  Config.RestoreInterval_ = seconds(4);
+  expectNoViolation(Config);
+}
+
 // The check must detect answers that say "not run" although the request ran.
 TEST(Soak, DetectsFalseNotRun) {
   SoakConfig Config;
