--- a/test/correctness/BootstrapTest.cpp
+++ b/test/correctness/BootstrapTest.cpp
@@ -50,6 +50,17 @@
                 {TimePoint(Started), Number, ""}, at(Since), Rng_, Out_);
   }
 
+  /// Receives the answer of a peer that has its floor and runs this ticket.
+  void receiveFloor(std::uint64_t Number, Duration Since) {
+    wire::PeerMessage Message;
+    Message.set_sender("p");
+    wire::FloorAnswer &Answer = *Message.mutable_floor_answer();
+    Answer.set_number(Number);
+    Answer.set_has_floor(true);
+    Answer.set_question(Bootstrap_.QueryNonce_);
+    receiveFloorAnswer(Bootstrap_, Members_, Replica_, Message, at(Since));
+  }
+
   /// Delivers the queued messages of another daemon that are for this one, and
   /// drops its others.
   void receiveFrom(Node &Other, Duration Since) {
@@ -88,6 +99,44 @@
   EXPECT_TRUE(hasFloor(StartingNode.Bootstrap_));
 }
 
+// A restored store may lack the ticket that the peers, and an earlier process
+// of this daemon, have run.
+TEST(Bootstrap, ANewerTicketOfAPeerGoesBeforeThatOfTheStore) {
+  Node StartingNode("a", 1);
+  StartingNode.learnServer(Node("p"));
+  EXPECT_TRUE(StartingNode.tick(seconds(7)).ReadStore_);
+  StartingNode.finishRead(seconds(7), seconds(7), 1);
+  EXPECT_FALSE(hasFloor(StartingNode.Bootstrap_));
+  StartingNode.receiveFloor(2, seconds(7));
+  StartingNode.tick(seconds(7));
+  EXPECT_EQ(StartingNode.Bootstrap_.Floor_, 2U);
+  EXPECT_FALSE(hasFloor(StartingNode.Bootstrap_));
+}
+
+TEST(Bootstrap, ASilentPeerDelaysTheStoresTicketByTheWaitOnly) {
+  Node StartingNode("a", 1);
+  StartingNode.learnServer(Node("p"));
+  EXPECT_TRUE(StartingNode.tick(seconds(7)).ReadStore_);
+  StartingNode.finishRead(seconds(7), seconds(7), 1);
+  StartingNode.tick(milliseconds(7400));
+  EXPECT_FALSE(hasFloor(StartingNode.Bootstrap_));
+  StartingNode.tick(milliseconds(7500));
+  EXPECT_TRUE(hasFloor(StartingNode.Bootstrap_));
+}
+
+// The peer may have ended before it sent the ticket, and the store lost it.
+TEST(Bootstrap, ATicketThatNobodyHasIsGivenUpAtTheNextRead) {
+  Node StartingNode("a", 1);
+  StartingNode.learnServer(Node("p"));
+  EXPECT_TRUE(StartingNode.tick(seconds(7)).ReadStore_);
+  StartingNode.receiveFloor(2, seconds(7));
+  StartingNode.finishRead(seconds(7), seconds(7), 1);
+  EXPECT_EQ(StartingNode.Bootstrap_.Floor_, 2U);
+  EXPECT_TRUE(StartingNode.tick(seconds(20)).ReadStore_);
+  StartingNode.finishRead(seconds(20), seconds(20), 1);
+  EXPECT_TRUE(hasFloor(StartingNode.Bootstrap_));
+}
+
 // A store read that began before the query arrived may miss a ticket that the
 // querying daemon ran just before it restarted.
 TEST(Bootstrap, VerifiesOnlyByAReadThatBeganAfterTheQuestion) {
