--- a/src/ControlPlane.h
+++ b/src/ControlPlane.h
@@ -141,7 +141,7 @@
   /// Writes the departures that a restored store lacks: those of this server,
   /// and as a reader those of its data centre.
   void restoreDepartures(const RangeResult &Seeds, Now Time);
-  void writeRestoredDepartures(Txn Request);
+  void writeRestoredDepartures(const Txn &Request);
   /// Applies the departures among the seeds; a reader removes the old ones.
   void applyStoredDeparture(const KeyValue &Entry, Txn &Removal, Now Time);
   void removeStoredDepartures(const Txn &Removal);
--- a/src/ControlPlaneRestoration.cpp
+++ b/src/ControlPlaneRestoration.cpp
@@ -71,7 +71,7 @@
     writeRestoredDepartures(std::move(Request));
 }
 
-void ControlPlane::writeRestoredDepartures(Txn Request) {
+void ControlPlane::writeRestoredDepartures(const Txn &Request) {
   std::size_t Count = Request.Puts_.size();
   Store_.txn(Request, Settings_.Store_.Timeout_,
              [this, Count](const Result<TxnResult> &Answer) {
