--- a/src/ControlPlaneRestoration.cpp
+++ b/src/ControlPlaneRestoration.cpp
@@ -68,7 +68,7 @@
       writeRestoredDepartures(std::exchange(Request, {}));
   }
   if (!Request.Puts_.empty())
-    writeRestoredDepartures(std::move(Request));
+    writeRestoredDepartures(Request);
 }
 
 void ControlPlane::writeRestoredDepartures(const Txn &Request) {
--- a/standin/StoreModel.cpp
+++ b/standin/StoreModel.cpp
@@ -106,9 +106,11 @@
   CompactedUpTo_ = Revision_;
   for (const auto &[Key, Item] : Lost) {
     const StoredItem *Current = find(Key);
-    bool Rewritten = std::any_of(
-        RewrittenPrefixes.begin(), RewrittenPrefixes.end(),
-        [&](std::string_view Prefix) { return Key.starts_with(Prefix); });
+    bool Rewritten =
+        std::any_of(RewrittenPrefixes.begin(), RewrittenPrefixes.end(),
+                    [&Name = Key](std::string_view Prefix) {
+                      return Name.starts_with(Prefix);
+                    });
     if (Rewritten && (!Current || Current->Value_ != Item.Value_))
       apply({{Key, Item.Value_, 0}});
   }
