Take tickets that operators filed anew after the store lost the one in force

What operators would see: the store is restored without ticket 2, which the fleet runs; they file another ticket 2 and then 3, both are accepted, and no daemon ever takes ticket 3.

Cause: a head was resolved from the ticket in force alone, and its chain of digests does not lead there from the lost one, so it was refused for good.

Fix: a head whose tickets do not follow the one in force is resolved from its base. The number still only rises.

The users' platform is not concerned: its configuration is one document.

--- a/src/ConfigReplica.cpp
+++ b/src/ConfigReplica.cpp
@@ -96,6 +96,18 @@
   return std::nullopt;
 }
 
+/// Whether the head's tickets do not follow the ticket in force. The store was
+/// then restored from a copy that lacks it, and other tickets were accepted.
+bool isForked(const Head &Value, const Snapshot &Current) {
+  for (const AcceptedTicket &Accepted : Value.Recent_) {
+    if (Accepted.Ticket_.Number_ == Current.Number_)
+      return Accepted.Digest_ != Current.Digest_;
+    if (Accepted.Ticket_.Number_ > Current.Number_)
+      return Accepted.PreviousDigest_ != Current.Digest_;
+  }
+  return false;
+}
+
 } // namespace
 
 std::string_view offerOutcomeName(OfferOutcome Outcome) {
@@ -131,7 +143,11 @@
   SnapshotPointer Before = Replica.Current_;
   if (Value.Number_ <= Before->Number_)
     return recordOutcome(Replica, OfferOutcome::AlreadyHave);
-  bool FromBase = Before->Number_ < Value.BaseNumber_;
+  static const Snapshot Empty;
+  if (Value.BaseNumber_ == 0)
+    Base = &Empty;
+  bool FromBase =
+      Before->Number_ < Value.BaseNumber_ || isForked(Value, *Before);
   if (FromBase && (!Base || Base->Number_ != Value.BaseNumber_)) {
     OfferResult Out = recordOutcome(Replica, OfferOutcome::Gap);
     Out.RequiredBase_ = Value.BaseNumber_;
--- a/test/failure/RestoredStoreTest.cpp
+++ b/test/failure/RestoredStoreTest.cpp
@@ -1,7 +1,7 @@
 // Guards against two holders of one bucket of idempotency keys, and against a
 // fleet that goes back to an older ticket or waits for one that nobody has,
 // after the store was restored from a copy.
-#include "FleetSim.h"
+#include "RestoredFleet.h"
 #include "StoreSetup.h"
 #include "sycamore/BucketStore.h"
 #include "sycamore/Clock.h"
@@ -47,55 +47,6 @@
   BucketStore Context_;
 };
 
-struct Fleet : FleetSim {
-  explicit Fleet(std::uint64_t Seed) : FleetSim(options(Seed)) {
-    acceptTicket();
-    EXPECT_TRUE(startAndConverge());
-    run(seconds(5));
-  }
-
-  static FleetOptions options(std::uint64_t Seed) {
-    FleetOptions Out;
-    Out.Seed_ = Seed;
-    Out.PerDataCentre_ = 20;
-    Out.BootstrapConfig_.MaxReadDelay_ = milliseconds(100);
-    Out.BootstrapConfig_.MinRetryDelay_ = seconds(1);
-    Out.BootstrapConfig_.MaxRetryDelay_ = seconds(2);
-    Out.BootstrapConfig_.ReaderDelay_ = seconds(1);
-    return Out;
-  }
-
-  /// Loses a ticket that is in force everywhere, and all seeds.
-  void losesATicket() {
-    SimStore Copy = Store_;
-    Copy.Seeds_.clear();
-    acceptTicket();
-    EXPECT_TRUE(runUntil([this] { return converged(); }, seconds(5)));
-    Lost_ = Store_;
-    Store_.Head_ = Copy.Head_;
-    Store_.Current_ = Copy.Current_;
-    Store_.Seeds_ = Copy.Seeds_;
-    for (std::size_t I : Store_.Watchers_)
-      noticeRestoration(I);
-  }
-
-  /// The operators write the lost ticket again.
-  void writesItAgain() {
-    Store_.Head_ = Lost_.Head_;
-    Store_.Current_ = Lost_.Current_;
-  }
-
-  bool allRun(std::uint64_t Number) const {
-    return std::all_of(Daemons_.begin(), Daemons_.end(),
-                       [Number](const SimDaemon &Daemon) {
-                         return hasFloor(Daemon.Bootstrap_) &&
-                                Daemon.Replica_.Current_->Number_ == Number;
-                       });
-  }
-
-  SimStore Lost_;
-};
-
 } // namespace
 
 TEST(RestoredStore,
@@ -125,7 +76,7 @@
 TEST(RestoredStore, AFleetKeepsTheLostTicketAndTakesTheNextOne) {
   std::uint64_t First = testSeed(1);
   for (std::uint64_t Seed = First; Seed < First + 5; ++Seed) {
-    Fleet Sim(Seed);
+    RestoredFleet Sim(Seed);
     Sim.losesATicket();
     std::size_t Restarted = 0;
     while (isReader(Sim.Daemons_[Restarted].Members_))
@@ -149,7 +100,7 @@
 TEST(RestoredStore, AFleetThatRestartsMeanwhileServesTheStoresTicket) {
   std::uint64_t First = testSeed(1);
   for (std::uint64_t Seed = First; Seed < First + 5; ++Seed) {
-    Fleet Sim(Seed);
+    RestoredFleet Sim(Seed);
     Sim.losesATicket();
     for (std::size_t I = 0; I < Sim.Daemons_.size(); ++I)
       Sim.kill(I);
