Authenticate callers as tenants, and tell targets the tenant instead of the credential

Callers of a deployment with tenants send their credentials in a header that the daemon did not know and passed on to targets, so a customer's key could be read at any target, and requests with unknown or withdrawn keys were served.

A state now has tenants with digests of their credentials, a priority and a quota. A request without the credential of a tenant gets 401, unless its route allows anonymous requests or it is a nested call of a request that runs beside this daemon. The credential is dropped, and the target receives the tenant's name.

--- a/include/sycamore/EntryCalls.h
+++ b/include/sycamore/EntryCalls.h
@@ -53,6 +53,7 @@
   SnapshotPointer Snapshot_; ///< Kept until the call ends.
   std::string Route_;
   std::string Service_;
+  std::string Tenant_; ///< Empty for a request without a credential.
   TimePoint StartedAt_;
   /// The caller's deadline; no attempt is sent after it.
   TimePoint Deadline_;
@@ -61,6 +62,8 @@
   /// contains the outcome.
   TimePoint OutcomeDeadline_;
   std::uint32_t Depth_ = 0;
+  /// Made by the target beside this daemon while it runs another request.
+  bool Nested_ = false;
   /// End of the route's latency target; a later answer is worth less. Unset
   /// when the route has no latency target.
   std::optional<TimePoint> LatencyTargetAt_;
--- a/include/sycamore/HeaderNames.h
+++ b/include/sycamore/HeaderNames.h
@@ -34,6 +34,11 @@
   /// In requests to targets: service of the calling target, the one beside the
   /// entry daemon.
   std::string CallerService_;
+  /// In requests of callers: the credential of a tenant. Never sent to targets.
+  std::string Credential_ = "sycamore-credential";
+  /// In requests to targets: name of the tenant that holds the caller's
+  /// credential.
+  std::string Tenant_ = "sycamore-tenant";
 
   bool operator==(const HeaderNames &) const = default;
 };
--- a/include/sycamore/Snapshot.h
+++ b/include/sycamore/Snapshot.h
@@ -29,11 +29,13 @@
 Result<AcceptedTicket> parseAcceptedTicket(const Json &Document,
                                            std::string_view Source);
 
-/// Routes, services and targets by name.
+/// Routes, services, targets and tenants by name.
 struct State {
   std::map<std::string, Route> Routes_;
   std::map<std::string, Service> Services_;
   std::map<std::string, TargetSpec> Targets_;
+  /// Empty where requests need no credential.
+  std::map<std::string, Tenant> Tenants_;
 
   bool operator==(const State &) const = default;
 };
@@ -53,6 +55,8 @@
   std::unordered_map<std::string, std::vector<std::string>> RoutesByKey_;
   /// Names of admitted targets by service.
   std::map<std::string, std::vector<std::string>> TargetsOfService_;
+  /// Names of tenants by the digests of their credentials.
+  std::unordered_map<std::string, std::string> TenantsByKey_;
 };
 
 using SnapshotPointer = std::shared_ptr<const Snapshot>;
@@ -93,7 +97,8 @@
 Result<State> applyToState(const State &Before, const Ticket &Change);
 
 /// References of a state to services or targets that do not exist, and to
-/// targets of another service; one line for each.
+/// targets of another service, and credentials of two tenants; one line for
+/// each.
 std::vector<std::string> danglingReferences(const State &Value);
 
 /// Applies an acceptance to the snapshot of its direct predecessor. Checks
@@ -123,6 +128,16 @@
                         std::string_view Method, std::string_view Path,
                         std::string *RouteName = nullptr);
 
+/// Name of the tenant that holds a credential, or null.
+const std::string *findTenant(const Snapshot &Current,
+                              std::string_view Credential);
+
+/// Rank of a request among those of a target; 0 is the most urgent. TenantName
+/// is empty for a request without a credential. Where the state has tenants,
+/// the priority of the tenant precedes that of the route.
+std::uint32_t requestPriority(const Snapshot &Current, const Route &Matched,
+                              const std::string &TenantName);
+
 /// Whether a request on this route may run more than once.
 bool isIdempotent(const Route &Matched, std::string_view Method);
 
--- a/include/sycamore/Ticket.h
+++ b/include/sycamore/Ticket.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "sycamore/Json.h"
+#include "sycamore/Tenant.h"
 #include "sycamore/Time.h"
 
 #include <cstdint>
@@ -52,6 +53,8 @@
   std::uint32_t MaxAttempts_ = 0;
   /// Priority among the requests of a service; 0 is the most urgent.
   std::uint32_t Priority_ = 0;
+  /// Serves requests without a credential where the state has tenants.
+  bool AllowAnonymous_ = false;
 
   bool operator==(const Route &) const = default;
 };
--- a/src/CallMessages.cpp
+++ b/src/CallMessages.cpp
@@ -13,10 +13,11 @@
 /// Whether each daemon sets this header itself or it applies to one connection
 /// only.
 bool isDaemonHeader(const HeaderNames &Names, std::string_view Name) {
-  const std::array<std::string_view, 8> DaemonHeaders = {
+  const std::array<std::string_view, 10> DaemonHeaders = {
       Names.Run_,           Names.Depth_,       Names.Deadline_,
       Names.Ticket_,        Names.Traceparent_, Names.ExpectedTarget_,
-      Names.CallerService_, "content-length"};
+      Names.CallerService_, Names.Credential_,  Names.Tenant_,
+      "content-length"};
   return std::any_of(DaemonHeaders.begin(), DaemonHeaders.end(),
                      [&](std::string_view Each) {
                        return !Each.empty() && equalHeaderNames(Each, Name);
--- a/src/DaemonMetrics.cpp
+++ b/src/DaemonMetrics.cpp
@@ -24,7 +24,7 @@
     writeCounter(Page, Row.Name_, Row.Help_, Counters.*Row.Member_);
 }
 
-constexpr std::array<CounterRow<EntryProxyCounters>, 10> EntryRows = {{
+constexpr std::array<CounterRow<EntryProxyCounters>, 11> EntryRows = {{
     {"sycamore_requests_total", "Requests of callers.",
      &EntryProxyCounters::Requests_},
     {"sycamore_refused_no_floor_total", "Refused before the floor was known.",
@@ -35,6 +35,9 @@
      &EntryProxyCounters::RefusedLimit_},
     {"sycamore_no_route_total", "Requests that match no route.",
      &EntryProxyCounters::NoRoute_},
+    {"sycamore_unauthenticated_total",
+     "Requests without the credential of a tenant on routes that need one.",
+     &EntryProxyCounters::Unauthenticated_},
     {"sycamore_refused_quarantine_total", "Refused by quarantine.",
      &EntryProxyCounters::Quarantined_},
     {"sycamore_callers_gone_total", "Callers that left before their answer.",
--- a/src/EntryProxy.h
+++ b/src/EntryProxy.h
@@ -40,6 +40,7 @@
   std::uint64_t RefusedLeaving_ = 0;
   std::uint64_t RefusedLimit_ = 0;
   std::uint64_t NoRoute_ = 0;
+  std::uint64_t Unauthenticated_ = 0;
   std::uint64_t Quarantined_ = 0;
   std::uint64_t KeyedForwards_ = 0;
   std::uint64_t CallersDisconnected_ = 0;
@@ -150,6 +151,11 @@
   /// Sets route, service and deadline; the refusal when no route matches.
   std::optional<CallResult> findRoute(const HttpRequest &Http, EntryCall &Call,
                                       Now Time);
+  /// Sets the tenant and the priority; the refusal when the credential is
+  /// unknown or missing.
+  static std::optional<CallResult> authenticate(const HttpRequest &Http,
+                                                const HeaderNames &Names,
+                                                EntryCall &Call);
   /// Whether the caller sent this request before, so long ago that the request
   /// can no longer meet the latency target of its route.
   bool arrivedPastLatencyTarget(const Route &Matched, const EntryCall &Call,
--- a/src/EntryRequests.cpp
+++ b/src/EntryRequests.cpp
@@ -4,6 +4,8 @@
 #include "sycamore/CallBody.h"
 #include "sycamore/Clock.h"
 
+#include <algorithm>
+
 namespace sycamore {
 namespace {
 
@@ -83,6 +85,12 @@
     reply(Exchange, Request, *Refusal);
     return false;
   }
+  if (auto Refusal = authenticate(Http, Settings_.Headers_, Request.Call_)) {
+    ++Counters_.Unauthenticated_;
+    logRefusal(makeHistory(Http, Request.Call_, Time), *Refusal);
+    reply(Exchange, Request, *Refusal);
+    return false;
+  }
   fillRequest(Http, Request);
   CallResult Refusal;
   if (checkQuarantine(Request, Refusal, Time))
@@ -116,7 +124,6 @@
   if (arrivedPastLatencyTarget(*Matched, Call, Time))
     Call.LatencyTargetAt_ = Time.Monotonic_;
   Call.MaxTargets_ = Matched->MaxAttempts_;
-  Call.Request_.set_priority(Matched->Priority_);
   TimePoint RouteDeadline =
       Time.Monotonic_ + timeoutOf(*Call.Snapshot_, *Matched, Call.Service_);
   Call.Deadline_ = Call.Deadline_ == TimePoint{}
@@ -125,6 +132,44 @@
   return std::nullopt;
 }
 
+std::optional<CallResult> EntryProxy::authenticate(const HttpRequest &Http,
+                                                   const HeaderNames &Names,
+                                                   EntryCall &Call) {
+  const Snapshot &Current = *Call.Snapshot_;
+  const Route &Matched = Current.State_.Routes_.at(Call.Route_);
+  auto Refuse = [](std::string Message) {
+    return refusal(401,
+                   {ErrorKind::PermissionDenied, std::move(Message),
+                    "send the credential of a tenant"},
+                   Duration(0));
+  };
+  if (!Current.State_.Tenants_.empty() && !Names.Credential_.empty()) {
+    // Two credentials could name two tenants.
+    auto Count = std::count_if(
+        Http.Headers_.begin(), Http.Headers_.end(), [&](const auto &Each) {
+          return equalHeaderNames(Each.Name_, Names.Credential_);
+        });
+    const std::string *Credential =
+        findHeader(Http.Headers_, Names.Credential_);
+    const std::string *Holder = Count == 1 && !Credential->empty()
+                                    ? findTenant(Current, *Credential)
+                                    : nullptr;
+    if (Holder)
+      Call.Tenant_ = *Holder;
+    else if (Count > 0)
+      return Refuse("the credential is not that of a tenant");
+  }
+  // The request during which a target makes a nested call has been
+  // authenticated.
+  bool MayBeAnonymous = Current.State_.Tenants_.empty() || Call.Nested_ ||
+                        Matched.AllowAnonymous_;
+  if (Call.Tenant_.empty() && !MayBeAnonymous)
+    return Refuse("this route needs a credential");
+  Call.Request_.set_priority(requestPriority(Current, Matched, Call.Tenant_));
+  Call.Request_.set_tenant(Call.Tenant_);
+  return std::nullopt;
+}
+
 // A request that has already missed its latency target at its caller must not
 // take a slot from one that can still meet its target.
 bool EntryProxy::arrivedPastLatencyTarget(const Route &Matched,
@@ -193,6 +238,7 @@
     Outer = LocalTargets_.nestedContextByRequestId(*Id);
   if (Outer) {
     Call.Depth_ = Outer->Depth_ + 1;
+    Call.Nested_ = true;
     Call.Deadline_ = Call.Deadline_ == TimePoint{}
                          ? Outer->Deadline_
                          : std::min(Call.Deadline_, Outer->Deadline_);
--- a/src/Settings.cpp
+++ b/src/Settings.cpp
@@ -144,7 +144,7 @@
     std::string_view Name_;
     std::string HeaderNames::*Value_;
   };
-  constexpr std::array<Field, 11> Fields = {
+  constexpr std::array<Field, 13> Fields = {
       {{"run", &HeaderNames::Run_},
        {"depth", &HeaderNames::Depth_},
        {"deadline", &HeaderNames::Deadline_},
@@ -155,7 +155,9 @@
        {"seal", &HeaderNames::Seal_},
        {"not_run", &HeaderNames::NotRun_},
        {"expected_target", &HeaderNames::ExpectedTarget_},
-       {"caller_service", &HeaderNames::CallerService_}}};
+       {"caller_service", &HeaderNames::CallerService_},
+       {"credential", &HeaderNames::Credential_},
+       {"tenant", &HeaderNames::Tenant_}}};
   for (const Field &Entry : Fields) {
     std::string &Name = Out.*Entry.Value_;
     Reader.string(Entry.Name_, Name);
--- a/src/Snapshot.cpp
+++ b/src/Snapshot.cpp
@@ -67,6 +67,9 @@
   }
   for (const auto &[Name, Entity] : Value.State_.Targets_)
     Value.TargetsOfService_[Entity.Service_].push_back(Name);
+  for (const auto &[Name, Entity] : Value.State_.Tenants_)
+    for (const std::string &Digest : Entity.KeyDigests_)
+      Value.TenantsByKey_.emplace(Digest, Name);
 }
 
 bool methodMatches(const Route &Entity, std::string_view Method) {
@@ -190,9 +193,13 @@
 }
 
 Json toJson(const State &Value) {
-  return {{"routes", entitiesToJson(Value.Routes_)},
-          {"services", entitiesToJson(Value.Services_)},
-          {"targets", entitiesToJson(Value.Targets_)}};
+  Json Out = {{"routes", entitiesToJson(Value.Routes_)},
+              {"services", entitiesToJson(Value.Services_)},
+              {"targets", entitiesToJson(Value.Targets_)}};
+  // Left out if empty: the digests of states without tenants stay the same.
+  if (!Value.Tenants_.empty())
+    Out["tenants"] = entitiesToJson(Value.Tenants_);
+  return Out;
 }
 
 std::string stateDigest(const State &Value) {
@@ -206,8 +213,27 @@
   return sha256Hex(Fields.dump());
 }
 
+namespace {
+
+void checkTenants(const State &Value, std::vector<std::string> &Problems) {
+  std::unordered_map<std::string_view, std::string_view> Holders;
+  for (const auto &[Name, Entity] : Value.Tenants_) {
+    std::string Path = "tenants." + Name;
+    for (std::size_t I = 0; I < Entity.KeyDigests_.size(); ++I) {
+      auto [Holder, Added] = Holders.emplace(Entity.KeyDigests_[I], Name);
+      if (!Added && Holder->second != Name)
+        Problems.push_back(Path + ": key " + std::to_string(I) +
+                           " is also a key of tenant \"" +
+                           std::string(Holder->second) + "\"");
+    }
+  }
+}
+
+} // namespace
+
 std::vector<std::string> danglingReferences(const State &Value) {
   std::vector<std::string> Problems;
+  checkTenants(Value, Problems);
   for (const auto &[Name, Entity] : Value.Routes_) {
     for (const std::string &Service : servicesOf(Entity))
       if (!Value.Services_.contains(Service))
@@ -301,6 +327,7 @@
                  readService);
     readEntities(Fields, "targets", Out.State_.Targets_, Problems,
                  readTargetSpec);
+    readEntities(Fields, "tenants", Out.State_.Tenants_, Problems, readTenant);
     Fields.reportUnknownFields();
   }
   for (std::string &Problem : danglingReferences(Out.State_))
@@ -335,6 +362,24 @@
   return &Current.State_.Routes_.at(*Found);
 }
 
+const std::string *findTenant(const Snapshot &Current,
+                              std::string_view Credential) {
+  auto Found = Current.TenantsByKey_.find(credentialDigest(Credential));
+  return Found == Current.TenantsByKey_.end() ? nullptr : &Found->second;
+}
+
+std::uint32_t requestPriority(const Snapshot &Current, const Route &Matched,
+                              const std::string &TenantName) {
+  if (Current.State_.Tenants_.empty())
+    return Matched.Priority_;
+  std::uint32_t First = Matched.Priority_;
+  if (auto Found = Current.State_.Tenants_.find(TenantName);
+      Found != Current.State_.Tenants_.end())
+    First = Found->second.Priority_.value_or(First);
+  constexpr std::uint32_t Ranks = 1001; // Of routes, 0 to 1000.
+  return First * Ranks + Matched.Priority_;
+}
+
 bool isIdempotent(const Route &Matched, std::string_view Method) {
   if (Matched.Idempotent_)
     return *Matched.Idempotent_;
--- a/src/TargetProxy.cpp
+++ b/src/TargetProxy.cpp
@@ -305,6 +305,8 @@
   if (!Names.Traceparent_.empty())
     Add(Names.Traceparent_, formatTraceparent(Call.Span_));
   Add(Names.ExpectedTarget_, Call.Target_);
+  if (!Call.Request_.tenant().empty())
+    Add(Names.Tenant_, Call.Request_.tenant());
   Out.AcceptWithoutLength_ = !Names.Seal_.empty();
   // A refusal that the target writes again would pass for the answer to a later
   // attempt at the same request.
--- a/src/Ticket.cpp
+++ b/src/Ticket.cpp
@@ -152,6 +152,7 @@
   std::uint64_t Priority = 0;
   Reader.readUnsigned("priority", Priority, 0, MaxPriority);
   Out.Priority_ = static_cast<std::uint32_t>(Priority);
+  Reader.readBool("allow_anonymous", Out.AllowAnonymous_);
   Reader.reportUnknownFields();
   return Out;
 }
@@ -270,6 +271,8 @@
     Out["max_attempts"] = Value.MaxAttempts_;
   if (Value.Priority_ > 0)
     Out["priority"] = Value.Priority_;
+  if (Value.AllowAnonymous_)
+    Out["allow_anonymous"] = true;
   return Out;
 }
 
--- a/test/platform/ConfigDocumentTest.cpp
+++ b/test/platform/ConfigDocumentTest.cpp
@@ -78,6 +78,70 @@
   EXPECT_EQ(DeskRequests, 100);
 }
 
+// A credential that names the wrong tenant, or that stays in memory, would let
+// one customer act for another.
+TEST(ConfigDocument, ParsesTenantsWithoutKeepingTheirCredentials) {
+  Json Document = document();
+  Document["tenants"] = {{{"name", "t-1"},
+                          {"apiKeys", {"first-key", "second-key"}},
+                          {"priority", 1},
+                          {"requestsPerS", 366},
+                          {"burst", 50}},
+                         {{"name", "t-2"}, {"apiKeys", Json::array()}}};
+  Document["virtualHosts"][0]["paths"][1]["allowAnonymous"] = true;
+  auto Created = snapshotFromDocument(parseDocument(Document).value(), "text");
+  ASSERT_TRUE(Created.has_value()) << describe(Created.error());
+  const Tenant &First = Created->State_.Tenants_.at("t-1");
+  EXPECT_EQ(First.Priority_, 1U);
+  EXPECT_EQ(First.RequestsPerSecond_, 366U);
+  EXPECT_EQ(First.Burst_, 50U);
+  ASSERT_NE(findTenant(*Created, "second-key"), nullptr);
+  EXPECT_EQ(*findTenant(*Created, "second-key"), "t-1");
+  EXPECT_EQ(findTenant(*Created, "third-key"), nullptr);
+  EXPECT_EQ(toJson(Created->State_).dump().find("first-key"),
+            std::string::npos);
+  EXPECT_FALSE(Created->State_.Routes_.at("r-1").AllowAnonymous_);
+  EXPECT_TRUE(Created->State_.Routes_.at("r-2").AllowAnonymous_);
+}
+
+TEST(ConfigDocument, RefusesACredentialOfTwoTenantsAndQuotasOutOfRange) {
+  Json Document = document();
+  Document["tenants"] = {{{"name", "t-1"}, {"apiKeys", {"key"}}},
+                         {{"name", "t-2"}, {"apiKeys", {"other", "key"}}}};
+  auto Created = snapshotFromDocument(parseDocument(Document).value(), "text");
+  ASSERT_FALSE(Created.has_value());
+  EXPECT_NE(Created.error().Message_.find("tenants.t-2: key 1"),
+            std::string::npos);
+  EXPECT_EQ(Created.error().Message_.find("\"key\""), std::string::npos);
+  for (const Json &Quota : {Json(-1), Json(1'000'001), Json("many")}) {
+    Document["tenants"][1] = {
+        {"name", "t-2"}, {"apiKeys", {"other"}}, {"requestsPerS", Quota}};
+    auto Parsed = parseDocument(Document);
+    ASSERT_FALSE(Parsed.has_value()) << Quota;
+    EXPECT_NE(Parsed.error().Message_.find("tenants[1].requestsPerS"),
+              std::string::npos);
+  }
+}
+
+// The priority of a tenant precedes that of the route; without tenants, only
+// that of the route counts.
+TEST(ConfigDocument, RanksRequestsByTenantThenByRoute) {
+  Json Document = document();
+  auto Rank = [&](const char *RouteName, const char *TenantName) {
+    auto Created =
+        snapshotFromDocument(parseDocument(Document).value(), "text");
+    return requestPriority(*Created, Created->State_.Routes_.at(RouteName),
+                           TenantName);
+  };
+  EXPECT_EQ(Rank("r-1", ""), 2U);
+  Document["tenants"] = {
+      {{"name", "gold"}, {"apiKeys", {"a"}}, {"priority", 0}},
+      {{"name", "basic"}, {"apiKeys", {"b"}}, {"priority", 3}}};
+  EXPECT_LT(Rank("r-1", "gold"), Rank("r-2", "basic"));
+  EXPECT_LT(Rank("r-2", "gold"), Rank("r-1", "gold"));
+  EXPECT_LT(Rank("r-1", ""), Rank("r-2", "basic"));
+}
+
 TEST(ConfigDocument, NamesEachProblemWithItsField) {
   Json Bad = document();
   Bad["virtualHosts"][0]["paths"][0]["kind"] = 7;
--- a/test/support/PlatformFleet.h
+++ b/test/support/PlatformFleet.h
@@ -96,7 +96,9 @@
                        {"seal", "x-seal"},
                        {"not_run", "x-not-run"},
                        {"expected_target", "x-expected"},
-                       {"caller_service", "x-caller"}}},
+                       {"caller_service", "x-caller"},
+                       {"credential", "x-credential"},
+                       {"tenant", "x-tenant"}}},
                      {"fractional_retry_after", true},
                      {"refusal_statuses", {408, 421, 429, 503}},
                      {"keys", {{"buckets", 0}}},
@@ -135,7 +137,8 @@
   }
 
   HttpResponse call(std::size_t Entry, const std::string &Method,
-                    const std::string &Path, const std::string &Id = "id-1") {
+                    const std::string &Path, const std::string &Id = "id-1",
+                    const HttpHeaders &MoreHeaders = {}) {
     HttpClientRequest Request;
     Request.Method_ = Method;
     Request.Path_ = Path;
@@ -143,6 +146,8 @@
                         {"x-id", Id},
                         {"x-deadline", "2000"},
                         {"x-caller", "forged"}};
+    Request.Headers_.insert(Request.Headers_.end(), MoreHeaders.begin(),
+                            MoreHeaders.end());
     Request.Body_ = Method == "POST" ? "body" : "";
     return send(Daemons_[Entry]->addresses().Caller_, std::move(Request));
   }
@@ -178,7 +183,8 @@
   }
 
   void writeConfiguration(std::uint64_t Version,
-                          const std::string &Service = "view") {
+                          const std::string &Service = "view",
+                          const Json &Tenants = {}) {
     Json Route = {{"name", "r-1"},          {"prefix", "/x/"},
                   {"kind", "idempotent"},   {"timeoutMs", 1500},
                   {"targetLatencyMs", 500}, {"priority", 1},
@@ -193,6 +199,8 @@
         {"limits", Json::object()},
         {"virtualHosts",
          {{{"host", "a.example"}, {"paths", {Route, NonIdempotentRoute}}}}}};
+    if (!Tenants.is_null())
+      Document["tenants"] = Tenants;
     Store_->put("op/config", Document.dump());
   }
 
