--- a/include/sycamore/RetryPolicy.h
+++ b/include/sycamore/RetryPolicy.h
@@ -20,7 +20,7 @@
   std::uint64_t Constant_ = 10; ///< Retries in the window without successes.
   /// The same for all daemons together. Each daemon uses an equal part of it,
   /// at least 1, instead of Constant_. 0 for no fleet-wide bound.
-  std::uint64_t FleetConstant_ = 0;
+  double FleetConstant_ = 0;
 };
 
 struct RetryBudgetCounters {
--- a/include/sycamore/Settings.h
+++ b/include/sycamore/Settings.h
@@ -148,7 +148,7 @@
   double Share_ = 0.1;          ///< Retries per success.
   std::uint64_t Constant_ = 10; ///< Retries of a daemon without successes.
   /// Like Constant_, but for all daemons together; replaces Constant_ unless 0.
-  std::uint64_t FleetConstant_ = 0;
+  double FleetConstant_ = 0;
   /// Whether callers state the same timeout for all requests of a route, and
   /// the remaining time when they resend a request; see CallerTimes.
   bool CallersShareTime_ = false;
--- a/src/RetryPolicy.cpp
+++ b/src/RetryPolicy.cpp
@@ -56,7 +56,9 @@
   Budget.Options_ = Budgets.Options_;
   if (Budgets.Options_.FleetConstant_ > 0)
     Budget.Options_.Constant_ = std::max<std::uint64_t>(
-        1, Budgets.Options_.FleetConstant_ / std::max<std::size_t>(Daemons, 1));
+        1, static_cast<std::uint64_t>(
+               Budgets.Options_.FleetConstant_ /
+               static_cast<double>(std::max<std::size_t>(Daemons, 1))));
   bool Granted = tryAcquireRetry(Budget, Now);
   ++(Granted ? Budgets.Counters_.Granted_ : Budgets.Counters_.Denied_);
   return Granted;
--- a/src/Settings.cpp
+++ b/src/Settings.cpp
@@ -186,8 +186,7 @@
   Reader.section("retries", [&](SettingsReader &Section) {
     Section.number("share", Out.Retries_.Share_, 0.0, 1.0);
     Section.integer("constant", Out.Retries_.Constant_, 0, 100'000);
-    Section.integer("fleet_constant", Out.Retries_.FleetConstant_, 0,
-                    1'000'000);
+    Section.number("fleet_constant", Out.Retries_.FleetConstant_, 0, 1'000'000);
     Section.flag("callers_share_time", Out.Retries_.CallersShareTime_);
   });
 }
--- a/test/correctness/RetryPolicyTest.cpp
+++ b/test/correctness/RetryPolicyTest.cpp
@@ -67,7 +67,7 @@
 // daemons it has.
 TEST(RetryBudgets, DaemonsShareTheFleetsConstant) {
   constexpr std::size_t Daemons = 70;
-  constexpr int FleetConstant = 180;
+  constexpr double FleetConstant = 180.5;
   int Granted = 0;
   for (std::size_t Daemon = 0; Daemon < Daemons; ++Daemon) {
     RetryBudgets Budgets;
@@ -76,7 +76,7 @@
       Granted +=
           tryAcquireRetry(Budgets, "s", Daemons, TimePoint{seconds(3)}) ? 1 : 0;
   }
-  EXPECT_LE(Granted, FleetConstant);
+  EXPECT_LE(Granted, 180);
   EXPECT_GE(Granted, static_cast<int>(Daemons));
 }
 
