--- a/src/Settings.cpp
+++ b/src/Settings.cpp
@@ -144,7 +144,7 @@
     std::string_view Name_;
     std::string HeaderNames::*Value_;
   };
-  constexpr std::array<Field, 11> Fields = {
+  constexpr std::array<Field, 13> Fields = {
       {{"run", &HeaderNames::Run_},
        {"depth", &HeaderNames::Depth_},
        {"deadline", &HeaderNames::Deadline_},
@@ -155,7 +155,9 @@
        {"seal", &HeaderNames::Seal_},
        {"not_run", &HeaderNames::NotRun_},
        {"expected_target", &HeaderNames::ExpectedTarget_},
-       {"caller_service", &HeaderNames::CallerService_}}};
+       {"caller_service", &HeaderNames::CallerService_},
+       {"credential", &HeaderNames::Credential_},
+       {"tenant", &HeaderNames::Tenant_}}};
   for (const Field &Entry : Fields) {
     std::string &Name = Out.*Entry.Value_;
     Reader.string(Entry.Name_, Name);
@@ -184,8 +186,7 @@
   Reader.section("retries", [&](SettingsReader &Section) {
     Section.number("share", Out.Retries_.Share_, 0.0, 1.0);
     Section.integer("constant", Out.Retries_.Constant_, 0, 100'000);
-    Section.integer("fleet_constant", Out.Retries_.FleetConstant_, 0,
-                    1'000'000);
+    Section.number("fleet_constant", Out.Retries_.FleetConstant_, 0, 1'000'000);
     Section.flag("callers_share_time", Out.Retries_.CallersShareTime_);
   });
 }
