Refuse credentials while the configuration may be out of date

A daemon that the store and its peers no longer reach, that was frozen, or that refused a configuration kept accepting credentials that the store had withdrawn, without any limit.

With revocation.max_age_ms each daemon keeps the time of the last store request that showed no newer ticket than its own, and passes it on as an age. When it is older than the limit less 200 ms, requests with a credential get 503 at the entry and at the target's daemon, and the daemon is not ready. Anonymous requests are served. The receiver of an age dates it by the echo of its own last message, not by an allowance for the transit: a message may wait in a buffer for as long as a process is frozen. Without the setting nothing is sent or checked.

--- a/include/sycamore/Events.h
+++ b/include/sycamore/Events.h
@@ -48,6 +48,8 @@
   WatchDelegateNotFound,
   WatchResumed,
   WatchRequested,
+  ConfigurationStale,
+  ConfigurationConfirmed,
   ServerJoined,
   ServerAlive,
   ServerSuspect,
--- a/include/sycamore/Integration.h
+++ b/include/sycamore/Integration.h
@@ -54,6 +54,11 @@
   parseConfiguration(std::string_view Text,
                      const ParsedDocument &Before) const = 0;
 
+  /// Whether a text that is not applied, because parseConfiguration() rejects
+  /// it or for its number, is known to hold every credential of InForce.
+  virtual bool keepsCredentials(std::string_view Text,
+                                const State &InForce) const = 0;
+
   /// Parses a request received on target.announce_listen. Errors:
   /// InvalidArgument; NotFound for a request that is neither an announcement
   /// nor a departure.
--- a/include/sycamore/Settings.h
+++ b/include/sycamore/Settings.h
@@ -156,6 +156,15 @@
   bool operator==(const RetrySettings &) const = default;
 };
 
+/// Bound on the time for which a withdrawn credential is accepted.
+struct RevocationSettings {
+  /// Requests with a credential are refused when the configuration has not been
+  /// confirmed for this long; see ConfigFreshness. 0: no bound.
+  milliseconds MaxAge_{0};
+
+  bool operator==(const RevocationSettings &) const = default;
+};
+
 /// Retention of records about calls.
 struct RecordSettings {
   /// Of answers and tombstones; longer than any caller's deadline.
@@ -222,6 +231,7 @@
   KeySettings Keys_;
   RetrySettings Retries_;
   RecordSettings Records_;
+  RevocationSettings Revocation_;
   milliseconds StopLimit_{30000}; ///< Maximum duration of a graceful stop.
   LogSettings Log_;
   TraceSettings Trace_;
--- a/include/sycamore/Store.h
+++ b/include/sycamore/Store.h
@@ -100,6 +100,11 @@
   /// When the store last answered this watch, by the monotonic clock; unset
   /// before its first answer.
   virtual std::optional<TimePoint> answeredAt() const = 0;
+
+  /// When the latest request was sent whose answer shows that every change of
+  /// the key before this time has been reported; unset when no answer has shown
+  /// it, or when the watch has no such answers.
+  virtual std::optional<TimePoint> confirmedAt() const { return std::nullopt; }
 };
 
 /// A call that fails with ErrorKind::Unavailable did not take effect; one that
--- a/src/ControlPlane.cpp
+++ b/src/ControlPlane.cpp
@@ -44,6 +44,14 @@
   return Out;
 }
 
+ConfigFreshnessConfig freshnessConfig(const Settings &Config,
+                                      std::uint64_t Process) {
+  ConfigFreshnessConfig Out;
+  Out.MaxAge_ = Config.Revocation_.MaxAge_;
+  Out.Process_ = Process;
+  return Out;
+}
+
 BootstrapConfig bootstrapConfig(const Settings &Config) {
   BootstrapConfig Out;
   for (const BootstrapPeer &Peer : Config.BootstrapPeers_)
@@ -157,7 +165,8 @@
           membershipConfig(Config, PeerAddress, PublicKey, Process), Time)),
       Replica_(makeConfigReplica(replicaConfig(Config, Adapter))),
       Dissemination_(makeDissemination({}, Time)),
-      Bootstrap_(makeBootstrap(bootstrapConfig(Config), Time, Rng)) {
+      Bootstrap_(makeBootstrap(bootstrapConfig(Config), Time, Rng)),
+      Freshness_(makeConfigFreshness(freshnessConfig(Config, Process), Time)) {
   addSeeds(Members_, bootstrapRecords(Config), Time);
 }
 
@@ -194,6 +203,7 @@
   if (ReaderActions.WriteSeeds_)
     writeSeeds(*ReaderActions.WriteSeeds_);
   tickWatch(Time, Out);
+  tickFreshness(Time, Out);
   send(Out);
   tickDepartures(Time);
   tickRestoration(Time);
@@ -225,6 +235,7 @@
         receiveFloorAnswer(Bootstrap_, Members_, Replica_, Message, Time));
   }
   receiveWatchMessage(Message, Time, Out);
+  receiveConfigFreshness(Freshness_, Message, ticketInForce(), Time);
   send(Out);
 }
 
@@ -320,7 +331,12 @@
       RestoredAt_.reset();
       restoreDepartures(Seeds, Time);
     }
-    Read.Number_ = applyConfigurationRead(Answer->Reads_[0], Read.Digest_);
+    const RangeResult &Stored = Answer->Reads_[0];
+    Read.Number_ = applyConfigurationRead(Stored, Read.Digest_);
+    if (recordStoredTicket(Stored.Values_.empty() ? std::string()
+                                                  : Stored.Values_[0].Value_,
+                           Stored.Revision_))
+      confirmFromStore(StartedAt);
   }
   if (!ForFloor)
     return;
--- a/src/ControlPlane.h
+++ b/src/ControlPlane.h
@@ -6,6 +6,7 @@
 #include "StoredDepartures.h"
 #include "WatchRetry.h"
 #include "sycamore/Bootstrap.h"
+#include "sycamore/ConfigFreshness.h"
 #include "sycamore/Dissemination.h"
 #include "sycamore/Integration.h"
 #include "sycamore/Membership.h"
@@ -37,6 +38,11 @@
   bool WriteFailed_ = false; ///< At least once.
 };
 
+struct StoredTicket {
+  std::uint64_t Number_ = 0;
+  std::string Digest_;
+};
+
 /// Sends the messages of an outbox.
 using OutboxSender = std::function<void(Outbox &)>;
 
@@ -83,6 +89,11 @@
     return hasFloor(Bootstrap_) &&
            (!Integration_ || Replica_.Current_->Number_ > 0);
   }
+  /// Whether requests with a credential must be refused, because the ticket in
+  /// force may have been replaced too long ago; see ConfigFreshness.
+  bool isConfigurationStale(TimePoint Time) const {
+    return isStale(Freshness_, Time);
+  }
   const SnapshotPointer &snapshot() const { return Replica_.Current_; }
   /// When the ticket in force was applied here.
   WallTime appliedAt() const { return AppliedAt_; }
@@ -91,6 +102,7 @@
   const ConfigReplica &replica() const { return Replica_; }
   const Dissemination &dissemination() const { return Dissemination_; }
   const Bootstrap &bootstrap() const { return Bootstrap_; }
+  const ConfigFreshness &freshness() const { return Freshness_; }
   const WatchDelegation &watchDelegation() const { return Delegation_; }
   const ControlPlaneCounters &counters() const { return Counters_; }
 
@@ -133,6 +145,15 @@
   void receiveWatchMessage(const wire::PeerMessage &Message, Now Time,
                            Outbox &Out);
   WatchState watchState() const;
+  TicketInForce ticketInForce() const;
+  /// Records which ticket the store holds, after its value was offered to the
+  /// replica. Returns false if the store has shown a later revision before.
+  bool recordStoredTicket(const std::string &Value, std::int64_t Revision);
+  std::optional<StoredTicket> storedTicketOf(const std::string &Value) const;
+  /// A request to the store sent at SentAt has shown no ticket but the one
+  /// recorded last.
+  void confirmFromStore(TimePoint SentAt);
+  void tickFreshness(Now Time, Outbox &Out);
   /// Servers to which tickets from the store are announced.
   std::vector<std::string> announcementTargets() const;
   /// Reads a restored store until a read that began after the restoration
@@ -166,6 +187,13 @@
   Dissemination Dissemination_;
   Bootstrap Bootstrap_;
   WatchDelegation Delegation_;
+  ConfigFreshness Freshness_;
+  /// Ticket in the store as it was shown last; unset when it is not known or
+  /// was refused.
+  std::optional<StoredTicket> Stored_;
+  std::int64_t StoredRevision_ = 0;
+  std::optional<TimePoint> WatchConfirmedAt_;
+  TimePoint NextConfirmingRead_;
   ControlPlaneCounters Counters_;
   std::unique_ptr<WatchHandle> Watch_;
   std::optional<Error> WatchFailure_; ///< Until the next tick handles it.
--- a/src/ControlPlaneRestoration.cpp
+++ b/src/ControlPlaneRestoration.cpp
@@ -27,6 +27,8 @@
             {"watching", Watch_ != nullptr}});
   RestoredAt_ = Time.Monotonic_;
   NextRestoredRead_ = Time.Monotonic_;
+  Stored_.reset();
+  StoredRevision_ = 0;
   recordStoreRestored(Bootstrap_, Time);
 }
 
--- a/src/ControlPlaneWatch.cpp
+++ b/src/ControlPlaneWatch.cpp
@@ -97,6 +97,7 @@
           applyHead(Entry.Value_, nullptr);
         else if (!Entry.Value_.empty())
           applyDocument(Entry.Value_);
+        recordStoredTicket(Entry.Value_, Entry.ModRevision_);
       },
       [this](const Error &Failure) { WatchFailure_ = Failure; });
 }
--- a/src/Daemon.cpp
+++ b/src/Daemon.cpp
@@ -308,7 +308,10 @@
   return Server;
 }
 
-bool DaemonImpl::isReady() const { return Control_->mayServe() && !Stopping_; }
+bool DaemonImpl::isReady() const {
+  return Control_->mayServe() && !Stopping_ &&
+         !Control_->isConfigurationStale(monotonicNow());
+}
 
 void DaemonImpl::handleNotice(const HttpExchangePointer &Exchange, Now Time) {
   auto Notice = Integration_->parseNotice(Exchange->request());
--- a/src/DaemonMetrics.cpp
+++ b/src/DaemonMetrics.cpp
@@ -24,7 +24,7 @@
     writeCounter(Page, Row.Name_, Row.Help_, Counters.*Row.Member_);
 }
 
-constexpr std::array<CounterRow<EntryProxyCounters>, 11> EntryRows = {{
+constexpr std::array<CounterRow<EntryProxyCounters>, 12> EntryRows = {{
     {"sycamore_requests_total", "Requests of callers.",
      &EntryProxyCounters::Requests_},
     {"sycamore_refused_no_floor_total", "Refused before the floor was known.",
@@ -38,6 +38,9 @@
     {"sycamore_unauthenticated_total",
      "Requests without the credential of a tenant on routes that need one.",
      &EntryProxyCounters::Unauthenticated_},
+    {"sycamore_refused_stale_total",
+     "Requests with a credential while the configuration was stale.",
+     &EntryProxyCounters::RefusedStale_},
     {"sycamore_refused_quarantine_total", "Refused by quarantine.",
      &EntryProxyCounters::Quarantined_},
     {"sycamore_callers_gone_total", "Callers that left before their answer.",
@@ -86,7 +89,7 @@
      &EntryCallsCounters::SilentLinks_},
 }};
 
-constexpr std::array<CounterRow<TargetProxyCounters>, 10> TargetRows = {{
+constexpr std::array<CounterRow<TargetProxyCounters>, 11> TargetRows = {{
     {"sycamore_announcements_total", "Announcements of local targets.",
      &TargetProxyCounters::Announcements_},
     {"sycamore_announcements_missed_total", "Targets that went silent.",
@@ -108,6 +111,9 @@
     {"sycamore_target_quarantine_refusals_total",
      "Attempts refused by quarantine beside the target.",
      &TargetProxyCounters::QuarantineRefusals_},
+    {"sycamore_target_stale_refusals_total",
+     "Requests of tenants refused while the configuration was stale.",
+     &TargetProxyCounters::RefusedStale_},
 }};
 
 constexpr std::array<CounterRow<PeerTransportCounters>, 13> PeerRows = {{
@@ -215,6 +221,23 @@
      &WatchDelegationCounters::PassesFailed_},
 }};
 
+constexpr std::array<CounterRow<ConfigFreshnessCounters>, 6> FreshnessRows = {{
+    {"sycamore_freshness_store_total", "Confirmations by the store.",
+     &ConfigFreshnessCounters::StoreConfirmations_},
+    {"sycamore_freshness_peers_total", "Newer confirmations from peers.",
+     &ConfigFreshnessCounters::PeerConfirmations_},
+    {"sycamore_freshness_sent_total", "Messages sent.",
+     &ConfigFreshnessCounters::Sent_},
+    {"sycamore_freshness_received_total", "Messages received.",
+     &ConfigFreshnessCounters::Received_},
+    {"sycamore_freshness_undated_total",
+     "Messages received whose age was not known.",
+     &ConfigFreshnessCounters::Undated_},
+    {"sycamore_freshness_mismatched_total",
+     "Confirmations of a ticket with another digest.",
+     &ConfigFreshnessCounters::Mismatched_},
+}};
+
 constexpr std::array<CounterRow<KeyedCallsCounters>, 10> KeyRows = {{
     {"sycamore_keys_run_total", "Keys run here.", &KeyedCallsCounters::Run_},
     {"sycamore_keys_joined_total", "Keys that waited for an earlier sending.",
@@ -304,6 +327,18 @@
              static_cast<double>(Control.snapshot()->Number_));
   writeGauge(Page, "sycamore_serving", "1 when the floor is known.",
              Control.mayServe() ? 1 : 0);
+  const ConfigFreshness &Freshness = Control.freshness();
+  if (isBounded(Freshness)) {
+    TimePoint Time = monotonicNow();
+    auto Age = confirmationAge(Freshness, Time);
+    writeGauge(Page, "sycamore_configuration_age_seconds",
+               "Age of the store's last confirmation of the ticket in force; "
+               "-1 without any.",
+               Age ? std::chrono::duration<double>(*Age).count() : -1);
+    writeGauge(Page, "sycamore_configuration_stale",
+               "1 when requests with a credential are refused.",
+               isStale(Freshness, Time) ? 1 : 0);
+  }
   writeGauge(Page, "sycamore_stopping", "1 during a planned stop.",
              Context.Entry_.isStopping() ? 1 : 0);
   writeGauge(Page, "sycamore_rejected_ticket", "Last ticket refused; 0: none.",
@@ -360,6 +395,8 @@
   writeTable(Page, Context.Control_.counters(), ControlRows);
   writeTable(Page, Context.Control_.watchDelegation().Counters_,
              DelegationRows);
+  if (isBounded(Context.Control_.freshness()))
+    writeTable(Page, Context.Control_.freshness().Counters_, FreshnessRows);
   writeTable(Page, Context.Keys_.buckets().Counters_, KeyRows);
   writeTable(Page, Context.Entry_.placement().Counters_, PlacementRows);
   writeStoreCalls(Page, Context.StoreCounters_);
--- a/src/EntryProxy.h
+++ b/src/EntryProxy.h
@@ -41,6 +41,7 @@
   std::uint64_t RefusedLimit_ = 0;
   std::uint64_t NoRoute_ = 0;
   std::uint64_t Unauthenticated_ = 0;
+  std::uint64_t RefusedStale_ = 0;
   std::uint64_t Quarantined_ = 0;
   std::uint64_t KeyedForwards_ = 0;
   std::uint64_t CallersDisconnected_ = 0;
@@ -151,6 +152,10 @@
   /// Sets route, service and deadline; the refusal when no route matches.
   std::optional<CallResult> findRoute(const HttpRequest &Http, EntryCall &Call,
                                       Now Time);
+  /// The refusal of a request with a credential while the configuration may be
+  /// too old to tell whether the credential was withdrawn.
+  std::optional<CallResult> checkFreshness(const HttpRequest &Http,
+                                           Now Time) const;
   /// Sets the tenant and the priority; the refusal when the credential is
   /// unknown or missing.
   static std::optional<CallResult> authenticate(const HttpRequest &Http,
--- a/src/EntryRequests.cpp
+++ b/src/EntryRequests.cpp
@@ -85,6 +85,12 @@
     reply(Exchange, Request, *Refusal);
     return false;
   }
+  if (auto Refusal = checkFreshness(Http, Time)) {
+    ++Counters_.RefusedStale_;
+    logRefusal(makeHistory(Http, Request.Call_, Time), *Refusal);
+    reply(Exchange, Request, *Refusal);
+    return false;
+  }
   if (auto Refusal = authenticate(Http, Settings_.Headers_, Request.Call_)) {
     ++Counters_.Unauthenticated_;
     logRefusal(makeHistory(Http, Request.Call_, Time), *Refusal);
@@ -132,6 +138,21 @@
   return std::nullopt;
 }
 
+std::optional<CallResult> EntryProxy::checkFreshness(const HttpRequest &Http,
+                                                     Now Time) const {
+  const std::string &Name = Settings_.Headers_.Credential_;
+  if (!Control_.isConfigurationStale(Time.Monotonic_) || Name.empty() ||
+      !findHeader(Http.Headers_, Name))
+    return std::nullopt;
+  return refusal(503,
+                 {ErrorKind::Unavailable,
+                  "this daemon cannot tell whether the credential is still "
+                  "valid: the store has not confirmed the configuration for "
+                  "longer than revocation.max_age_ms allows",
+                  "send the request again, or send it to another daemon"},
+                 seconds(1));
+}
+
 std::optional<CallResult> EntryProxy::authenticate(const HttpRequest &Http,
                                                    const HeaderNames &Names,
                                                    EntryCall &Call) {
--- a/src/Events.cpp
+++ b/src/Events.cpp
@@ -107,6 +107,14 @@
          "the delegate peer is not needed any more"},
         {LogEvent::WatchRequested, "watch-requested", Info, RarePerSecond,
          false, "this daemon watches the store for the reader peer"},
+        {LogEvent::ConfigurationStale, "configuration-stale", Warning,
+         RarePerSecond, false,
+         "the store's last confirmation of the ticket is age_ms old; requests "
+         "with a credential are refused"},
+        {LogEvent::ConfigurationConfirmed, "configuration-confirmed", Info,
+         RarePerSecond, false,
+         "the store has confirmed the ticket; requests with a credential are "
+         "served"},
         {LogEvent::ServerJoined, "server-joined", Info, RarePerSecond, false,
          "a daemon was heard of for the first time"},
         {LogEvent::ServerAlive, "server-alive", Info, RarePerSecond, false,
--- a/src/Settings.cpp
+++ b/src/Settings.cpp
@@ -183,6 +183,13 @@
     Section.duration("keep_ms", Out.Records_.Keep_, 1000, 600'000);
     Section.duration("loss_hold_ms", Out.Records_.LossHold_, 0, 10'000);
   });
+  Reader.section("revocation", [&](SettingsReader &Section) {
+    constexpr milliseconds MinMaxAge(1000);
+    milliseconds &MaxAge = Out.Revocation_.MaxAge_;
+    Section.duration("max_age_ms", MaxAge, 0, 600'000);
+    if (MaxAge.count() > 0 && MaxAge < MinMaxAge)
+      Section.reportProblem("max_age_ms", "is neither 0 nor at least 1000");
+  });
   Reader.section("retries", [&](SettingsReader &Section) {
     Section.number("share", Out.Retries_.Share_, 0.0, 1.0);
     Section.integer("constant", Out.Retries_.Constant_, 0, 100'000);
--- a/src/SettingsReport.cpp
+++ b/src/SettingsReport.cpp
@@ -22,6 +22,7 @@
               {"retry_share", Value.Retries_.Share_},
               {"retry_constant", Value.Retries_.Constant_},
               {"retry_fleet_constant", Value.Retries_.FleetConstant_},
+              {"revocation_max_age_ms", Value.Revocation_.MaxAge_.count()},
               {"record_keep_ms", Value.Records_.Keep_.count()},
               {"key_buckets", Value.Keys_.Buckets_}};
   if (Value.Target_)
--- a/src/TargetProxy.cpp
+++ b/src/TargetProxy.cpp
@@ -152,6 +152,19 @@
   answer(Answer, {}, Route, Request.priority(), Time);
 }
 
+std::optional<Error>
+TargetProxy::checkFreshness(const wire::CallRequest &Request, Now Time) {
+  if (Request.tenant().empty() ||
+      !Control_.isConfigurationStale(Time.Monotonic_))
+    return std::nullopt;
+  ++Counters_.RefusedStale_;
+  return Error{ErrorKind::Unavailable,
+               "the daemon beside target " + Request.target() +
+                   " has not had its configuration confirmed for longer than "
+                   "revocation.max_age_ms allows",
+               "send the request again; another target will take it"};
+}
+
 std::optional<Error>
 TargetProxy::checkRunnable(const wire::CallRequest &Request, Now Time) {
   auto Found = Targets_.find(Request.target());
@@ -170,7 +183,7 @@
                  "wait for the time in Retry-After, or ask an operator to run "
                  "`sycamorectl quarantine clear`"};
   }
-  return std::nullopt;
+  return checkFreshness(Request, Time);
 }
 
 void TargetProxy::run(const wire::CallRequest &Request, std::string Body,
@@ -323,8 +336,13 @@
 
 void TargetProxy::start(std::uint64_t Id, Now Time) {
   PendingCall &Call = Pending_.at(Id);
+  // The configuration may have become stale while the request waited.
+  if (auto Failure = checkFreshness(Call.Request_, Time)) {
+    refusePending(Id, "configuration-stale", *Failure, Time);
+    return;
+  }
   if (!recordRunning(Calls_, Call.Request_.id(), Time.Monotonic_)) {
-    refusePending(Id, Time);
+    refuseWithoutSlot(Id, Time);
     return;
   }
   Call.StartedAt_ = Time.Monotonic_;
@@ -513,7 +531,20 @@
   recordSpan(Spans_, std::move(Finished));
 }
 
-void TargetProxy::refusePending(std::uint64_t Id, Now Time) {
+void TargetProxy::refuseWithoutSlot(std::uint64_t Id, Now Time) {
+  auto Found = Pending_.find(Id);
+  if (Found == Pending_.end())
+    return;
+  refusePending(Id, "no-slot-in-time",
+                {ErrorKind::Unavailable,
+                 "target " + Found->second.Target_ +
+                     " had no slot for the request in time",
+                 "send the request again after the time in Retry-After"},
+                Time);
+}
+
+void TargetProxy::refusePending(std::uint64_t Id, std::string_view Reason,
+                                const Error &Failure, Now Time) {
   auto Found = Pending_.find(Id);
   if (Found == Pending_.end())
     return;
@@ -528,13 +559,10 @@
       finish(TargetEntry->second.Admission_, Id, Duration(0), Time.Monotonic_);
     RetryDelay = retryAfter(TargetEntry->second.Admission_);
     logAttemptRefused(describeAttempt(Call), TargetEntry->second.Admission_,
-                      "no-slot-in-time", Time.Monotonic_);
+                      Reason, Time.Monotonic_);
   }
-  refuse(Call.Request_, Call.Route_, StatusUnavailable,
-         {ErrorKind::Unavailable,
-          "target " + Call.Target_ + " had no slot for the request in time",
-          "send the request again after the time in Retry-After"},
-         RetryDelay, Time);
+  refuse(Call.Request_, Call.Route_, StatusUnavailable, Failure, RetryDelay,
+         Time);
 }
 
 void TargetProxy::runQueue(LocalTarget &Target, Now Time) {
@@ -542,7 +570,7 @@
   std::vector<std::uint64_t> Refused;
   dequeueRunnable(Target.Admission_, Time.Monotonic_, Run, Refused);
   for (std::uint64_t Id : Refused)
-    refusePending(Id, Time);
+    refuseWithoutSlot(Id, Time);
   for (std::uint64_t Id : Run)
     if (Pending_.contains(Id))
       start(Id, Time);
--- a/src/TargetProxy.h
+++ b/src/TargetProxy.h
@@ -83,6 +83,7 @@
   std::uint64_t Unknown_ = 0;
   std::uint64_t TargetsLost_ = 0;
   std::uint64_t QuarantineRefusals_ = 0;
+  std::uint64_t RefusedStale_ = 0; ///< Of a tenant; see ConfigFreshness.
 };
 
 /// Status check of a target. Its answer may be much smaller than that to a
@@ -166,7 +167,13 @@
   void refuse(const wire::CallRequest &Request, const ReplyRoute &Route,
               std::uint32_t Status, const Error &Failure, Duration RetryAfter,
               Now Time);
-  void refusePending(std::uint64_t Id, Now Time);
+  /// The refusal of a tenant's request while the configuration may be too old
+  /// to tell whether the tenant's credential was withdrawn.
+  std::optional<Error> checkFreshness(const wire::CallRequest &Request,
+                                      Now Time);
+  void refuseWithoutSlot(std::uint64_t Id, Now Time);
+  void refusePending(std::uint64_t Id, std::string_view Reason,
+                     const Error &Failure, Now Time);
   /// Refuses an attempt whose answer the link cannot carry in time; true when
   /// it was refused.
   bool refuseForLink(const PendingCall &Call, std::uint64_t ExpectedBytes,
