--- a/test/support/Cluster.cpp
+++ b/test/support/Cluster.cpp
@@ -51,6 +51,8 @@
   posix_spawn_file_actions_addopen(&Actions, STDOUT_FILENO, LogFile.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0600);
   posix_spawn_file_actions_adddup2(&Actions, STDOUT_FILENO, STDERR_FILENO);
+  // Sockets of earlier tests in this process are not the program's own.
+  posix_spawn_file_actions_addclosefrom_np(&Actions, STDERR_FILENO + 1);
   int Status =
       posix_spawn(&Id_, Path.c_str(), &Actions, nullptr, Argv.data(), environ);
   posix_spawn_file_actions_destroy(&Actions);
@@ -85,9 +87,8 @@
 
 bool Process::isRunning() { return !wait(Duration(0)); }
 
-std::size_t Process::peakMemoryBytes() const {
+std::size_t Process::statusBytes(std::string_view Field) const {
   std::string Status = readFile("/proc/" + std::to_string(Id_) + "/status");
-  constexpr std::string_view Field = "VmHWM:";
   std::size_t At = Status.find(Field);
   constexpr std::size_t Kibibyte = 1024;
   return At == std::string::npos
@@ -95,6 +96,17 @@
              : std::stoul(Status.substr(At + Field.size())) * Kibibyte;
 }
 
+std::size_t Process::peakMemoryBytes() const { return statusBytes("VmHWM:"); }
+
+std::size_t Process::memoryBytes() const { return statusBytes("VmRSS:"); }
+
+std::size_t Process::openDescriptors() const {
+  std::error_code Failure;
+  std::filesystem::directory_iterator Open(
+      "/proc/" + std::to_string(Id_) + "/fd", Failure);
+  return static_cast<std::size_t>(std::distance(begin(Open), end(Open)));
+}
+
 Cluster::Cluster() : Client_(HttpClient::create(Loop_.base()).value()) {
   std::string Template =
       (std::filesystem::temp_directory_path() / "sycamore-XXXXXX").string();
@@ -168,6 +180,7 @@
   TestServer.Caller_ = (*Ports)["caller"];
   TestServer.Admin_ = (*Ports)["admin"];
   TestServer.Peer_ = (*Ports)["peer"];
+  TestServer.Ready_ = Ports->value("ready", "");
 }
 
 void Cluster::restartDaemon(Server &TestServer, const Json &ExtraSettings) {
--- a/test/support/Cluster.h
+++ b/test/support/Cluster.h
@@ -34,8 +34,13 @@
   bool isRunning();
   /// Most memory that the process has had in RAM; 0 when it cannot be read.
   std::size_t peakMemoryBytes() const;
+  /// Memory that the process has in RAM now; 0 when it cannot be read.
+  std::size_t memoryBytes() const;
+  std::size_t openDescriptors() const;
 
 private:
+  std::size_t statusBytes(std::string_view Field) const;
+
   pid_t Id_ = -1;
   std::optional<int> Exit_;
 };
@@ -48,6 +53,7 @@
   std::string Caller_; ///< Address for callers.
   std::string Admin_;
   std::string Peer_;
+  std::string Ready_;  ///< Empty without ready_listen.
   std::string Target_; ///< Address of the target.
   std::string Settings_;
   std::string Ledger_;
--- a/test/support/RawSocket.h
+++ b/test/support/RawSocket.h
@@ -134,6 +134,11 @@
     write(Writer.Start_);
     bufferevent_setcb(Stream_, onRead, onWritable, onEvent, this);
   }
+  /// Leaves what the server sends unread.
+  void stopReading() { bufferevent_disable(Stream_, EV_READ); }
+  std::size_t unsentBytes() const {
+    return evbuffer_get_length(bufferevent_get_output(Stream_));
+  }
   void close() {
     if (Stream_)
       bufferevent_free(Stream_);
--- a/tools/sycamored.cpp
+++ b/tools/sycamored.cpp
@@ -102,10 +102,12 @@
   std::string TemporaryPath = Path + ".partial";
   {
     std::ofstream File(TemporaryPath);
-    File << Json{{"caller", Addresses.Caller_},
-                 {"admin", Addresses.Admin_},
-                 {"peer", Addresses.Peer_}}
-         << "\n";
+    Json Ports{{"caller", Addresses.Caller_},
+               {"admin", Addresses.Admin_},
+               {"peer", Addresses.Peer_}};
+    if (!Addresses.Ready_.empty())
+      Ports["ready"] = Addresses.Ready_;
+    File << Ports << "\n";
   }
   std::rename(TemporaryPath.c_str(), Path.c_str());
 }
