Take only a final answer with a valid status and length from a server

The HTTP client took any status from 100 to 999 for the final answer. A caller got "103 Early Hints", 600 or 999 as its response, the final answer that followed was lost, and the connection was used again. Parts of an answer with such a status also reached a watch. evhttp reads a status with strtol, so that 20x passed as 20 and as 200.

The client now accepts a final status from 200 to 599, of exactly three digits, and reads on after an interim answer (100 to 199 but 101), whose header fields it drops. Any other status, two different lengths, a length that is not a number and an unknown transfer coding end the call as Broken before its body is read; the caller gets 502 and the connection is closed. This holds for targets, the clients of both stores and sycamorectl, which share this client. Such a server is running, so the target is not taken for crashed (HttpResponse::OverLimit_ is now ServerRuns_, as it has two causes). The server side answers 502 in place of a status out of range that another daemon sent.

--- a/include/sycamore/HttpClient.h
+++ b/include/sycamore/HttpClient.h
@@ -60,9 +60,9 @@
   HttpHeaders Headers_; ///< Empty unless Answered.
   std::string Body_;    ///< Empty unless Answered.
   std::string Reason_;  ///< For logs when not Answered.
-  /// Broken because of a size limit of this client. The server is still running
-  /// and may have more to send.
-  bool OverLimit_ = false;
+  /// Broken because of a size limit of this client, or of a status or a length
+  /// that violates HTTP. The server is still running and may have more to send.
+  bool ServerRuns_ = false;
 };
 
 struct HttpClientConfig {
--- a/src/HttpClientPool.cpp
+++ b/src/HttpClientPool.cpp
@@ -1,12 +1,14 @@
 // Connections and calls of the HTTP client.
 #include "HttpClientPool.h"
 
+#include "AnswerHead.h"
 #include "sycamore/Clock.h"
 
 #include <algorithm>
 #include <array>
 #include <charconv>
 #include <event2/bufferevent_ssl.h>
+#include <event2/http_struct.h>
 #include <sys/socket.h>
 #include <utility>
 
@@ -59,9 +61,8 @@
   return "unknown failure";
 }
 
-/// evhttp accepts any number as a status, even a negative one, and reports 0
-/// for a connection that failed.
-bool isValidStatus(int Status) { return Status >= 100 && Status <= 999; }
+constexpr int ContinueStatus = 100;
+constexpr std::string_view InvalidStatus = "the answer's status is invalid";
 
 /// Why a response may be incomplete; empty if it is complete.
 std::string_view incompleteReason(const HttpResponse &Response,
@@ -150,11 +151,43 @@
   }
 }
 
+void ClientConnection::checkStatusLine() {
+  if (StatusLineChecked_)
+    return;
+  std::array<char, StatusPrefixBytes> Start{};
+  ev_ssize_t Size = evbuffer_copyout(bufferevent_get_input(Stream_),
+                                     Start.data(), Start.size());
+  auto Valid = statusLineIsValid(
+      {Start.data(), static_cast<std::size_t>(std::max<ev_ssize_t>(Size, 0))});
+  StatusLineChecked_ = Valid.has_value();
+  if (Valid && !*Valid)
+    Invalid_ = InvalidStatus;
+}
+
+// evhttp reads the next answer after 100, but takes any other interim answer
+// for the final one, and keeps the header fields of each.
+void ClientConnection::skipInterim(evhttp_request *Request) {
+  Request->response_code = ContinueStatus;
+  evhttp_clear_headers(evhttp_request_get_input_headers(Request));
+  StatusLineChecked_ = false;
+  checkStatusLine();
+}
+
 int ClientConnection::onHeaders(evhttp_request *Request, void *Self) {
+  constexpr int CloseConnection = -1;
   auto *This = static_cast<ClientConnection *>(Self);
-  const char *Encoding = evhttp_find_header(
-      evhttp_request_get_input_headers(Request), "Transfer-Encoding");
-  if (Encoding && equalHeaderNames(Encoding, "chunked")) {
+  AnswerKind Kind = answerKind(evhttp_request_get_response_code(Request));
+  HttpHeaders Headers;
+  copyHeaders(evhttp_request_get_input_headers(Request), Headers);
+  if (Kind == AnswerKind::Invalid)
+    This->Invalid_ = InvalidStatus;
+  else if (Kind == AnswerKind::Final && This->Invalid_.empty())
+    This->Invalid_ = invalidFraming(Headers);
+  if (!This->Invalid_.empty())
+    return CloseConnection;
+  if (Kind == AnswerKind::Interim) {
+    This->skipInterim(Request);
+  } else if (findHeader(Headers, "transfer-encoding")) {
     This->ChunkLines_ = startChunkLines();
     This->followChunks(This->unreadBytes());
   }
@@ -189,6 +222,7 @@
   if (Info->n_added == 0 || !This->Call_ || !This->Request_)
     return;
   This->BytesRead_ += Info->n_added;
+  This->checkStatusLine();
   This->followChunks(Info->n_added);
   if (This->exceedsLimits())
     This->failOverLimit("the answer is over the size limit");
@@ -240,6 +274,8 @@
   BytesRead_ = 0;
   PartBytes_ = 0;
   ChunkLines_ = {};
+  Invalid_ = {};
+  StatusLineChecked_ = false;
   Failure_.clear();
   MaxBodyBytes_ =
       std::min(Core_.Config_.MaxBodyBytes_, Call->Request_.MaxBodyBytes_);
@@ -273,7 +309,7 @@
 
 void ClientConnection::onError(evhttp_request_error Error, void *Self) {
   auto *This = static_cast<ClientConnection *>(Self);
-  This->Failure_ = errorText(Error);
+  This->Failure_ = This->Invalid_.empty() ? errorText(Error) : This->Invalid_;
   if (Error == EVREQ_HTTP_DATA_TOO_LONG)
     This->OverLimit_ = true;
 }
@@ -297,10 +333,9 @@
   Response.Sent_ = This->BytesWritten_ > 0;
   Response.OnKeptConnection_ = std::exchange(This->Kept_, true);
   Response.Status_ = Request ? evhttp_request_get_response_code(Request) : 0;
-  std::string Reason = Response.Status_ != 0 ? "the answer's status is invalid"
-                       : This->Failure_.empty() ? "the connection failed"
-                                                : This->Failure_;
-  if (isValidStatus(Response.Status_)) {
+  std::string Reason =
+      This->Failure_.empty() ? "the connection failed" : This->Failure_;
+  if (answerKind(Response.Status_) == AnswerKind::Final) {
     copyHeaders(evhttp_request_get_input_headers(Request), Response.Headers_);
     Response.Body_ = drainBuffer(evhttp_request_get_input_buffer(Request));
     Reason = incompleteReason(Response, Call->Request_);
@@ -317,7 +352,7 @@
     Failed.Sent_ = Response.Sent_;
     Failed.OnKeptConnection_ = Response.OnKeptConnection_;
     Failed.Reason_ = std::move(Reason);
-    Failed.OverLimit_ = This->OverLimit_;
+    Failed.ServerRuns_ = This->OverLimit_ || !This->Invalid_.empty();
     Response = std::move(Failed);
   }
   bool Keep = Response.Outcome_ == HttpOutcome::Answered && !This->Closed_ &&
@@ -366,7 +401,7 @@
     if (Response.Sent_)
       Response.Outcome_ = HttpOutcome::Broken;
     Response.Reason_ = This->DeferredReason_;
-    Response.OverLimit_ = This->Connection_ && This->Connection_->overLimit();
+    Response.ServerRuns_ = This->Connection_ && This->Connection_->overLimit();
   } else if (Now >= This->DeadlineAt_) {
     Response.Outcome_ = HttpOutcome::TimedOut;
     Response.Reason_ = "the deadline passed";
--- a/src/HttpClientPool.h
+++ b/src/HttpClientPool.h
@@ -76,6 +76,10 @@
   void followChunks(std::size_t Bytes);
   static void onClose(evhttp_connection *Handle, void *Self);
   static int onHeaders(evhttp_request *Request, void *Self);
+  /// Checks the status line at the start of the input, once it has arrived.
+  void checkStatusLine();
+  /// Makes evhttp read the next answer in place of this interim one.
+  void skipInterim(evhttp_request *Request);
   static void onDone(evhttp_request *Request, void *Self);
   static void onPart(evhttp_request *Request, void *Self);
   static void onError(evhttp_request_error Error, void *Self);
@@ -97,6 +101,9 @@
   std::size_t BytesRead_ = 0;
   std::size_t PartBytes_ = 0;
   ChunkLines ChunkLines_;
+  /// Why the answer violates HTTP, empty while it does not.
+  std::string_view Invalid_;
+  bool StatusLineChecked_ = false;
   bool Closed_ = false;
   bool Kept_ = false;     ///< Has carried an earlier request.
   bool Starting_ = false; ///< Inside evhttp_make_request().
--- a/src/HttpExchange.cpp
+++ b/src/HttpExchange.cpp
@@ -1,6 +1,7 @@
 // A request on the server side, and the connection that it arrived on.
 #include "HttpExchange.h"
 
+#include "AnswerHead.h"
 #include "HttpSupport.h"
 
 #include <algorithm>
@@ -55,6 +56,13 @@
          findHeader(Request.Headers_, "transfer-encoding") != nullptr;
 }
 
+constexpr int BadGateway = 502;
+
+/// A status that came from another process may be any number.
+int finalStatus(int Status) {
+  return answerKind(Status) == AnswerKind::Final ? Status : BadGateway;
+}
+
 bool statusAllowsBody(int Status) {
   return Status >= 200 && Status != 204 && Status != 304;
 }
@@ -249,6 +257,10 @@
   if (!Handle_ || Started_)
     return;
   Started_ = true;
+  if (finalStatus(Status) != Status) {
+    Status = finalStatus(Status);
+    Body = {};
+  }
   setHeaders(Headers, isHead());
   evkeyvalq *Output = evhttp_request_get_output_headers(Handle_);
   if (isHead() && !evhttp_find_header(Output, "Content-Length"))
@@ -267,7 +279,7 @@
   Started_ = true;
   setHeaders(Headers, true);
   Connection_->prepareReply(Handle_, true);
-  evhttp_send_reply_start(Handle_, Status, nullptr);
+  evhttp_send_reply_start(Handle_, finalStatus(Status), nullptr);
 }
 
 void HttpExchangeImpl::sendPart(std::string_view Part) {
--- a/src/TargetAnnouncements.cpp
+++ b/src/TargetAnnouncements.cpp
@@ -335,7 +335,7 @@
   // Health responses are delayed and can be wrong, so only an explicit
   // statement that the target drains is used; a draining target would refuse
   // the requests anyway.
-  if (Response.OverLimit_)
+  if (Response.ServerRuns_)
     logEvent(LogEvent::HealthRejected,
              {{"target", Name}, {"error", Response.Reason_}});
   auto Found = Targets_.find(Name);
--- a/src/TargetProxy.cpp
+++ b/src/TargetProxy.cpp
@@ -390,7 +390,7 @@
     return;
   }
   if (Response.Outcome_ == HttpOutcome::Broken) {
-    if (Response.OverLimit_)
+    if (Response.ServerRuns_)
       completeBrokenCall(Id, Response.Reason_, /*Lost=*/false);
     else
       checkTargetLost(Id, std::move(Response.Reason_));
@@ -419,7 +419,7 @@
         // A terminating process may still accept a connection and then
         // close it.
         bool Closed =
-            Response.Outcome_ == HttpOutcome::Broken && !Response.OverLimit_;
+            Response.Outcome_ == HttpOutcome::Broken && !Response.ServerRuns_;
         completeBrokenCall(Id, Reason,
                            Closed || Response.Outcome_ == HttpOutcome::NotSent);
       });
--- a/test/failure/HttpFailureTest.cpp
+++ b/test/failure/HttpFailureTest.cpp
@@ -346,7 +346,7 @@
     Request.Deadline_ = seconds(2);
     HttpResponse Response = Pair.call(Request, Server.Address_);
     EXPECT_EQ(Response.Outcome_, HttpOutcome::Broken) << Response.Reason_;
-    EXPECT_TRUE(Response.OverLimit_) << Start;
+    EXPECT_TRUE(Response.ServerRuns_) << Start;
   }
 }
 
@@ -418,7 +418,7 @@
   }
   ASSERT_TRUE(Pair.Loop_.runUntil([&] { return Answers.contains("/large"); }));
   EXPECT_EQ(Answers["/large"].Outcome_, HttpOutcome::Broken);
-  EXPECT_TRUE(Answers["/large"].OverLimit_);
+  EXPECT_TRUE(Answers["/large"].ServerRuns_);
   for (RawServer::Peer &Remote : Server.Peers_)
     if (Remote.Input_.find("/large") == std::string::npos)
       Remote.write("x");
