Announce the software version of each target to the fleet

Daemons could not tell the targets of a new software version from the old ones beside them, so a roll-out could not move traffic between the two.

A target that restarts with another version under its name changes its record.

--- a/include/sycamore/Integration.h
+++ b/include/sycamore/Integration.h
@@ -17,6 +17,7 @@
 struct TargetAnnouncement {
   std::string Name_;
   std::string Service_;
+  std::string Version_; ///< Of the target's software; empty when not stated.
   std::string Address_; ///< "IP:PORT" for requests.
   std::uint32_t Slots_ = 1;
   bool Leaving_ = false; ///< The target drains and accepts no new work.
--- a/include/sycamore/Membership.h
+++ b/include/sycamore/Membership.h
@@ -250,7 +250,8 @@
 /// gossiped only if something changed; a target that was leaving or removed
 /// becomes usable again. Ignored unless this server is alive.
 void announceTarget(Membership &Members, std::string_view Name,
-                    std::string_view Service, std::uint32_t Slots, Now Time);
+                    std::string_view Service, std::uint32_t Slots, Now Time,
+                    std::string_view SoftwareVersion = {});
 
 /// Removes a target that deleted its announcement or missed 3 of them.
 void withdrawTarget(Membership &Members, std::string_view Name, Now Time);
@@ -326,6 +327,7 @@
   std::string DataCentre_; ///< Of the server.
   std::uint32_t Slots_ = 0;
   bool Suspect_ = false; ///< Its server does not answer probes.
+  std::string Version_;  ///< Of its software; empty when not announced.
 };
 
 /// Targets of a service that the snapshot admits, that are announced and not
--- a/src/Membership.cpp
+++ b/src/Membership.cpp
@@ -280,18 +280,20 @@
 }
 
 void announceTarget(Membership &Members, std::string_view Name,
-                    std::string_view Service, std::uint32_t Slots, Now Time) {
+                    std::string_view Service, std::uint32_t Slots, Now Time,
+                    std::string_view SoftwareVersion) {
   if (ownRow(Members).Record_.state() != wire::SERVER_ALIVE)
     return;
   if (const TargetRow *Row = findOwnTarget(Members, Name)) {
     const wire::TargetRecord &Record = Row->Record_;
     if (!Record.gone() && !Record.leaving() && Record.service() == Service &&
-        Record.slots() == Slots)
+        Record.slots() == Slots && Record.software_version() == SoftwareVersion)
       return;
   }
   wire::TargetRecord Updated;
   Updated.set_service(std::string(Service));
   Updated.set_slots(Slots);
+  Updated.set_software_version(std::string(SoftwareVersion));
   changeOwnTarget(Members, std::string(Name), Updated, Time);
 }
 
--- a/src/MembershipViews.cpp
+++ b/src/MembershipViews.cpp
@@ -30,7 +30,8 @@
     return;
   Out.push_back({Record.name(), Server->first,
                  Server->second.Record_.data_centre(), Record.slots(),
-                 Server->second.Record_.state() == wire::SERVER_SUSPECT});
+                 Server->second.Record_.state() == wire::SERVER_SUSPECT,
+                 Record.software_version()});
 }
 
 void addEligible(const Membership &Members, const std::string &Target,
--- a/src/TargetAnnouncements.cpp
+++ b/src/TargetAnnouncements.cpp
@@ -209,7 +209,8 @@
   if (!Target.Leaving_) {
     Target.Admission_.Admitting_ = true;
     announceTarget(Control_.members(), Announcement.Name_,
-                   Announcement.Service_, Announcement.Slots_, Time);
+                   Announcement.Service_, Announcement.Slots_, Time,
+                   Announcement.Version_);
   }
 }
 
--- a/test/correctness/MembershipTest.cpp
+++ b/test/correctness/MembershipTest.cpp
@@ -94,6 +94,23 @@
             record(Node.Members_, "a").incarnation());
 }
 
+// A target that restarts with other software under its old name must not be
+// counted with its former version.
+TEST(Membership, SpreadsTheVersionOfATargetsSoftware) {
+  Node Owner{makeMember("a")};
+  announceTarget(Owner.Members_, "t", "shelfview", 6, at(seconds(1)), "v1");
+  std::uint64_t First =
+      Owner.Members_.Targets_.at({"t", "a"}).Record_.version();
+  announceTarget(Owner.Members_, "t", "shelfview", 6, at(seconds(2)), "v1");
+  EXPECT_EQ((Owner.Members_.Targets_.at({"t", "a"}).Record_.version()), First);
+  announceTarget(Owner.Members_, "t", "shelfview", 6, at(seconds(3)), "v2");
+  Snapshot Current;
+  Current.State_.Services_["shelfview"].AdmitAnnounced_ = true;
+  auto Eligible = eligibleTargets(Owner.Members_, Current, "shelfview");
+  ASSERT_EQ(Eligible.size(), 1U);
+  EXPECT_EQ(Eligible.front().Version_, "v2");
+}
+
 // An outdated copy or another daemon must neither restore nor remove a target.
 TEST(Membership, OnlyTheOwnerChangesATarget) {
   Node Owner{makeMember("a")};
--- a/test/platform/InstanceNoticeTest.cpp
+++ b/test/platform/InstanceNoticeTest.cpp
@@ -37,6 +37,7 @@
   const auto &Announcement = std::get<TargetAnnouncement>(*Parsed);
   EXPECT_EQ(Announcement.Name_, "i-7f");
   EXPECT_EQ(Announcement.Service_, "view");
+  EXPECT_EQ(Announcement.Version_, "v1");
   EXPECT_EQ(Announcement.Address_, "10.0.0.9:8080");
   EXPECT_EQ(Announcement.Slots_, 12U);
   EXPECT_EQ(Announcement.Sequence_, 4U);
@@ -45,6 +46,23 @@
   EXPECT_FALSE(Announcement.Leaving_);
 }
 
+// A server of a platform that states no version, or one that is no text, still
+// serves; it only belongs to no version of a roll-out.
+TEST(InstanceNotice, AcceptsAHeartbeatWithoutAVersion) {
+  for (const Json &Version : {Json(), Json(3), Json(std::string(300, 'v'))}) {
+    Json Body = heartbeat();
+    Body["information"]["version"] = Version;
+    auto Parsed = parseHeartbeat(Body);
+    ASSERT_TRUE(Parsed.has_value()) << describe(Parsed.error());
+    EXPECT_EQ(std::get<TargetAnnouncement>(*Parsed).Version_, "");
+  }
+  Json Body = heartbeat();
+  Body["information"].erase("version");
+  auto Parsed = parseHeartbeat(Body);
+  ASSERT_TRUE(Parsed.has_value()) << describe(Parsed.error());
+  EXPECT_EQ(std::get<TargetAnnouncement>(*Parsed).Version_, "");
+}
+
 TEST(InstanceNotice, ParsesADepartureInBothForms) {
   Json Draining = heartbeat();
   Draining["status"]["state"] = "draining";
