Run roll-outs from an operator's order to its status

An operator can order that a service's traffic moves to a new software version; until now nothing read such an order.

The reader's watch covers the prefix of all keys that operators write, in place of the configuration's key, so no further store calls are made. The first reader by rendezvous hashing of the service's name holds the roll-out: it sends the share in force over the overlay, counts the daemons' reports, keeps the state in the store by transactions that compare its revision, and writes the status when all daemons have applied the verdict. Without an order there are no messages and no calls.

--- a/include/sycamore/Events.h
+++ b/include/sycamore/Events.h
@@ -76,6 +76,13 @@
   RequestSuspected,
   RequestQuarantined,
   QuarantineEnded,
+  RolloutOrdered,
+  RolloutOrderRejected,
+  RolloutHolderBegan,
+  RolloutStep,
+  RolloutDecided,
+  RolloutStatusWritten,
+  RolloutStoreFailed,
   // Requests at the entry daemon.
   RequestNoRoute,
   RequestRefused,
--- a/include/sycamore/Integration.h
+++ b/include/sycamore/Integration.h
@@ -5,6 +5,7 @@
 
 #include "sycamore/EtcdStore.h"
 #include "sycamore/HttpServer.h"
+#include "sycamore/Rollout.h"
 #include "sycamore/Settings.h"
 #include "sycamore/Snapshot.h"
 #include "sycamore/Store.h"
@@ -49,6 +50,23 @@
   /// Key of the document that holds the complete configuration.
   virtual std::string configurationKey() const = 0;
 
+  /// Key or prefix (see Store::watch()) that covers configurationKey() and the
+  /// orders of roll-outs.
+  virtual std::string watchedKey() const { return configurationKey(); }
+
+  virtual bool isRolloutOrder(std::string_view /*Key*/) const { return false; }
+  /// Parses a value whose key isRolloutOrder(). Errors: InvalidArgument.
+  virtual Result<RolloutOrder>
+  parseRolloutOrder(const KeyValue & /*Entry*/) const {
+    return fail(ErrorKind::NotFound, "the platform has no roll-outs", "");
+  }
+  /// Key and value with which the system states the progress of a roll-out.
+  virtual KeyValue formatRolloutStatus(const std::string & /*Service*/,
+                                       const std::string & /*TargetVersion*/,
+                                       wire::RolloutPhase /*Phase*/) const {
+    return {};
+  }
+
   /// Parses the document stored under configurationKey(). Errors:
   /// InvalidTicket.
   virtual Result<FullState>
--- a/include/sycamore/Rollout.h
+++ b/include/sycamore/Rollout.h
@@ -47,6 +47,8 @@
   /// Versions other than the target version that were seen while it ran. They
   /// get nothing after completion, unlike versions that come later.
   std::set<std::string> OldVersions_;
+  /// Versions that an earlier order ended or gave up. They get nothing.
+  std::set<std::string> EndedVersions_;
   RolloutTally New_;
   RolloutTally Old_;
   /// Median times of the old version, by route.
@@ -55,7 +57,7 @@
   /// Part of a request that the new version is still owed. It starts at random
   /// so that many daemons with few requests each keep the share together.
   double Credit_ = 0;
-  /// New failures or slow answers since the last report.
+  /// New failures or slow answers, or a new step, since the last report.
   bool ReportSoon_ = false;
   TimePoint ReportedAt_;
 };
--- a/include/sycamore/Store.h
+++ b/include/sycamore/Store.h
@@ -129,7 +129,9 @@
   virtual void revokeLease(std::int64_t Id, Duration Deadline,
                            StoreCallback<bool> Done) = 0;
 
-  /// Reports each new value of one key until the handle is destroyed.
+  /// Reports each new value of one key until the handle is destroyed. A Key
+  /// that ends with '/' is a prefix: the watch covers all keys that start with
+  /// it.
   /// FromRevision 0 starts at the store's current revision. OnFailure runs once
   /// if the watch fails; the caller then starts a new watch.
   virtual std::unique_ptr<WatchHandle>
@@ -155,6 +157,12 @@
 /// The end of the range of all keys that start with Prefix.
 std::string prefixEnd(std::string Prefix);
 
+/// See Store::watch().
+inline bool isWatchedPrefix(std::string_view Key) { return Key.ends_with('/'); }
+inline bool isWatched(std::string_view Watched, std::string_view Key) {
+  return isWatchedPrefix(Watched) ? Key.starts_with(Watched) : Key == Watched;
+}
+
 std::string headKey();
 std::string ticketKey(std::uint64_t Number);
 std::string snapshotKey(std::uint64_t Number);
--- a/src/ControlPlane.h
+++ b/src/ControlPlane.h
@@ -53,6 +53,10 @@
   using SeedFilter = std::function<bool(const wire::ServerRecord &)>;
   void setSeedFilter(SeedFilter Filter) { SeedFilter_ = std::move(Filter); }
 
+  /// Receives changes of watched keys other than the configuration's.
+  using KeyHandler = std::function<void(const KeyValue &)>;
+  void setKeyHandler(KeyHandler Handler) { OnOtherKey_ = std::move(Handler); }
+
   /// Called every 20 ms.
   void tick(Now Time);
 
@@ -120,6 +124,10 @@
   void applyHead(const std::string &Value, const Snapshot *Base);
   void applyDocument(const std::string &Value);
   std::string configurationKey() const;
+  void onOtherKey(const KeyValue &Entry) const {
+    if (OnOtherKey_)
+      OnOtherKey_(Entry);
+  }
   /// Applies a read of the configuration key. Returns the number of the stored
   /// ticket and sets Digest to its digest; unset when the value is invalid.
   std::optional<std::uint64_t> applyConfigurationRead(const RangeResult &Read,
@@ -161,6 +169,7 @@
   LoopWork &Work_;
   OutboxSender Send_;
   SeedFilter SeedFilter_;
+  KeyHandler OnOtherKey_;
   Membership Members_;
   ConfigReplica Replica_;
   Dissemination Dissemination_;
--- a/src/ControlPlaneWatch.cpp
+++ b/src/ControlPlaneWatch.cpp
@@ -89,12 +89,14 @@
   Duration Away = recordWatchStarted(WatchRetry_, Time);
   logEvent(LogEvent::WatchStarted, {{"away_ms", toMilliseconds(Away)}});
   Watch_ = Store_.watch(
-      configurationKey(), 0,
+      Integration_ ? Integration_->watchedKey() : headKey(), 0,
       [this](const KeyValue &Entry) {
         LoopTaskTimer Timer(Work_, LoopTask::StoreAnswer);
         ++Counters_.WatchEvents_;
         if (!Integration_)
           applyHead(Entry.Value_, nullptr);
+        else if (Entry.Key_ != configurationKey())
+          onOtherKey(Entry);
         else if (!Entry.Value_.empty())
           applyDocument(Entry.Value_);
       },
--- a/src/Daemon.cpp
+++ b/src/Daemon.cpp
@@ -192,12 +192,19 @@
       Settings_, *Control_, *Targets_, Quarantine_, Spans_, Rng_, Process_,
       SendCall,
       [this](const std::string &Server) { Peers_->closeLink(Server); });
+  Rollouts_ = std::make_unique<RolloutControl>(
+      Settings_, *Control_, *Store_, Integration_, Rng_, Process_, Send);
+  Entry_->setRollouts(*Rollouts_);
+  Control_->setKeyHandler([this](const KeyValue &Entry) {
+    Rollouts_->onStoreValue(Entry, readClocks());
+  });
   Keyed_ = std::make_unique<KeyedProxy>(
       Settings_, *Control_, *Entry_, *Targets_, *Store_, Rng_, Process_, Send);
   Store_->setRestorationHandler([this](const StoreRestoration &Restoration) {
     Now At = readClocks();
     Control_->onStoreRestored(Restoration, At);
     Keyed_->onStoreRestored(At);
+    Rollouts_->onStoreRestored();
   });
   Entry_->setKeyedHandler(
       [this](AcceptedRequest Request, const HttpExchangePointer &Exchange,
@@ -240,7 +247,7 @@
   Admin_ = std::make_unique<AdminApi>(
       AdminContext{Settings_, *Control_, *Targets_, *Entry_, *Keyed_,
                    Quarantine_, Spans_, *Answers_, *Peers_, *StoreCounters_,
-                   Work_},
+                   Work_, *Rollouts_},
       std::move(Tokens));
 
   auto Caller = startHttpServer(
@@ -372,6 +379,7 @@
   Control_->tick(Time);
   Targets_->tick(Time);
   Entry_->tick(Time);
+  Rollouts_->tick(Time);
   Keyed_->tick(Time);
   expire(Quarantine_, Time.Wall_);
   for (const QuarantineEvent &Event : takeEvents(Quarantine_))
@@ -397,6 +405,7 @@
                         !Route.Link_.empty(), Time);
   if (isForControlPlane(Message))
     Control_->receive(Message, Time);
+  Rollouts_->receive(Message, Time);
   switch (Message.body_case()) {
   case wire::PeerMessage::kGossip:
     mergeQuarantine(Message.gossip(), Time);
--- a/src/DaemonImpl.h
+++ b/src/DaemonImpl.h
@@ -93,6 +93,7 @@
   std::unique_ptr<ControlPlane> Control_;
   std::unique_ptr<AnswerSender> Answers_;
   std::unique_ptr<TargetProxy> Targets_;
+  std::unique_ptr<RolloutControl> Rollouts_;
   std::unique_ptr<EntryProxy> Entry_;
   std::unique_ptr<KeyedProxy> Keyed_;
   std::unique_ptr<AdminApi> Admin_;
--- a/src/DaemonMetrics.cpp
+++ b/src/DaemonMetrics.cpp
@@ -252,6 +252,52 @@
      &PlacementCounters::Ejections_},
 }};
 
+constexpr std::array<CounterRow<RolloutCounters>, 10> RolloutRows = {{
+    {"sycamore_rollout_orders_total", "Orders of roll-outs read.",
+     &RolloutCounters::Orders_},
+    {"sycamore_rollout_orders_rejected_total", "Orders that cannot be read.",
+     &RolloutCounters::OrdersRejected_},
+    {"sycamore_rollout_states_received_total", "States from peers.",
+     &RolloutCounters::StatesReceived_},
+    {"sycamore_rollout_reports_sent_total", "Reports to a holder.",
+     &RolloutCounters::ReportsSent_},
+    {"sycamore_rollout_reports_received_total", "Reports from peers.",
+     &RolloutCounters::ReportsReceived_},
+    {"sycamore_rollout_steps_total", "Shares and verdicts set by this holder.",
+     &RolloutCounters::StepsSet_},
+    {"sycamore_rollout_takeovers_total", "Roll-outs taken over.",
+     &RolloutCounters::Takeovers_},
+    {"sycamore_rollouts_completed_total", "Versions found good.",
+     &RolloutCounters::Completed_},
+    {"sycamore_rollouts_rolled_back_total", "Versions found bad.",
+     &RolloutCounters::RolledBack_},
+    {"sycamore_rollout_store_failures_total",
+     "Calls for the state of a roll-out that failed.",
+     &RolloutCounters::StoreFailures_},
+}};
+
+/// Only of services with a roll-out.
+void writeRollouts(MetricsPage &Page, const RolloutTable &Table) {
+  for (const auto &[Service, Entry] : Table.Rollouts_) {
+    MetricLabels Labels = {{"service", Service},
+                           {"target_version", Entry.State_.target_version()}};
+    writeGauge(Page, "sycamore_rollout_share",
+               "Part of the requests that goes to the new version.",
+               static_cast<double>(Entry.State_.share_permille()) /
+                   FullSharePermille,
+               Labels);
+    writeGauge(Page, "sycamore_rollout_phase",
+               "0 running, 1 completed, 2 rolled back.", Entry.State_.phase(),
+               Labels);
+    writeCounter(Page, "sycamore_rollout_new_requests_total",
+                 "Requests of this daemon to the new version.",
+                 Entry.New_.Sent_, Labels);
+    writeCounter(Page, "sycamore_rollout_old_requests_total",
+                 "Requests of this daemon to other versions.", Entry.Old_.Sent_,
+                 Labels);
+  }
+}
+
 void writeStoreCalls(MetricsPage &Page, const StoreCounters &Counters) {
   for (const auto &[Kind, Outcomes] : Counters.Calls_)
     for (const auto &[Outcome, Count] : Outcomes)
@@ -362,6 +408,8 @@
              DelegationRows);
   writeTable(Page, Context.Keys_.buckets().Counters_, KeyRows);
   writeTable(Page, Context.Entry_.placement().Counters_, PlacementRows);
+  writeTable(Page, Context.Rollouts_.counters(), RolloutRows);
+  writeRollouts(Page, Context.Rollouts_.table());
   writeStoreCalls(Page, Context.StoreCounters_);
   writeAdmission(Page, Context.Targets_);
   for (wire::RunOutcome Run :
--- a/src/EntryProxy.cpp
+++ b/src/EntryProxy.cpp
@@ -133,6 +133,9 @@
              Pinned.end();
     });
   dropSuspects(Eligible);
+  if (Rollouts_)
+    Rollouts_->filter(Call.Service_, Call.Route_, Eligible, Excluded,
+                      EventTime_);
   std::vector<Candidate> Candidates;
   Candidates.reserve(Eligible.size());
   for (const EligibleTarget &Target : Eligible)
@@ -303,6 +306,11 @@
   HeardAt_.try_emplace(Action.Server_, Time.Monotonic_);
   if (!Info.Target_.empty())
     recordDispatch(Placement_, Info.Target_, Time.Monotonic_);
+  if (auto Call = Calls_.Calls_.find(Id.sequence());
+      Rollouts_ && Call != Calls_.Calls_.end() && !Info.Target_.empty())
+    Rollouts_->recordSent(Id.ordinal(), Call->second.Service_,
+                          Call->second.Route_, {Info.Target_, Info.Server_},
+                          Time.Monotonic_);
   Attempts_[Id.ordinal()] = std::move(Info);
   markSent(Calls_, Id, Time.Monotonic_);
 }
@@ -331,6 +339,9 @@
   AttemptInfo Info = std::move(Found->second);
   Attempts_.erase(Found);
   recordAttemptEnded(Info, Outcome, Answer, Time);
+  if (Rollouts_)
+    Rollouts_->recordEnd(Ordinal, Info.Server_, Outcome, Answer,
+                         Time.Monotonic_);
   Duration Latency = Time.Monotonic_ - Info.SentAt_;
   if (Info.Hedge_)
     recordHedgeEnd(Hedges_, Latency);
--- a/src/EntryProxy.h
+++ b/src/EntryProxy.h
@@ -6,6 +6,7 @@
 #include "CallMessages.h"
 #include "ControlPlane.h"
 #include "RequestLog.h"
+#include "RolloutControl.h"
 #include "TargetProxy.h"
 #include "sycamore/CallerTimes.h"
 #include "sycamore/EntryCalls.h"
@@ -62,6 +63,7 @@
              std::function<void(const std::string &Server)> CloseLink);
 
   void setKeyedHandler(KeyedHandler Handler) { Keyed_ = std::move(Handler); }
+  void setRollouts(RolloutControl &Rollouts) { Rollouts_ = &Rollouts; }
 
   /// Handles a caller's request.
   void receive(const HttpExchangePointer &Exchange, Now Time);
@@ -193,6 +195,7 @@
   CallSender Send_;
   std::function<void(const std::string &)> CloseLink_;
   KeyedHandler Keyed_;
+  RolloutControl *Rollouts_ = nullptr;
   CallPolicy Policy_;
   EntryCalls Calls_;
   Placement Placement_;
--- a/src/EtcdCodec.cpp
+++ b/src/EtcdCodec.cpp
@@ -193,6 +193,8 @@
 
 Json encodeWatch(const std::string &Key, std::int64_t FromRevision) {
   Json Create{{"key", encodeBase64(Key)}, {"progress_notify", true}};
+  if (isWatchedPrefix(Key))
+    Create["range_end"] = encodeBase64(prefixEnd(Key));
   if (FromRevision > 0)
     Create["start_revision"] = std::to_string(FromRevision);
   return {{"create_request", std::move(Create)}};
--- a/src/Rollout.cpp
+++ b/src/Rollout.cpp
@@ -77,6 +77,18 @@
     std::erase_if(Targets, IsNew);
 }
 
+/// Versions that get nothing under Next because of the order before it.
+std::set<std::string> endedVersions(const Rollout &Before,
+                                    const wire::RolloutState &Next) {
+  std::set<std::string> Out = Before.EndedVersions_;
+  if (Before.State_.phase() == wire::ROLLOUT_COMPLETED)
+    Out.insert(Before.OldVersions_.begin(), Before.OldVersions_.end());
+  else if (!Before.State_.service().empty())
+    Out.insert(Before.State_.target_version());
+  Out.erase(Next.target_version());
+  return Out;
+}
+
 } // namespace
 
 bool isFinished(const wire::RolloutState &State) {
@@ -99,10 +111,16 @@
   if (!New && !replacesState(State, Entry.State_))
     return false;
   if (New || Entry.State_.order_revision() != State.order_revision()) {
+    std::set<std::string> Ended = endedVersions(Entry, State);
     Entry = Rollout{};
+    Entry.EndedVersions_ = std::move(Ended);
     Entry.Credit_ = randomUnit(Rng);
     Entry.ReportedAt_ = Time;
   }
+  // The holder waits for every daemon to report a new step.
+  Entry.ReportSoon_ |=
+      Entry.State_.share_permille() != State.share_permille() ||
+      Entry.State_.phase() != State.phase();
   Entry.State_ = State;
   Entry.HeardAt_ = Time;
   return true;
@@ -118,6 +136,10 @@
   if (Found == Table.Rollouts_.end())
     return;
   Rollout &Entry = Found->second;
+  if (!Entry.EndedVersions_.empty())
+    std::erase_if(Targets, [&](const EligibleTarget &Target) {
+      return Entry.EndedVersions_.contains(Target.Version_);
+    });
   switch (Entry.State_.phase()) {
   case wire::ROLLOUT_COMPLETED:
     std::erase_if(Targets, [&](const EligibleTarget &Target) {
--- a/src/RolloutCounting.cpp
+++ b/src/RolloutCounting.cpp
@@ -14,7 +14,7 @@
 constexpr double CancelledSlowFactor = 1.5;
 
 /// Answers of the old version on a route before its median is used.
-constexpr std::uint64_t MinMedianAnswers = 8;
+constexpr std::uint64_t MinMedianAnswers = 12;
 
 /// Largest move of the median's logarithm for one answer; see RunningQuantile.
 constexpr double MedianStep = 0.15;
--- a/src/RolloutEvidence.cpp
+++ b/src/RolloutEvidence.cpp
@@ -18,10 +18,10 @@
   double BadFloor_;   ///< Least rate of a bad version.
   double Distance_;   ///< Least difference between bad and good.
 };
-constexpr RateModel FailureModel{0.01, 1.5, 0.3, 0.25};
+constexpr RateModel FailureModel{0.02, 1.5, 0.3, 0.25};
 /// Times vary with the work that a request asks for, so more of a good
 /// version's answers are slow than fail.
-constexpr RateModel SlowModel{0.05, 1.5, 0.33, 0.3};
+constexpr RateModel SlowModel{0.08, 1.5, 0.4, 0.3};
 
 /// Weight of the assumption that the old version is good, in answers.
 constexpr double PriorAnswers = 20;
@@ -120,9 +120,8 @@
   return isMeanSlow(Evidence) ? "mean time" : "";
 }
 
-bool isSuspicious(const RouteEvidence &Evidence) {
-  constexpr double SuspicionPart = 0.5;
-  double Limit = thresholdOf(Evidence) * SuspicionPart;
+bool isSuspicious(const RouteEvidence &Evidence, double Part) {
+  double Limit = thresholdOf(Evidence) * Part;
   return Evidence.FailureScore_ >= Limit || Evidence.SlowScore_ >= Limit;
 }
 
--- a/src/RolloutEvidence.h
+++ b/src/RolloutEvidence.h
@@ -13,7 +13,7 @@
 /// What shows that the version is bad; empty while nothing does.
 std::string_view badnessOf(const RouteEvidence &Evidence);
 
-/// Not yet bad, but the share does not rise meanwhile.
-bool isSuspicious(const RouteEvidence &Evidence);
+/// Whether the evidence has reached this part of what shows a bad version.
+bool isSuspicious(const RouteEvidence &Evidence, double Part);
 
 } // namespace sycamore
--- a/src/RolloutPlan.cpp
+++ b/src/RolloutPlan.cpp
@@ -44,6 +44,11 @@
 /// own.
 constexpr double MinRoutePart = 0.02;
 
+/// Parts of the evidence of a bad version with which the share does not rise,
+/// and with which the version is given up when no time is left.
+constexpr double RiseSuspicion = 0.5;
+constexpr double LateSuspicion = 0.75;
+
 /// Shares of the steps after the observation, in thousandths.
 constexpr std::uint32_t Steps[] = {200, 500, FullSharePermille};
 
@@ -109,11 +114,11 @@
                      });
 }
 
-bool hasSuspicion(const RolloutHolder &Holder) {
-  return isSuspicious(Holder.All_) ||
+bool hasSuspicion(const RolloutHolder &Holder, double Part) {
+  return isSuspicious(Holder.All_, Part) ||
          std::any_of(
              Holder.Routes_.begin(), Holder.Routes_.end(),
-             [](const auto &Item) { return isSuspicious(Item.second); });
+             [&](const auto &Item) { return isSuspicious(Item.second, Part); });
 }
 
 /// Whether every server has reported the step. Servers that have not reported
@@ -213,7 +218,8 @@
 RolloutDecision planRise(const RolloutHolder &Holder, const RolloutFleet &Fleet,
                          TimePoint Time) {
   std::uint32_t Known = Holder.State_.share_permille();
-  if (hasSuspicion(Holder) || !isStepSettled(Holder, Fleet, Time))
+  if (hasSuspicion(Holder, RiseSuspicion) ||
+      !isStepSettled(Holder, Fleet, Time))
     return {};
   std::uint32_t Next = FullSharePermille;
   for (std::uint32_t Step : Steps)
@@ -237,10 +243,10 @@
                              const RolloutFleet &Fleet, TimePoint Time) {
   bool Late =
       Time >= Holder.OrderedAt_ + partOf(Holder.Order_.Duration_, VerdictPart);
-  if (Late && hasSuspicion(Holder))
+  if (Late && hasSuspicion(Holder, LateSuspicion))
     return {RolloutAction::RollBack, 0, "suspicion at the latest time"};
   bool Settled = Time - Holder.ShareSince_ >= LastStepTime &&
-                 !hasSuspicion(Holder) &&
+                 !hasSuspicion(Holder, RiseSuspicion) &&
                  (hasEnoughEvidence(Holder) || seen(Holder) == 0);
   if ((Settled || Late) &&
       haveAllReported(Holder, Fleet, Holder.ShareStep_, true))
@@ -311,7 +317,7 @@
     return {};
   bool Verdict =
       Time >= Holder.OrderedAt_ + partOf(Holder.Order_.Duration_, VerdictPart);
-  if (Verdict && hasSuspicion(Holder))
+  if (Verdict && hasSuspicion(Holder, RiseSuspicion))
     return {RolloutAction::RollBack, 0, "suspicion at the latest time"};
   if (Holder.Rising_ || mayLeaveObservation(Holder, Fleet, Time)) {
     Holder.Rising_ = true;
--- a/test/correctness/RolloutTest.cpp
+++ b/test/correctness/RolloutTest.cpp
@@ -164,7 +164,7 @@
 TEST(Rollout, CountsAnOverdueRequestOnceAndBeforeItsAnswer) {
   Entry Entry;
   Entry.apply(state(7, 1, 500));
-  for (int I = 0; I < 10; ++I)
+  for (int I = 0; I < 20; ++I)
     recordRolloutEnd(Entry.Table_, Entry.send("v1"), RolloutOutcome::Answered,
                      at(milliseconds(20)));
   std::uint64_t Late = Entry.send("v2");
--- a/test/support/FakeStore.cpp
+++ b/test/support/FakeStore.cpp
@@ -163,7 +163,7 @@
   Value.Lease_ = Write.Lease_;
   History_.push_back(Value);
   for (Watch *Entry : std::set<Watch *>(Watches_))
-    if (Entry->Key_ == Write.Key_)
+    if (isWatched(Entry->Key_, Write.Key_))
       Entry->OnChange_(History_.back());
 }
 
@@ -215,7 +215,7 @@
   Entry->OnChange_ = std::move(Changed);
   Entry->OnFailure_ = std::move(Failed);
   for (const KeyValue &Value : std::vector<KeyValue>(History_))
-    if (FromRevision > 0 && Value.Key_ == Key &&
+    if (FromRevision > 0 && isWatched(Key, Value.Key_) &&
         Value.ModRevision_ >= FromRevision)
       Entry->OnChange_(Value);
   return std::make_unique<Handle>(*this, std::move(Entry));
