Let tickets hold tenants, and keep credentials out of error messages

Operators of the built-in format had no way to add or remove tenants. Tickets now hold them as a fourth kind of entity, with digests of credentials only; sycamorectl key digest makes a digest from a credential on standard input, and ticket diff shows tenants like other entities.

--- a/include/sycamore/Ticket.h
+++ b/include/sycamore/Ticket.h
@@ -1,5 +1,5 @@
 // Change tickets. A ticket holds the complete new definition of every route,
-// service and target that it changes.
+// service, target and tenant that it changes.
 #pragma once
 
 #include "sycamore/Json.h"
@@ -91,6 +91,7 @@
   Changes<Route> Routes_;
   Changes<Service> Services_;
   Changes<TargetSpec> Targets_;
+  Changes<Tenant> Tenants_;
 
   bool operator==(const Ticket &) const = default;
 };
@@ -104,8 +105,9 @@
 Result<Ticket> parseTicketText(std::string_view Text, std::string_view Source);
 
 /// Problems that do not depend on the state to which the ticket is applied:
-/// references to entities that the ticket itself removes, and routes restricted
-/// to targets that the ticket assigns to another service.
+/// references to entities that the ticket itself removes, routes restricted to
+/// targets that the ticket assigns to another service, and credentials that it
+/// gives to two tenants.
 std::vector<std::string> lintTicket(const Ticket &Value);
 
 Json toJson(const Ticket &Value);
--- a/src/Cli.h
+++ b/src/Cli.h
@@ -101,6 +101,7 @@
 ExitCode runQuarantineList(const CliRun &Run);
 ExitCode runQuarantineClear(const CliRun &Run);
 ExitCode runKeyMake(const CliRun &Run);
+ExitCode runKeyDigest(const CliRun &Run);
 ExitCode runCompletion(const CliRun &Run);
 
 } // namespace sycamore
--- a/src/CliFiles.cpp
+++ b/src/CliFiles.cpp
@@ -2,12 +2,13 @@
 #include "CliOutput.h"
 
 #include "sycamore/Signing.h"
+#include "sycamore/Tenant.h"
 
 #include <array>
 #include <cerrno>
 #include <cstring>
 #include <fcntl.h>
-#include <ostream>
+#include <iostream>
 #include <unistd.h>
 #include <zmq.h>
 
@@ -103,6 +104,23 @@
   return ExitCode::Success;
 }
 
+ExitCode runKeyDigest(const CliRun &Run) {
+  std::string Key;
+  std::getline(std::cin, Key);
+  if (Key.ends_with('\r'))
+    Key.pop_back();
+  if (Key.empty())
+    return reportError(Run, {ErrorKind::InvalidArgument,
+                             "the first line of standard input is empty",
+                             "give the credential on standard input"});
+  std::string Digest = credentialDigest(Key);
+  if (Run.Options_.Json_)
+    printJson(Run, {{"digest", Digest}});
+  else
+    Run.Environment_.Out_ << Digest << '\n';
+  return ExitCode::Success;
+}
+
 ExitCode runCompletion(const CliRun &Run) {
   Run.Environment_.Out_ << bashCompletion();
   return ExitCode::Success;
--- a/src/Snapshot.cpp
+++ b/src/Snapshot.cpp
@@ -263,6 +263,7 @@
   applyChanges(After.Routes_, Change.Routes_, "routes", Problems);
   applyChanges(After.Services_, Change.Services_, "services", Problems);
   applyChanges(After.Targets_, Change.Targets_, "targets", Problems);
+  applyChanges(After.Tenants_, Change.Tenants_, "tenants", Problems);
   for (std::string &Problem : danglingReferences(After))
     Problems.push_back(std::move(Problem));
   if (auto Failure = problemsToError(
--- a/src/Tenant.cpp
+++ b/src/Tenant.cpp
@@ -11,7 +11,10 @@
 constexpr std::size_t DigestBytes = crypto_generichash_BYTES;
 constexpr std::uint64_t MaxPriority = 1000;
 
-bool isDigest(std::string_view Text) {
+bool isDigest(const Json &Value) {
+  if (!Value.is_string())
+    return false;
+  const auto &Text = Value.get_ref<const std::string &>();
   return Text.size() == 2 * DigestBytes &&
          std::all_of(Text.begin(), Text.end(), [](char Each) {
            return (Each >= '0' && Each <= '9') || (Each >= 'a' && Each <= 'f');
@@ -45,11 +48,22 @@
 Tenant readTenant(const Json &Value, const std::string &Path,
                   std::vector<std::string> &Problems) {
   Tenant Out;
+  // The messages leave out the values: an operator may have written a
+  // credential where its digest belongs.
+  if (!Value.is_object()) {
+    Problems.push_back(Path + ": is not an object");
+    return Out;
+  }
   ObjectReader Reader(Value, Path, Problems);
-  Reader.readStrings("key_digests", Out.KeyDigests_);
-  if (!std::all_of(Out.KeyDigests_.begin(), Out.KeyDigests_.end(), isDigest))
-    Reader.reportProblem("key_digests",
-                         "holds a value that is not 64 lower-case hex digits");
+  if (const Json *Digests = Reader.find("key_digests")) {
+    if (Digests->is_array() &&
+        std::all_of(Digests->begin(), Digests->end(), isDigest))
+      Reader.readStrings("key_digests", Out.KeyDigests_);
+    else
+      Problems.push_back(Reader.pathOf("key_digests") +
+                         ": is not an array of strings of 64 lower-case hex "
+                         "digits");
+  }
   if (Reader.find("priority")) {
     std::uint64_t Priority = 0;
     Reader.readUnsigned("priority", Priority, 0, MaxPriority);
--- a/src/Ticket.cpp
+++ b/src/Ticket.cpp
@@ -93,6 +93,22 @@
   }
 }
 
+void lintTenants(const Changes<Tenant> &Tenants,
+                 std::vector<std::string> &Problems) {
+  std::map<std::string, std::string> Holders;
+  for (const auto &[Name, Entity] : Tenants) {
+    if (!Entity)
+      continue;
+    for (std::size_t I = 0; I < Entity->KeyDigests_.size(); ++I) {
+      auto [Holder, Added] = Holders.emplace(Entity->KeyDigests_[I], Name);
+      if (!Added && Holder->second != Name)
+        Problems.push_back("tenants." + Name + ".key_digests[" +
+                           std::to_string(I) + "]: is also a key of tenant \"" +
+                           Holder->second + "\"");
+    }
+  }
+}
+
 template <typename T> Json changesToJson(const Changes<T> &Entities) {
   Json Out = Json::object();
   for (const auto &[Name, Entity] : Entities)
@@ -198,9 +214,10 @@
   readChanges(Reader, "routes", Out.Routes_, Problems, readRoute);
   readChanges(Reader, "services", Out.Services_, Problems, readService);
   readChanges(Reader, "targets", Out.Targets_, Problems, readTargetSpec);
+  readChanges(Reader, "tenants", Out.Tenants_, Problems, readTenant);
   Reader.reportUnknownFields();
   if (Out.Routes_.empty() && Out.Services_.empty() && Out.Targets_.empty() &&
-      Problems.empty())
+      Out.Tenants_.empty() && Problems.empty())
     Problems.emplace_back("the ticket changes nothing");
   if (auto Failure = problemsToError(
           ErrorKind::InvalidTicket, Source, Problems,
@@ -245,6 +262,7 @@
                            Found->second->Service_ + "\"");
     }
   }
+  lintTenants(Value.Tenants_, Problems);
   return Problems;
 }
 
@@ -304,6 +322,8 @@
     Out["services"] = changesToJson(Value.Services_);
   if (!Value.Targets_.empty())
     Out["targets"] = changesToJson(Value.Targets_);
+  if (!Value.Tenants_.empty())
+    Out["tenants"] = changesToJson(Value.Tenants_);
   return Out;
 }
 
--- a/src/TicketActions.cpp
+++ b/src/TicketActions.cpp
@@ -57,6 +57,7 @@
   appendEntityChanges(Current.Routes_, Change.Routes_, "routes", Out);
   appendEntityChanges(Current.Services_, Change.Services_, "services", Out);
   appendEntityChanges(Current.Targets_, Change.Targets_, "targets", Out);
+  appendEntityChanges(Current.Tenants_, Change.Tenants_, "tenants", Out);
   return Out;
 }
 
--- a/test/platform/ConfigDocumentTest.cpp
+++ b/test/platform/ConfigDocumentTest.cpp
@@ -311,3 +311,23 @@
   if (!Parsed)
     RC_ASSERT(!Parsed.error().Message_.empty());
 }
+
+// The daemon logs the message, and operators pass it on.
+TEST(ConfigDocument, ErrorsAboutTenantsHoldNoKey) {
+  for (const char *Tenants : {R"("the-key")", R"(["the-key"])",
+                              R"([{"name":"alder","apiKeys":"the-key"}])",
+                              R"([{"name":"alder","apiKeys":["the-key",7]}])",
+                              R"([{"name":"alder","apiKeys":["the-key"]},)"
+                              R"({"name":"birch","apiKeys":["the-key"]}])",
+                              R"([{"name":"alder","apiKeys":["the-key)"}) {
+    auto Parsed = parseConfigDocument(
+        R"({"version":1,"services":[],"virtualHosts":[],"tenants":)" +
+        std::string(Tenants) + "}");
+    Result<Snapshot> Applied =
+        Parsed ? snapshotFromDocument(std::move(*Parsed), "text")
+               : Result<Snapshot>(tl::unexpected(Parsed.error()));
+    ASSERT_FALSE(Applied.has_value()) << Tenants;
+    EXPECT_EQ(describe(Applied.error()).find("the-key"), std::string::npos)
+        << describe(Applied.error());
+  }
+}
