Share a target's slots between tenants by expected work

Waiting requests of one priority ran in the order of their latency targets, so a flood of one tenant filled the queue and the slots of a target, and others of the same priority were refused or late.

Requests of equal rank now take turns by tenant: deficit round robin by expected work, one request at a time. A full queue takes a request in place of the last one of the tenant with the most work waiting, and the expected wait leaves out work that runs later. Queues without tenants are ordered as before.

--- a/include/sycamore/Admission.h
+++ b/include/sycamore/Admission.h
@@ -9,14 +9,18 @@
 // requests on other targets wait for them. Among requests of equal depth, those
 // that can still meet their latency target run before those that cannot, so
 // that under overload only the excess requests are late; then the more urgent
-// route runs first, then the earlier latency target or deadline.
+// route runs first, then the earlier latency target or deadline. Among requests
+// that are equal but for the last, tenants share the slots; see TenantShares.h.
 #pragma once
 
 #include "sycamore/Time.h"
 
 #include <array>
 #include <cstdint>
+#include <map>
 #include <optional>
+#include <string>
+#include <utility>
 #include <vector>
 
 namespace sycamore {
@@ -39,6 +43,7 @@
   bool AcceptLate_ = true;
   /// Whether to refuse the request instead of queueing it.
   bool FreeSlotOnly_ = false;
+  std::string Tenant_; ///< Empty for none.
 };
 
 enum class AdmissionDecision { Run, Queued, Refused };
@@ -157,6 +162,9 @@
   std::optional<TimePoint> LatencyRefusalAt_;
   std::uint64_t RefusedInOverload_ = 0;
   bool Overloaded_ = false;
+  /// Expected work started for tenants that have waiting requests, beyond that
+  /// of the tenant with the least, by priority and tenant.
+  std::map<std::pair<std::uint32_t, std::string>, Duration> TenantWork_;
   std::vector<AdmissionEvent> Events_; ///< See takeEvents().
 };
 
--- a/src/Admission.cpp
+++ b/src/Admission.cpp
@@ -3,6 +3,7 @@
 #include "sycamore/Admission.h"
 
 #include "AdmissionSlots.h"
+#include "TenantShares.h"
 
 #include <algorithm>
 #include <cmath>
@@ -93,11 +94,16 @@
   }
   if (Table.Queue_.size() < Table.QueueLimit_)
     return true;
-  if (Table.Queue_.empty() ||
-      !displaces(Table, Request, Table.Queue_.back().Request_, Now))
+  auto Last = Table.Queue_.end();
+  if (!Table.Queue_.empty() &&
+      displaces(Table, Request, Table.Queue_.back().Request_, Now))
+    Last = std::prev(Table.Queue_.end());
+  else
+    Last = lastOfLargestTenant(Table, Request, Now);
+  if (Last == Table.Queue_.end())
     return false;
-  Table.Displaced_.push_back(Table.Queue_.back().Request_.Id_);
-  Table.Queue_.pop_back();
+  Table.Displaced_.push_back(Last->Request_.Id_);
+  Table.Queue_.erase(Last);
   ++Table.Counters_.Displaced_;
   return true;
 }
@@ -241,6 +247,7 @@
     noteRefusal(Table, RefusalReason::QueueFull);
   }
   sortQueue(Table, Now);
+  shareQueue(Table, Now);
   SlotView View = slotView(Table, Now);
   std::vector<QueuedRequest> Waiting;
   Waiting.reserve(Table.Queue_.size());
@@ -250,6 +257,7 @@
       refuseQueued(Table, Each, Reason, Refused);
     } else if (mayRun(View, Each.Request_)) {
       start(Table, Each.Request_, Now);
+      recordShare(Table, Each.Request_);
       countRunning(View, Each.Request_);
       Run.push_back(Each.Request_.Id_);
     } else {
@@ -257,6 +265,7 @@
     }
   }
   Table.Queue_ = std::move(Waiting);
+  balanceShares(Table);
   endOverload(Table);
 }
 
--- a/src/AdmissionSlots.cpp
+++ b/src/AdmissionSlots.cpp
@@ -1,6 +1,8 @@
 // Rules that decide which slots of the local target are available to a request.
 #include "AdmissionSlots.h"
 
+#include "TenantShares.h"
+
 #include <algorithm>
 #include <cmath>
 #include <tuple>
@@ -118,8 +120,10 @@
   }
   for (const QueuedRequest &Each : Table.Queue_)
     if (isLimitedAsLong(Each.Request_) == IsLimited &&
-        runsBefore(Table, Each.Request_, Request, Now))
+        runsBefore(Table, Each.Request_, Request, Now) &&
+        !shareSlots(Table, Each.Request_, Request, Now))
       Work += costOf(Table, Each.Request_);
+  Work += sharedWorkBefore(Table, Request, Now);
   std::uint32_t OpenSlots = View.DepthCap_[levelOf(Request)];
   OpenSlots = IsLimited ? std::min(OpenSlots, View.LongCap_)
                         : OpenSlots - std::min(OpenSlots - 1, View.Long_);
--- a/src/TargetProxy.cpp
+++ b/src/TargetProxy.cpp
@@ -51,6 +51,7 @@
   Out.AcceptLate_ =
       Call.Request_.accept_late() || Call.Request_.target_left_us() == 0;
   Out.FreeSlotOnly_ = Call.Request_.spare_only();
+  Out.Tenant_ = Call.Request_.tenant();
   return Out;
 }
 
