Place requests by remaining work in time, with a limit of the wait for first attempts

Cause: with 75 entry daemons and 40 targets of a service, an entry daemon hears from a target every second or so. Placement by requests per slot then works with old figures, ignores what the requests cost, and lets requests wait at one target while others have free slots.

Change: for services with at least limits.work_placement_targets targets (default 0: off), requests carry placed_by_work, and answers state the target's remaining work, the part of it that waits by rank, and its mean time for the route. The entry daemon chooses by expected completion. The first two attempts of a call have a limit of the wait; a refusal because of it reached no target and uses no attempt or retry budget. Without the setting the messages and the choice stay as they were.

--- a/include/sycamore/Admission.h
+++ b/include/sycamore/Admission.h
@@ -14,6 +14,7 @@
 
 #include "sycamore/Time.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <optional>
@@ -24,6 +25,16 @@
 /// Deepest level with slots of its own; deeper calls count as this level.
 inline constexpr std::uint32_t MaxAdmissionDepth = 9;
 
+/// Ranks of requests in reports of remaining work: 0 for nested calls, then by
+/// the priority of the route; the last rank takes all further priorities.
+inline constexpr std::size_t WorkRanks = 4;
+
+constexpr std::size_t workRank(std::uint32_t Depth, std::uint32_t Priority) {
+  return Depth > 0
+             ? 0
+             : std::min<std::size_t>(std::size_t{Priority} + 1, WorkRanks - 1);
+}
+
 struct AdmissionRequest {
   std::uint64_t Id_ = 0;       ///< Unique among running and queued requests.
   std::uint32_t Depth_ = 0;    ///< 0 for a call not made by a target.
@@ -39,6 +50,13 @@
   bool AcceptLate_ = true;
   /// Whether to refuse the request instead of queueing it.
   bool FreeSlotOnly_ = false;
+  /// Longest expected wait in the queue for which the request is queued; unset
+  /// for no such limit.
+  std::optional<Duration> WaitLimit_;
+  /// Whether the expected wait counts the time until the next slot is free. It
+  /// otherwise counts half of the time of all running requests per slot, which
+  /// is several times too long for a request that would be the next to start.
+  bool WaitForNextSlot_ = false;
 };
 
 enum class AdmissionDecision { Run, Queued, Refused };
@@ -51,6 +69,7 @@
   /// LateRefusalTime_.
   MissesLatencyTarget,
   NoFreeSlot,    ///< FreeSlotOnly_ is set and no slot is available.
+  WaitLimit,     ///< Would wait longer than WaitLimit_.
   Leaving,       ///< The target admits no new requests.
   NoSlots,       ///< The target announced no slots.
   DepthConflict, ///< May be waiting for a slot that its own callers hold.
@@ -87,6 +106,10 @@
   /// that block it has finished for this long either. The refusal lets its
   /// callers fail and free their slots.
   Duration ConflictWait_ = milliseconds(50);
+  /// Least share of its expected time that a running request is taken to have
+  /// left, however long it has run. Run times have long tails, so a request
+  /// that exceeds its expected time is not about to end.
+  double RemainingShare_ = 0.25;
   bool ReserveByDepth_ = true; ///< False only in tests and benchmarks.
 };
 
@@ -99,6 +122,7 @@
   std::uint64_t RefusedTooLate_ = 0;
   std::uint64_t RefusedLatencyTarget_ = 0;
   std::uint64_t RefusedNoFreeSlot_ = 0;
+  std::uint64_t RefusedWaitLimit_ = 0;
   std::uint64_t RefusedLeaving_ = 0;
   std::uint64_t RefusedNoSlots_ = 0;
   std::uint64_t RefusedDepthConflict_ = 0;
@@ -201,6 +225,13 @@
 
 AdmissionLoad load(const Admission &Table);
 
+/// Expected time in the slot of the queued requests, and of the running ones
+/// less the time that they have run; see AdmissionOptions::RemainingShare_.
+Duration remainingWork(const Admission &Table, TimePoint Now);
+
+/// Expected time in the slot of the queued requests, by rank.
+std::array<Duration, WorkRanks> queuedWork(const Admission &Table);
+
 /// Expected time until a slot is free for a request of depth 0; at least 1 ms.
 Duration retryAfter(const Admission &Table);
 
--- a/include/sycamore/EntryCalls.h
+++ b/include/sycamore/EntryCalls.h
@@ -36,6 +36,8 @@
   std::uint64_t Process_ = 0; ///< See ChosenTarget::Process_.
   AttemptState State_ = AttemptState::Queued;
   bool Hedge_ = false;
+  /// Longest expected wait in the target's queue; 0 for no such limit.
+  Duration WaitLimit_{0};
   bool AcceptLate_ = false; ///< Accepts an answer after the latency target.
   /// Only with NotRun: the target itself refused the call, so the attempt
   /// counts as one that reached a target.
@@ -110,6 +112,11 @@
   std::function<std::optional<Duration>(const EntryCall &Call)> HedgeDelay_;
   /// Consumes one hedge from the budget; false when the budget is empty.
   std::function<bool(const EntryCall &Call)> ConsumeHedge_;
+  /// Limit of the wait for the next attempt, after Earlier ones with a limit;
+  /// nothing for no limit. May be unset: no attempt has a limit.
+  std::function<std::optional<Duration>(const EntryCall &Call,
+                                        std::uint32_t Earlier)>
+      WaitLimit_ = {};
 };
 
 /// Send this request. Then call markSent() once the transport has accepted it,
@@ -156,6 +163,7 @@
   std::uint64_t Attempts_ = 0;
   std::uint64_t Retries_ = 0;
   std::uint64_t Hedges_ = 0;
+  std::uint64_t WaitLimited_ = 0; ///< Attempts with a limit of the wait.
   std::uint64_t Queries_ = 0;
   std::uint64_t Cancels_ = 0;
   std::uint64_t Done_ = 0;
@@ -202,7 +210,9 @@
   /// query up to QueryBackoffMax_.
   Duration QueryBackoff_ = milliseconds(50);
   Duration QueryBackoffMax_ = milliseconds(400);
-  /// Maximum number of attempts of a call, the first included.
+  /// Maximum number of attempts of a call, the first included. Attempts that
+  /// were refused because of their limit of the wait do not count; see
+  /// CallPolicy::WaitLimit_.
   std::uint32_t MaxAttempts_ = 4;
   /// The same for calls with a latency target. A further attempt sends the body
   /// to another data centre and gains little.
--- a/include/sycamore/Placement.h
+++ b/include/sycamore/Placement.h
@@ -8,6 +8,7 @@
 // are loaded, slow or refuse connections.
 #pragma once
 
+#include "sycamore/Admission.h"
 #include "sycamore/Random.h"
 #include "sycamore/RunningQuantile.h"
 #include "sycamore/Time.h"
@@ -39,6 +40,14 @@
   std::uint32_t Slots_ = 0; ///< 0 when the answer carries no load.
   Duration ServiceTime_{0}; ///< Time in the slot; 0 if the call did not run.
   Duration MeanService_{0}; ///< Mean of its latest requests; 0 if unknown.
+  /// Expected time in the slot of its waiting and running requests, less what
+  /// has passed; unset if it does not report it.
+  std::optional<Duration> RemainingWork_ = std::nullopt;
+  /// The part of it that waits, by rank.
+  std::array<Duration, WorkRanks> QueuedWork_{};
+  /// Its expected time for requests of this kind, divided by the mean of all
+  /// targets (see RouteCost); 0 if unknown.
+  double CostRatio_ = 0;
 };
 
 /// How one attempt at a target ended.
@@ -95,6 +104,31 @@
   /// the candidates, because single long requests shift the mean.
   double MinServiceRatio_ = 0.5;
   double MaxServiceRatio_ = 4.0;
+  /// Services with at least this many candidates are placed by remaining work
+  /// (see WorkPlacement.h) instead of by requests per slot; 0 for none. Needs
+  /// targets that report their remaining work.
+  std::uint32_t WorkTargets_ = 0;
+  /// Number of random candidates that are compared by remaining work.
+  std::uint32_t WorkChoices_ = 2;
+  /// Time after which the difference between a reported remaining work and the
+  /// mean of the candidates counts half.
+  Duration WorkHalfLife_ = milliseconds(500);
+  /// Targets whose report is at most this old are always compared, in addition
+  /// to WorkChoices_: their load was learned in an earlier attempt of the call.
+  Duration FreshReport_ = milliseconds(30);
+  /// Completion within this share of the time left until the latency target is
+  /// soon enough: among such targets the slowest is chosen, which leaves the
+  /// faster ones to requests that need them.
+  double SlackShare_ = 0.25;
+  /// Time that a call to another data centre takes longer, both ways.
+  Duration FarTransit_ = milliseconds(3);
+  /// Weight of a new CostRatio_ in the target's mean, and its bounds, because a
+  /// target's own figures may be false.
+  double CostRatioGain_ = 0.2;
+  double MinCostRatio_ = 0.25;
+  double MaxCostRatio_ = 4.0;
+  /// Largest remaining work per slot that a report can contribute.
+  Duration WorkLimit_ = seconds(10);
   /// Largest number of targets in the table. The one that was a candidate least
   /// recently is evicted first.
   std::size_t MaxTargets_ = 4096;
@@ -109,10 +143,18 @@
   TimePoint ReportedAt_{};
   RunningQuantile Latency_{}; ///< Median in microseconds.
   double MeanServiceUs_ = 0;  ///< As last reported; 0 if unknown.
-  TimePoint LastSampleAt_{};  ///< Time of the last latency sample.
-  TimePoint WaitingSince_{};  ///< Last answer, or first dispatch after it.
-  TimePoint RampStart_{};     ///< First seen, or readmitted.
-  TimePoint LastSeen_{};      ///< Last time it was a candidate.
+  double WorkUs_ = 0;         ///< Remaining work at WorkAt_, in its own time.
+  /// The part of WorkUs_ that waits, by rank.
+  std::array<double, WorkRanks> QueuedUs_{};
+  double MeanWorkUs_ = 0; ///< WorkUs_ of all candidates at the last choice.
+  TimePoint WorkAt_{};    ///< Last report or dispatch; unset if unknown.
+  TimePoint WorkReportedAt_{};
+  double CostRatio_ = 1;     ///< Mean of the reported TargetLoad::CostRatio_.
+  double LongestCostUs_ = 0; ///< Of the own calls in flight.
+  TimePoint LastSampleAt_{}; ///< Time of the last latency sample.
+  TimePoint WaitingSince_{}; ///< Last answer, or first dispatch after it.
+  TimePoint RampStart_{};    ///< First seen, or readmitted.
+  TimePoint LastSeen_{};     ///< Last time it was a candidate.
   TimePoint EjectedUntil_{};
   std::uint32_t ConsecutiveRefusals_ = 0; ///< Of connections.
   bool Outlier_ = false;
@@ -159,13 +201,22 @@
   std::vector<PlacementEvent> Events_; ///< See takeEvents().
 };
 
+/// What is known about a request before it is placed.
+struct RequestCost {
+  Duration Expected_{0}; ///< In the slot of a mean target; 0 if unknown.
+  /// Time left until the latency target, or 0 if the route has none.
+  Duration Slack_{0};
+  std::size_t Rank_ = WorkRanks - 1; ///< See workRank().
+};
+
 /// Index of the target for the next attempt, or nothing when every candidate
 /// is in Excluded (target names). Does not record a dispatch.
 std::optional<std::size_t> chooseTarget(Placement &Table,
                                         std::span<const Candidate> Candidates,
                                         std::string_view OwnDataCentre,
                                         std::span<const std::string> Excluded,
-                                        TimePoint Now, Random &Rng);
+                                        TimePoint Now, Random &Rng,
+                                        const RequestCost &Request = {});
 
 /// The one target for calls that are suspected of crashing targets: the same
 /// on every entry daemon with the same candidates (rendezvous hash), so that
@@ -175,8 +226,10 @@
 chooseSuspectTarget(std::uint64_t Fingerprint,
                     std::span<const Candidate> Candidates);
 
-/// Records that an attempt was sent to the target.
-void recordDispatch(Placement &Table, std::string_view Name, TimePoint Now);
+/// Records that an attempt was sent to the target. Cost is its expected time in
+/// the slot of a mean target; 0 if unknown.
+void recordDispatch(Placement &Table, std::string_view Name, TimePoint Now,
+                    Duration Cost = Duration(0));
 
 /// Records the end of an attempt that was recorded as dispatched. Latency is
 /// the time from its dispatch to its end.
--- a/include/sycamore/RouteCost.h
+++ b/include/sycamore/RouteCost.h
@@ -57,6 +57,11 @@
 /// Adds the time for which one request held its slot.
 void recordCost(RouteCost &Table, const std::string &Key, Duration ServiceTime);
 
+/// Adds the mean that one of several targets reports for a key. Returns its
+/// ratio to the mean of all reports for the key, or 0 if Reported is 0.
+double recordReportedCost(RouteCost &Table, const std::string &Key,
+                          Duration Reported);
+
 /// Mean size of the answers' bodies; 0 for a key without observations.
 std::uint64_t expectedAnswerBytes(const RouteCost &Table,
                                   const std::string &Key);
--- a/include/sycamore/Settings.h
+++ b/include/sycamore/Settings.h
@@ -95,6 +95,10 @@
   /// targets in other data centres are considered; at 1, a call would take the
   /// last free slot.
   double SpillCost_ = 0.6;
+  /// Requests for services with at least this many targets are placed by
+  /// remaining work; 0 for none. An entry daemon hears too rarely from each of
+  /// many targets for placement by requests per slot.
+  std::uint64_t WorkPlacementTargets_ = 0;
   /// Number of daemons in each data centre that watch the store.
   std::uint64_t ReadersPerDataCentre_ = 2;
 
--- a/src/Admission.cpp
+++ b/src/Admission.cpp
@@ -29,6 +29,8 @@
     return Counters.RefusedLatencyTarget_;
   case RefusalReason::NoFreeSlot:
     return Counters.RefusedNoFreeSlot_;
+  case RefusalReason::WaitLimit:
+    return Counters.RefusedWaitLimit_;
   case RefusalReason::Leaving:
     return Counters.RefusedLeaving_;
   case RefusalReason::NoSlots:
@@ -140,6 +142,8 @@
   Duration Wait = expectedWait(Table, View, Request, Now);
   if (isTooLate(Table, Request, Wait, Now))
     return refuse(Table, RefusalReason::TooLate);
+  if (Request.WaitLimit_ && Wait > *Request.WaitLimit_)
+    return refuse(Table, RefusalReason::WaitLimit);
   if (missesLatencyTarget(Table, Request, Now + Wait)) {
     bool InTime = !missesLatencyTarget(Table, Request, Now);
     bool RefusedRecently =
@@ -287,6 +291,27 @@
           static_cast<std::uint32_t>(Table.Queue_.size()), Table.Slots_};
 }
 
+Duration remainingWork(const Admission &Table, TimePoint Now) {
+  Duration Work{0};
+  for (const RunningRequest &Each : Table.Running_) {
+    Duration Cost = costOf(Table, Each.Request_);
+    auto Least = Duration(std::llround(static_cast<double>(Cost.count()) *
+                                       Table.Options_.RemainingShare_));
+    Work += std::max(Cost - (Now - Each.StartedAt_), Least);
+  }
+  for (const QueuedRequest &Each : Table.Queue_)
+    Work += costOf(Table, Each.Request_);
+  return Work;
+}
+
+std::array<Duration, WorkRanks> queuedWork(const Admission &Table) {
+  std::array<Duration, WorkRanks> Out{};
+  for (const QueuedRequest &Each : Table.Queue_)
+    Out[workRank(Each.Request_.Depth_, Each.Request_.Priority_)] +=
+        costOf(Table, Each.Request_);
+  return Out;
+}
+
 Duration retryAfter(const Admission &Table) {
   Duration Work{0};
   for (const RunningRequest &Each : Table.Running_)
--- a/src/AdmissionSlots.cpp
+++ b/src/AdmissionSlots.cpp
@@ -109,13 +109,20 @@
     return Duration{0};
   bool IsLimited = isLimitedAsLong(Request);
   Duration Work{0};
+  int Competing = 0;
   for (const RunningRequest &Each : Table.Running_) {
     Duration Cost = costOf(Table, Each.Request_);
     // The remaining time is taken as half the expected time, regardless of how
     // long the request has run already.
-    if (isLimitedAsLong(Each.Request_) == IsLimited)
-      Work += Cost / 2;
+    if (isLimitedAsLong(Each.Request_) != IsLimited)
+      continue;
+    Work += Cost / 2;
+    ++Competing;
   }
+  // Of n requests with the same mean remaining time, the first is expected to
+  // end after an n-th of it.
+  if (Request.WaitForNextSlot_ && Competing > 0)
+    Work /= Competing;
   for (const QueuedRequest &Each : Table.Queue_)
     if (isLimitedAsLong(Each.Request_) == IsLimited &&
         runsBefore(Table, Each.Request_, Request, Now))
--- a/src/CallCounters.cpp
+++ b/src/CallCounters.cpp
@@ -14,6 +14,7 @@
     {"attempts", &EntryCallsCounters::Attempts_},
     {"retries", &EntryCallsCounters::Retries_},
     {"hedges", &EntryCallsCounters::Hedges_},
+    {"wait_limited", &EntryCallsCounters::WaitLimited_},
     {"queries", &EntryCallsCounters::Queries_},
     {"cancels", &EntryCallsCounters::Cancels_},
     {"done", &EntryCallsCounters::Done_},
--- a/src/CallMessages.cpp
+++ b/src/CallMessages.cpp
@@ -82,6 +82,11 @@
   return Out;
 }
 
+std::string costKey(const wire::CallRequest &Request) {
+  return Request.route() + " " + Request.method() + " " +
+         std::to_string(Request.depth());
+}
+
 wire::CallAnswer errorAnswer(const wire::CallId &Id, wire::RunOutcome Run,
                              std::uint32_t Status, const Error &Failure,
                              Duration RetryAfter) {
--- a/src/CallMessages.h
+++ b/src/CallMessages.h
@@ -35,6 +35,10 @@
 HttpHeaders
 toHttpHeaders(const google::protobuf::RepeatedPtrField<wire::Header> &Headers);
 
+/// Key of the request in cost tables. It includes the depth, because a nested
+/// call of a route has a different cost than the outermost call.
+std::string costKey(const wire::CallRequest &Request);
+
 /// An answer that carries an error in place of a target's answer.
 wire::CallAnswer errorAnswer(const wire::CallId &Id, wire::RunOutcome Run,
                              std::uint32_t Status, const Error &Failure,
--- a/src/EntryCallsDetail.cpp
+++ b/src/EntryCallsDetail.cpp
@@ -40,6 +40,18 @@
 
 namespace {
 
+/// Whether a limit of the wait ended the attempt. Such a refusal says nothing
+/// about later attempts without that limit.
+bool isWaitLimitRefusal(const CallAttempt &Attempt) {
+  return Attempt.WaitLimit_ > Duration(0) &&
+         Attempt.State_ == AttemptState::NotRun && !Attempt.ReachedTarget_;
+}
+
+std::uint32_t waitLimitRefusals(const EntryCall &Call) {
+  return static_cast<std::uint32_t>(std::count_if(
+      Call.Attempts_.begin(), Call.Attempts_.end(), isWaitLimitRefusal));
+}
+
 /// Whether the rules allow one more attempt now. An idempotent call waits while
 /// an attempt with a live link is open. Any other call may be sent again only
 /// when all earlier attempts are proven not to have run.
@@ -48,7 +60,8 @@
       Call.LatencyTargetAt_
           ? Context.Calls_.Limits_.MaxAttemptsWithLatencyTarget_
           : Context.Calls_.Limits_.MaxAttempts_;
-  if (Context.Now_ >= Call.Deadline_ || Call.Attempts_.size() >= MaxAttempts)
+  if (Context.Now_ >= Call.Deadline_ ||
+      Call.Attempts_.size() - waitLimitRefusals(Call) >= MaxAttempts)
     return false;
   if (!mayReachAnotherTarget(Call))
     return false;
@@ -124,6 +137,7 @@
             .count()));
   Out.set_accept_late(AcceptLate);
   Out.set_spare_only(Attempt.Hedge_);
+  Out.set_wait_limit_us(static_cast<std::uint64_t>(Attempt.WaitLimit_.count()));
   Out.set_sent_us(
       static_cast<std::uint64_t>(Context.Now_.time_since_epoch().count()));
   return Out;
@@ -133,16 +147,29 @@
 
 namespace {
 
-/// Targets of all earlier attempts. They are not tried again for a late answer
+/// Targets of the earlier attempts. They are not tried again for a late answer
 /// either: a target that could not answer in time refuses late requests for a
-/// while too (AdmissionOptions::LateRefusalTime_).
-std::vector<std::string> triedTargets(const EntryCall &Call) {
+/// while too (AdmissionOptions::LateRefusalTime_). Targets that only refused to
+/// let the call wait remain eligible for an attempt without a limit.
+std::vector<std::string> triedTargets(const EntryCall &Call, bool HasLimit) {
   std::vector<std::string> Out;
   for (const CallAttempt &Attempt : Call.Attempts_)
-    Out.push_back(Attempt.Target_);
+    if (HasLimit || !isWaitLimitRefusal(Attempt))
+      Out.push_back(Attempt.Target_);
   return Out;
 }
 
+/// Limit of the wait for the next attempt; 0 for none. Only the first attempts
+/// of a call have one, so that a retry after another refusal is accepted
+/// wherever it can wait.
+Duration nextWaitLimit(const EventContext &Context, const EntryCall &Call,
+                       bool Hedge) {
+  std::uint32_t Earlier = waitLimitRefusals(Call);
+  if (Hedge || !Context.Policy_.WaitLimit_ || Earlier != Call.Attempts_.size())
+    return Duration(0);
+  return Context.Policy_.WaitLimit_(Call, Earlier).value_or(Duration(0));
+}
+
 } // namespace
 
 bool isOpen(const CallAttempt &Attempt) {
@@ -165,12 +192,18 @@
     EventContext &Context, EntryCall &Call, bool Hedge,
     const std::function<bool(const EntryCall &)> &ConsumeBudget) {
   // A late answer is worth less than one in time, but more than none.
-  bool AcceptLate =
-      Call.LatencyTargetAt_ &&
-      (Call.Attempts_.size() >= Context.Calls_.Limits_.OnTimeAttempts_ ||
-       Context.Now_ >= *Call.LatencyTargetAt_);
-  std::vector<std::string> Excluded = triedTargets(Call);
+  bool AcceptLate = Call.LatencyTargetAt_ &&
+                    (Call.Attempts_.size() - waitLimitRefusals(Call) >=
+                         Context.Calls_.Limits_.OnTimeAttempts_ ||
+                     Context.Now_ >= *Call.LatencyTargetAt_);
+  Duration WaitLimit = nextWaitLimit(Context, Call, Hedge);
+  std::vector<std::string> Excluded = triedTargets(Call, WaitLimit.count() > 0);
   auto Chosen = Context.Policy_.ChooseTarget_(Call, Excluded);
+  if (!Chosen && WaitLimit.count() > 0) {
+    WaitLimit = Duration(0);
+    Excluded = triedTargets(Call, false);
+    Chosen = Context.Policy_.ChooseTarget_(Call, Excluded);
+  }
   if (!Chosen)
     return false;
   // If the request named no process, a restarted daemon that receives a second
@@ -189,6 +222,8 @@
   Attempt.Process_ = Chosen->Process_;
   Attempt.Hedge_ = Hedge;
   Attempt.AcceptLate_ = AcceptLate;
+  Attempt.WaitLimit_ = WaitLimit;
+  Context.Calls_.Counters_.WaitLimited_ += WaitLimit.count() > 0 ? 1 : 0;
   Attempt.SentAt_ = Context.Now_;
   Call.Attempts_.push_back(Attempt);
   ++Context.Calls_.Counters_.Attempts_;
--- a/src/EntryProxy.cpp
+++ b/src/EntryProxy.cpp
@@ -19,6 +19,13 @@
   Out.Slots_ = Answer.slots();
   Out.ServiceTime_ = Duration(Answer.service_time_us());
   Out.MeanService_ = Duration(Answer.mean_service_us());
+  if (Answer.expected_cost_us() == 0)
+    return Out;
+  Out.RemainingWork_ = Duration(Answer.remaining_work_us());
+  auto Ranks = std::min<std::size_t>(
+      WorkRanks, static_cast<std::size_t>(Answer.queued_work_us_size()));
+  for (std::size_t I = 0; I < Ranks; ++I)
+    Out.QueuedWork_[I] = Duration(Answer.queued_work_us(static_cast<int>(I)));
   return Out;
 }
 
@@ -73,6 +80,8 @@
   Calls_.Limits_.LinkDeadline_ = Config.Timing_.LinkDeadline_;
   Calls_.Limits_.RefusalStatuses_ = Config.RefusalStatuses_;
   Placement_.Options_.SpillCost_ = Config.Limits_.SpillCost_;
+  Placement_.Options_.WorkTargets_ =
+      static_cast<std::uint32_t>(Config.Limits_.WorkPlacementTargets_);
   Retries_.Options_ = {Config.Retries_.Share_, Config.Retries_.Constant_,
                        Config.Retries_.FleetConstant_};
 }
@@ -101,9 +110,43 @@
   Out.ConsumeHedge_ = [this](const EntryCall & /*Call*/) {
     return tryAcquireHedge(Hedges_);
   };
+  Out.WaitLimit_ = [this](const EntryCall &Call, std::uint32_t Earlier) {
+    return waitLimitOf(Call, Earlier);
+  };
+  return Out;
+}
+
+RequestCost EntryProxy::costOf(const EntryCall &Call) const {
+  RequestCost Out;
+  if (!Call.Request_.placed_by_work())
+    return Out;
+  Out.Expected_ = expectedCost(Costs_, costKey(Call.Request_));
+  if (Call.LatencyTargetAt_)
+    Out.Slack_ =
+        std::max<Duration>(*Call.LatencyTargetAt_ - EventTime_, Duration(0));
+  Out.Rank_ = workRank(Call.Depth_, Call.Request_.priority());
   return Out;
 }
 
+std::optional<Duration> EntryProxy::waitLimitOf(const EntryCall &Call,
+                                                std::uint32_t Earlier) {
+  const wire::CallRequest &Request = Call.Request_;
+  if (!Request.placed_by_work() || Request.suspect() ||
+      !Request.idempotency_key().empty())
+    return std::nullopt;
+  RequestCost Cost = costOf(Call);
+  return waitLimit(WaitLimits_, Call.Service_, Earlier, Cost.Expected_,
+                   Call.LatencyTargetAt_ ? std::optional(Cost.Slack_)
+                                         : std::nullopt);
+}
+
+bool EntryProxy::isPlacedByWork(const EntryCall &Call) const {
+  std::uint64_t Least = Settings_.Limits_.WorkPlacementTargets_;
+  return Least > 0 && Call.Snapshot_ &&
+         eligibleTargets(Control_.members(), *Call.Snapshot_, Call.Service_)
+                 .size() >= Least;
+}
+
 std::uint64_t EntryProxy::processOf(const std::string &Server) const {
   auto Heard = Processes_.find(Server);
   std::uint64_t KnownProcess = Heard == Processes_.end() ? 0 : Heard->second;
@@ -145,7 +188,7 @@
                 : std::nullopt;
   else
     Index = chooseTarget(Placement_, Candidates, Settings_.DataCentre_,
-                         Excluded, EventTime_, Rng_);
+                         Excluded, EventTime_, Rng_, costOf(Call));
   if (!Index)
     return std::nullopt;
   const EligibleTarget &Chosen = Eligible[*Index];
@@ -185,6 +228,7 @@
   std::uint64_t Sequence = Calls_.NextSequence_;
   CallInfos_[Sequence] =
       CallInfo{std::move(Done), Span, {}, makeHistory(Call, Time)};
+  Call.Request_.set_placed_by_work(isPlacedByWork(Call));
   performActions(beginCall(Calls_, std::move(Call), Policy_, Time.Monotonic_),
                  Time);
   return Sequence;
@@ -282,6 +326,11 @@
   Info.Id_ = Id;
   Info.SentAt_ = Time.Monotonic_;
   Info.Hedge_ = isHedge(Id);
+  if (Action.Request_.placed_by_work()) {
+    Info.CostKey_ = costKey(Action.Request_);
+    Info.Service_ = Action.Request_.service();
+    Info.WaitLimited_ = Action.Request_.wait_limit_us() > 0;
+  }
   Info.SentWall_ = Time.Wall_;
   if (auto Call = CallInfos_.find(Id.sequence()); Call != CallInfos_.end()) {
     Call->second.Ordinals_.push_back(Id.ordinal());
@@ -302,7 +351,9 @@
     recordAttemptSent(Call->second, Info, Id, Time);
   HeardAt_.try_emplace(Action.Server_, Time.Monotonic_);
   if (!Info.Target_.empty())
-    recordDispatch(Placement_, Info.Target_, Time.Monotonic_);
+    recordDispatch(Placement_, Info.Target_, Time.Monotonic_,
+                   Info.CostKey_.empty() ? Duration(0)
+                                         : expectedCost(Costs_, Info.CostKey_));
   Attempts_[Id.ordinal()] = std::move(Info);
   markSent(Calls_, Id, Time.Monotonic_);
 }
@@ -334,9 +385,15 @@
   Duration Latency = Time.Monotonic_ - Info.SentAt_;
   if (Info.Hedge_)
     recordHedgeEnd(Hedges_, Latency);
+  TargetLoad Load = Answer ? loadOf(*Answer) : TargetLoad{};
+  if (Answer && !Info.CostKey_.empty())
+    Load.CostRatio_ = recordReportedCost(Costs_, Info.CostKey_,
+                                         Duration(Answer->expected_cost_us()));
+  if (Answer && Info.WaitLimited_)
+    recordWaitLimited(WaitLimits_, Info.Service_,
+                      Outcome == AttemptOutcome::NotRun);
   if (!Info.Target_.empty())
-    recordAttemptEnd(Placement_, Info.Target_,
-                     Answer ? loadOf(*Answer) : TargetLoad{}, Latency, Outcome,
+    recordAttemptEnd(Placement_, Info.Target_, Load, Latency, Outcome,
                      Time.Monotonic_);
   if (!Info.Span_.Sampled_)
     return;
--- a/src/EntryProxy.h
+++ b/src/EntryProxy.h
@@ -13,6 +13,8 @@
 #include "sycamore/Metrics.h"
 #include "sycamore/Placement.h"
 #include "sycamore/RetryPolicy.h"
+#include "sycamore/RouteCost.h"
+#include "sycamore/WaitLimits.h"
 
 #include <array>
 #include <set>
@@ -106,6 +108,7 @@
   std::size_t inFlight() const { return Calls_.Calls_.size(); }
   const EntryCalls &calls() const { return Calls_; }
   const Placement &placement() const { return Placement_; }
+  const WaitLimits &waitLimits() const { return WaitLimits_; }
   const RetryBudgets &retries() const { return Retries_; }
   const HedgePolicy &hedges() const { return Hedges_; }
   const EntryProxyCounters &counters() const { return Counters_; }
@@ -120,6 +123,9 @@
     wire::CallId Id_;
     std::uint64_t Link_ = 0; ///< 0 for this server.
     bool Hedge_ = false;
+    bool WaitLimited_ = false;
+    std::string CostKey_; ///< Empty unless placed by remaining work.
+    std::string Service_; ///< The same.
     TimePoint SentAt_;
     WallTime SentWall_;
     TraceContext Span_;
@@ -166,6 +172,11 @@
   bool checkQuarantine(AcceptedRequest &Request, CallResult &Refusal, Now Time);
   CallPolicy makePolicy();
   std::uint64_t processOf(const std::string &Server) const;
+  RequestCost costOf(const EntryCall &Call) const;
+  std::optional<Duration> waitLimitOf(const EntryCall &Call,
+                                      std::uint32_t Earlier);
+  /// Whether limits.work_placement_targets applies to the call's service.
+  bool isPlacedByWork(const EntryCall &Call) const;
   std::optional<ChosenTarget> choose(const EntryCall &Call,
                                      std::span<const std::string> Excluded);
   void performActions(CallActions Actions, Now Time);
@@ -196,6 +207,8 @@
   CallPolicy Policy_;
   EntryCalls Calls_;
   Placement Placement_;
+  RouteCost Costs_; ///< Means over the targets, as they report them.
+  WaitLimits WaitLimits_;
   RetryBudgets Retries_;
   HedgePolicy Hedges_;
   CallerTimes CallerTimes_;
--- a/src/Placement.cpp
+++ b/src/Placement.cpp
@@ -2,6 +2,7 @@
 #include "sycamore/Placement.h"
 
 #include "Rendezvous.h"
+#include "WorkPlacement.h"
 
 #include <algorithm>
 #include <cmath>
@@ -253,6 +254,49 @@
                                                     : &Scored[First];
 }
 
+/// The cheapest of WorkChoices_ random options and of those with a fresh
+/// report.
+const ScoredCandidate *cheapestByWork(const PlacementOptions &Options,
+                                      std::span<const ScoredCandidate> Scored,
+                                      TimePoint Now, Random &Rng) {
+  const ScoredCandidate *Best = nullptr;
+  auto Consider = [&](const ScoredCandidate &Each) {
+    if (Best == nullptr || Each.Cost_ < Best->Cost_)
+      Best = &Each;
+  };
+  for (std::uint32_t I = 0; I < std::max(Options.WorkChoices_, 1U); ++I)
+    Consider(Scored[randomIndex(Rng, Scored.size())]);
+  for (const ScoredCandidate &Each : Scored)
+    if (hasFreshReport(Options, *Each.Stats_, Now))
+      Consider(Each);
+  return Best;
+}
+
+/// Sets the costs to expected times until completion.
+void scoreByWork(const Placement &Table, std::span<const Candidate> Candidates,
+                 std::string_view OwnDataCentre, double BaselineUs,
+                 const RequestCost &Request, TimePoint Now,
+                 std::vector<ScoredCandidate> &Scored) {
+  std::vector<TargetStats *> Stats;
+  Stats.reserve(Scored.size());
+  for (const ScoredCandidate &Each : Scored)
+    Stats.push_back(Each.Stats_);
+  double MeanWorkUs = updateMeanWork(Stats, Request.Rank_);
+  for (ScoredCandidate &Each : Scored) {
+    const Candidate &Target = Candidates[Each.Index_];
+    bool Far = Target.DataCentre_ != OwnDataCentre;
+    // A long request in flight does not mean that the target is stalled.
+    double Reference =
+        BaselineUs > 0 ? std::max(BaselineUs, Each.Stats_->LongestCostUs_) : 0;
+    Each.Cost_ = completionTime(Table.Options_, Target, *Each.Stats_,
+                                MeanWorkUs, Far, Request, Now) *
+                 latencyFactor(Table, *Each.Stats_, Reference, Now) /
+                 rampWeight(Table.Options_, *Each.Stats_, Now);
+    Each.Cost_ =
+        costWithSlack(Table.Options_, *Each.Stats_, Each.Cost_, Request.Slack_);
+  }
+}
+
 /// A near target unless it is loaded and a far one is cheaper.
 const ScoredCandidate *chooseByCost(const PlacementOptions &Settings,
                                     std::span<const ScoredCandidate> Near,
@@ -277,7 +321,8 @@
                                         std::span<const Candidate> Candidates,
                                         std::string_view OwnDataCentre,
                                         std::span<const std::string> Excluded,
-                                        TimePoint Now, Random &Rng) {
+                                        TimePoint Now, Random &Rng,
+                                        const RequestCost &Request) {
   std::vector<ScoredCandidate> Scored =
       collectCandidates(Table, Candidates, Excluded, Now);
   if (Scored.empty()) {
@@ -286,17 +331,23 @@
   }
   double Baseline = updateOutliers(Table, Candidates, Scored);
   dropEjected(Table, Scored, Now);
-  Baselines Reference{Baseline, medianServiceTime(Scored)};
-  for (ScoredCandidate &Each : Scored)
-    Each.Cost_ =
-        costOf(Table, Candidates[Each.Index_], *Each.Stats_, Reference, Now);
-  auto FarBegin = std::partition(
-      Scored.begin(), Scored.end(), [&](const ScoredCandidate &Each) {
-        return Candidates[Each.Index_].DataCentre_ == OwnDataCentre;
-      });
-  const ScoredCandidate *Best =
-      chooseByCost(Table.Options_, {Scored.begin(), FarBegin},
-                   {FarBegin, Scored.end()}, Rng);
+  const ScoredCandidate *Best = nullptr;
+  if (isPlacedByWork(Table.Options_, Candidates.size())) {
+    scoreByWork(Table, Candidates, OwnDataCentre, Baseline, Request, Now,
+                Scored);
+    Best = cheapestByWork(Table.Options_, Scored, Now, Rng);
+  } else {
+    Baselines Reference{Baseline, medianServiceTime(Scored)};
+    for (ScoredCandidate &Each : Scored)
+      Each.Cost_ =
+          costOf(Table, Candidates[Each.Index_], *Each.Stats_, Reference, Now);
+    auto FarBegin = std::partition(
+        Scored.begin(), Scored.end(), [&](const ScoredCandidate &Each) {
+          return Candidates[Each.Index_].DataCentre_ == OwnDataCentre;
+        });
+    Best = chooseByCost(Table.Options_, {Scored.begin(), FarBegin},
+                        {FarBegin, Scored.end()}, Rng);
+  }
   ++Table.Counters_.Chosen_;
   if (Candidates[Best->Index_].DataCentre_ != OwnDataCentre)
     ++Table.Counters_.ChosenFar_;
@@ -321,10 +372,12 @@
   return Best;
 }
 
-void recordDispatch(Placement &Table, std::string_view Name, TimePoint Now) {
+void recordDispatch(Placement &Table, std::string_view Name, TimePoint Now,
+                    Duration Cost) {
   TargetStats &Stats = statsOf(Table, Name, Now);
   if (Stats.InFlight_++ == 0)
     Stats.WaitingSince_ = Now;
+  addOwnWork(Table.Options_, Stats, Cost, Now);
 }
 
 namespace {
@@ -397,6 +450,7 @@
   }
   if (Load.MeanService_ > Duration(0))
     Stats.MeanServiceUs_ = toMicroseconds(Load.MeanService_);
+  recordWork(Table.Options_, Stats, Load, Now);
   if (Load.Slots_ > 0) {
     double Reported =
         std::min(static_cast<double>(Load.Running_) + Load.Queued_,
--- a/src/RequestLog.cpp
+++ b/src/RequestLog.cpp
@@ -186,6 +186,8 @@
     return "past-latency-target";
   case RefusalReason::NoFreeSlot:
     return "no-spare-slot";
+  case RefusalReason::WaitLimit:
+    return "wait-limit";
   case RefusalReason::Leaving:
     return "leaving";
   case RefusalReason::NoSlots:
--- a/src/RouteCost.cpp
+++ b/src/RouteCost.cpp
@@ -55,6 +55,14 @@
   addValue(Table.OverallMedian_, Value);
 }
 
+double recordReportedCost(RouteCost &Table, const std::string &Key,
+                          Duration Reported) {
+  if (Reported <= Duration(0))
+    return 0;
+  recordCost(Table, Key, Reported);
+  return static_cast<double>(Reported.count()) / Table.Routes_.at(Key).MeanUs_;
+}
+
 std::uint64_t expectedAnswerBytes(const RouteCost &Table,
                                   const std::string &Key) {
   auto Found = Table.Routes_.find(Key);
--- a/src/Settings.cpp
+++ b/src/Settings.cpp
@@ -79,6 +79,8 @@
                  1U << 30U);
   Reader.number("spill_cost", Out.SpillCost_, 0.0, 10.0);
   Reader.number("long_share", Out.LongShare_, 0.0, 1.0);
+  Reader.integer("work_placement_targets", Out.WorkPlacementTargets_, 0,
+                 100'000);
   Reader.integer("readers_per_data_centre", Out.ReadersPerDataCentre_, 1, 100);
 }
 
--- a/src/TargetProxy.cpp
+++ b/src/TargetProxy.cpp
@@ -27,13 +27,6 @@
          *Run == "not-run";
 }
 
-/// Key of the request in the cost table. It includes the depth, because a
-/// nested call of a route has a different cost than the outermost call.
-std::string costKey(const wire::CallRequest &Request) {
-  return Request.route() + " " + Request.method() + " " +
-         std::to_string(Request.depth());
-}
-
 AdmissionRequest admissionRequest(std::uint64_t Id, const PendingCall &Call,
                                   const RouteCost &Costs) {
   AdmissionRequest Out;
@@ -51,6 +44,9 @@
   Out.AcceptLate_ =
       Call.Request_.accept_late() || Call.Request_.target_left_us() == 0;
   Out.FreeSlotOnly_ = Call.Request_.spare_only();
+  if (Call.Request_.wait_limit_us() > 0)
+    Out.WaitLimit_ = Duration(Call.Request_.wait_limit_us());
+  Out.WaitForNextSlot_ = Call.Request_.placed_by_work();
   return Out;
 }
 
@@ -71,6 +67,10 @@
   case RefusalReason::NoFreeSlot:
     return {ErrorKind::Unavailable, "target " + Target + " has no free slot",
             "wait for the first attempt"};
+  case RefusalReason::WaitLimit:
+    return {ErrorKind::Unavailable,
+            "target " + Target + " has no slot within the limit of the wait",
+            "send the request again; another target may take it at once"};
   case RefusalReason::NoSlots:
     return {ErrorKind::Unavailable, "target " + Target + " has no slots",
             "check the slots that it announces"};
@@ -108,6 +108,22 @@
   Answer.set_leaving(Found->second.Leaving_);
 }
 
+void TargetProxy::addWork(wire::CallAnswer &Answer,
+                          const wire::CallRequest &Request, Now Time) const {
+  auto Found = Targets_.find(Request.target());
+  if (!Request.placed_by_work() || Found == Targets_.end())
+    return;
+  const Admission &Table = Found->second.Admission_;
+  Answer.set_remaining_work_us(static_cast<std::uint64_t>(
+      remainingWork(Table, Time.Monotonic_).count()));
+  Answer.set_expected_cost_us(static_cast<std::uint64_t>(
+      expectedCost(Costs_, costKey(Request)).count()));
+  if (Table.Queue_.empty())
+    return;
+  for (Duration Each : queuedWork(Table))
+    Answer.add_queued_work_us(static_cast<std::uint64_t>(Each.count()));
+}
+
 bool TargetProxy::accept(const wire::CallRequest &Request,
                          std::string_view Body, const ReplyRoute &Route,
                          Now Time) {
@@ -149,6 +165,7 @@
   wire::CallAnswer Answer =
       errorAnswer(Request.id(), wire::RUN_NOT_RUN, Status, Failure, RetryAfter);
   addLoad(Answer, Request.target());
+  addWork(Answer, Request, Time);
   answer(Answer, {}, Route, Request.priority(), Time);
 }
 
@@ -490,6 +507,7 @@
   if (Target)
     finish(Target->Admission_, Id, ServiceTime, Time.Monotonic_);
   addLoad(Answer, Call.Target_);
+  addWork(Answer, Call.Request_, Time);
   answer(Answer, std::move(Body), Call.Route_, Call.Request_.priority(), Time);
   if (Target)
     runQueue(*Target, Time);
--- a/src/TargetProxy.h
+++ b/src/TargetProxy.h
@@ -181,6 +181,9 @@
   void complete(std::uint64_t Id, wire::CallAnswer Answer, std::string Body,
                 Now Time);
   void runQueue(LocalTarget &Target, Now Time);
+  /// Adds the remaining work if the sender asks for it.
+  void addWork(wire::CallAnswer &Answer, const wire::CallRequest &Request,
+               Now Time) const;
   void addLoad(wire::CallAnswer &Answer, std::string_view Target) const;
   void recordCallSpan(const PendingCall &Call, bool Failed);
   void expireAnnouncements(Now Time);
