--- a/src/ConfigFreshness.cpp
+++ b/src/ConfigFreshness.cpp
@@ -16,6 +16,9 @@
 /// Peers that are no neighbours are forgotten this long after their message.
 constexpr Duration PeerRetention = seconds(120);
 
+/// Bounds the memory that forged names of senders can take.
+constexpr std::size_t MaxPeers = 4096;
+
 std::uint64_t microsecondsOf(TimePoint Time) {
   return static_cast<std::uint64_t>(Time.time_since_epoch().count());
 }
@@ -154,6 +157,9 @@
     return;
   ++State.Counters_.Received_;
   const wire::ConfigFreshness &Stated = Message.config_freshness();
+  if (State.Peers_.size() >= MaxPeers &&
+      !State.Peers_.contains(Message.sender()))
+    return;
   FreshnessPeer &Peer = State.Peers_[Message.sender()];
   if (Peer.Process_ != Message.process())
     Peer = {};
--- a/src/ControlPlaneFreshness.cpp
+++ b/src/ControlPlaneFreshness.cpp
@@ -7,11 +7,21 @@
 namespace sycamore {
 namespace {
 
-/// A reader whose watch is answered but confirms nothing reads the
-/// configuration when the last confirmation is older than this, at most once in
-/// the interval. A watch that confirms stays below it: its requests take 1 s.
-constexpr Duration ConfirmingReadAge = milliseconds(2500);
-constexpr Duration ConfirmingReadInterval = seconds(1);
+/// A daemon reads the configuration itself when its last confirmation is older
+/// than this share of the bound: a reader whose watch is answered but confirms
+/// nothing, and any other daemon. With the store refusing two of three daemons,
+/// the age had reached 3.8 s without such reads; a search for a delegate may
+/// pause for 3 s. In calm times confirmations are at most 2.6 s old, so that
+/// with a bound of 5 s only few daemons read.
+constexpr double WatcherReadShare = 0.5;
+constexpr double OwnReadShare = 0.6;
+
+/// Between two such reads, as a share of the bound; varied by up to 100%.
+constexpr double ReadIntervalShare = 0.2;
+
+Duration shareOf(Duration Whole, double Share) {
+  return std::chrono::duration_cast<Duration>(Whole * Share);
+}
 
 } // namespace
 
@@ -77,9 +87,15 @@
     confirmFromStore(*At);
   }
   auto Age = confirmationAge(Freshness_, Time.Monotonic_);
-  if (watchState().Answered_ && (!Age || *Age >= ConfirmingReadAge) &&
+  Duration MaxAge = Freshness_.Config_.MaxAge_;
+  Duration ReadAge =
+      shareOf(MaxAge, watchState().Answered_ ? WatcherReadShare : OwnReadShare);
+  // A daemon that does not serve yet reads the store in tickBootstrap().
+  if ((Age ? *Age >= ReadAge : mayServe()) &&
       Time.Monotonic_ >= NextConfirmingRead_) {
-    NextConfirmingRead_ = Time.Monotonic_ + ConfirmingReadInterval;
+    NextConfirmingRead_ =
+        Time.Monotonic_ +
+        shareOf(MaxAge, ReadIntervalShare * (1 + randomUnit(Rng_)));
     readStore(/*ForFloor=*/false, Time);
   }
   std::vector<std::string> Receivers = announcementTargets();
