--- a/src/AdminApi.h
+++ b/src/AdminApi.h
@@ -26,6 +26,7 @@
   const StoreCounters &StoreCounters_;
   const LoopWork &Work_;
   const RolloutControl &Rollouts_;
+  const HttpBudget &HttpBudget_;
 };
 
 class AdminApi {
