Bound reported work and costs, count wait-limit refusals, and test placement by work

Cause: a target that reports a negative remaining work or a cost of an hour would draw all requests or shift what is expected of all targets; operators could not see how many attempts the limit of the wait refuses.

Change: reports are bounded (remaining work from 0 to 10 s per slot, a cost to 4 times the median of the reports).

--- a/src/DaemonMetrics.cpp
+++ b/src/DaemonMetrics.cpp
@@ -237,6 +237,18 @@
      &KeyedCallsCounters::HandoversSent_},
 }};
 
+constexpr std::array<CounterRow<WaitLimitCounters>, 3> WaitLimitRows = {{
+    {"sycamore_wait_limit_accepted_total",
+     "Attempts with a limit of the wait that were not refused.",
+     &WaitLimitCounters::Accepted_},
+    {"sycamore_wait_limit_refused_total",
+     "Attempts with a limit of the wait that were refused.",
+     &WaitLimitCounters::Refused_},
+    {"sycamore_wait_limit_skipped_total",
+     "Calls without a limit of the wait because nearly all targets are busy.",
+     &WaitLimitCounters::SkippedBusy_},
+}};
+
 constexpr std::array<CounterRow<PlacementCounters>, 6> PlacementRows = {{
     {"sycamore_placements_total", "Targets chosen.",
      &PlacementCounters::Chosen_},
@@ -278,6 +290,9 @@
     writeCounter(Page, "sycamore_refused_too_late_total",
                  "Refused for their deadline.", Counters.RefusedTooLate_,
                  Labels);
+    writeCounter(Page, "sycamore_refused_wait_limit_total",
+                 "Refused for the limit of their wait.",
+                 Counters.RefusedWaitLimit_, Labels);
   }
 }
 
@@ -362,6 +377,7 @@
              DelegationRows);
   writeTable(Page, Context.Keys_.buckets().Counters_, KeyRows);
   writeTable(Page, Context.Entry_.placement().Counters_, PlacementRows);
+  writeTable(Page, Context.Entry_.waitLimits().Counters_, WaitLimitRows);
   writeStoreCalls(Page, Context.StoreCounters_);
   writeAdmission(Page, Context.Targets_);
   for (wire::RunOutcome Run :
--- a/src/RouteCost.cpp
+++ b/src/RouteCost.cpp
@@ -59,7 +59,18 @@
                           Duration Reported) {
   if (Reported <= Duration(0))
     return 0;
-  recordCost(Table, Key, Reported);
+  // One target that reports false figures must not shift the mean of all.
+  constexpr double MaxRatio = 4;
+  constexpr std::uint64_t MinReports = 8;
+  Duration Bounded = Reported;
+  auto Found = Table.Routes_.find(Key);
+  if (Found != Table.Routes_.end() && Found->second.Count_ >= MinReports) {
+    double MedianUs = estimateOf(Found->second.Median_);
+    Bounded = Duration(
+        std::llround(std::clamp(static_cast<double>(Reported.count()),
+                                MedianUs / MaxRatio, MedianUs * MaxRatio)));
+  }
+  recordCost(Table, Key, Bounded);
   return static_cast<double>(Reported.count()) / Table.Routes_.at(Key).MeanUs_;
 }
 
--- a/src/WorkPlacement.cpp
+++ b/src/WorkPlacement.cpp
@@ -100,7 +100,7 @@
     return;
   double Limit = toMicroseconds(Options.WorkLimit_) *
                  std::max<std::uint32_t>(Load.Slots_, 1);
-  Stats.WorkUs_ = std::min(toMicroseconds(*Load.RemainingWork_), Limit);
+  Stats.WorkUs_ = std::clamp(toMicroseconds(*Load.RemainingWork_), 0.0, Limit);
   for (std::size_t I = 0; I < WorkRanks; ++I)
     Stats.QueuedUs_[I] =
         std::clamp(toMicroseconds(Load.QueuedWork_[I]), 0.0, Stats.WorkUs_);
--- a/test/correctness/AdmissionTest.cpp
+++ b/test/correctness/AdmissionTest.cpp
@@ -321,3 +321,46 @@
   Hedge.FreeSlotOnly_ = true;
   EXPECT_EQ(admit(Table_, Hedge, Now_).Reason_, RefusalReason::NoFreeSlot);
 }
+
+// A request with a limit of the wait must not be queued behind a long one, and
+// its refusal must not put the target into the state in which it refuses late
+// requests.
+TEST_F(AdmissionTest, RefusesARequestThatWouldWaitLongerThanItsLimit) {
+  fill();
+  AdmissionRequest Limited = request();
+  Limited.WaitLimit_ = milliseconds(1);
+  AdmissionVerdict Verdict = admit(Table_, Limited, Now_);
+  EXPECT_EQ(Verdict.Decision_, AdmissionDecision::Refused);
+  EXPECT_EQ(Verdict.Reason_, RefusalReason::WaitLimit);
+  EXPECT_FALSE(Table_.LatencyRefusalAt_);
+  Limited.WaitLimit_ = seconds(1);
+  EXPECT_EQ(offer(Limited), AdmissionDecision::Queued);
+}
+
+// Six running requests of 10 ms free the next slot after less than 1 ms, not
+// after 5 ms; the longer estimate refused requests that were next in the queue.
+TEST_F(AdmissionTest, ExpectsTheNextSlotEarlierThanAllSlots) {
+  for (int I = 0; I < 6; ++I)
+    ASSERT_EQ(offer(request()), AdmissionDecision::Run);
+  AdmissionRequest Next = request();
+  Next.WaitLimit_ = milliseconds(2);
+  EXPECT_EQ(offer(Next), AdmissionDecision::Refused);
+  Next.Id_ = NextId_++;
+  Next.WaitForNextSlot_ = true;
+  EXPECT_EQ(offer(Next), AdmissionDecision::Queued);
+}
+
+// A report without the time that has passed would keep requests away from
+// targets that are about to be idle.
+TEST_F(AdmissionTest, ReportsTheRemainingWorkInTime) {
+  for (int I = 0; I < 6; ++I)
+    offer(request());
+  AdmissionRequest Waiting = request();
+  Waiting.Priority_ = 1;
+  ASSERT_EQ(offer(Waiting), AdmissionDecision::Queued);
+  EXPECT_EQ(remainingWork(Table_, Now_), milliseconds(70));
+  EXPECT_EQ(queuedWork(Table_)[workRank(0, 1)], milliseconds(10));
+  EXPECT_EQ(remainingWork(Table_, Now_ + milliseconds(4)), milliseconds(46));
+  // RemainingShare_ of 10 ms is left for each running request.
+  EXPECT_EQ(remainingWork(Table_, Now_ + milliseconds(50)), milliseconds(25));
+}
--- a/test/correctness/EntryCallsTest.cpp
+++ b/test/correctness/EntryCallsTest.cpp
@@ -379,3 +379,31 @@
   auto First = expectSent(beginCall(Calls_, Call, Policy_, at(0)), 0);
   EXPECT_TRUE(First.accept_late());
 }
+
+// Refusals because of the wait limit reach no target: they must not use up the
+// attempts of the call or its retry budget, and the last attempt has no limit
+// and may go to a target that refused before.
+TEST_F(EntryCallsTest, AttemptsWithAWaitLimitComeBeforeTheOthers) {
+  Policy_.WaitLimit_ = [](const EntryCall &, std::uint32_t Earlier) {
+    return Earlier < 2 ? std::optional<Duration>(milliseconds(5))
+                       : std::nullopt;
+  };
+  Policy_.ConsumeRetry_ = [](const EntryCall &) {
+    ADD_FAILURE() << "a refusal that reached no target used the retry budget";
+    return false;
+  };
+  wire::CallRequest Sent = begin(false);
+  for (std::uint64_t Limit : {5000U, 5000U, 0U}) {
+    EXPECT_EQ(Sent.wait_limit_us(), Limit);
+    if (Limit == 0)
+      break;
+    wire::CallAnswer Refusal;
+    *Refusal.mutable_id() = Sent.id();
+    Refusal.set_run(wire::RUN_NOT_RUN);
+    Refusal.set_process(Sent.process());
+    std::string Server = Sent.target() == "t1" ? "s1" : "s2";
+    Sent = expectSent(onAnswer(Calls_, Server, Refusal, "", Policy_, at(5)), 5);
+  }
+  EXPECT_EQ(Sent.target(), "t1");
+  EXPECT_EQ(Calls_.Counters_.WaitLimited_, 2U);
+}
--- a/test/correctness/PlacementTest.cpp
+++ b/test/correctness/PlacementTest.cpp
@@ -3,6 +3,7 @@
 #include "PolicyMutation.h"
 
 #include "sycamore/Placement.h"
+#include "sycamore/RouteCost.h"
 
 #include <algorithm>
 #include <cmath>
@@ -253,3 +254,88 @@
   RC_ASSERT(Candidates[*chooseSuspectTarget(Fingerprint, Candidates)].Name_ ==
             Name);
 }
+
+namespace {
+
+/// Two targets of a service that is placed by remaining work.
+struct WorkPlacementTest : testing::Test {
+  Placement Table_;
+  Random Rng_{7};
+  TimePoint Now_{seconds(100)};
+  std::vector<Candidate> Candidates_ = candidates(2);
+
+  WorkPlacementTest() {
+    Table_.Options_.WorkTargets_ = 2;
+    Candidates_.resize(2);
+    // Both targets are past their warm-up.
+    choose({});
+    Now_ += seconds(10);
+  }
+
+  std::size_t choose(const RequestCost &Request) {
+    return *chooseTarget(Table_, Candidates_, "near", {}, Now_, Rng_, Request);
+  }
+
+  void report(std::size_t Index, Duration Work, double CostRatio,
+              Duration Queued = Duration(0)) {
+    TargetLoad Load;
+    Load.Slots_ = 6;
+    Load.RemainingWork_ = Work;
+    Load.QueuedWork_[WorkRanks - 1] = Queued;
+    Load.CostRatio_ = CostRatio;
+    recordDispatch(Table_, Names[Index], Now_);
+    recordAttemptEnd(Table_, Names[Index], Load, milliseconds(100),
+                     AttemptOutcome::Done, Now_);
+  }
+};
+
+} // namespace
+
+// By number of requests, a target with few long requests looks free.
+TEST_F(WorkPlacementTest, ChoosesTheTargetWithLessRemainingWork) {
+  report(0, seconds(6), 1);
+  report(1, milliseconds(60), 1);
+  for (int I = 0; I < 20; ++I)
+    EXPECT_EQ(choose({milliseconds(100), Duration(0)}), 1U);
+}
+
+// Queued work that the request precedes does not delay it.
+TEST_F(WorkPlacementTest, IgnoresQueuedWorkOfLessUrgentRequests) {
+  report(0, seconds(6), 1, milliseconds(5990));
+  report(1, milliseconds(600), 1);
+  EXPECT_EQ(choose({milliseconds(100), Duration(0), workRank(0, 0)}), 0U);
+  EXPECT_EQ(choose({milliseconds(100), Duration(0), WorkRanks - 1}), 1U);
+}
+
+// A request with much time left must leave the fast target to those without.
+TEST_F(WorkPlacementTest, SendsRequestsWithSlackToTheSlowTarget) {
+  for (int I = 0; I < 30; ++I) {
+    report(0, milliseconds(60), 0.5);
+    report(1, milliseconds(60), 2);
+  }
+  EXPECT_EQ(choose({milliseconds(100), milliseconds(150)}), 0U);
+  EXPECT_EQ(choose({milliseconds(100), seconds(5)}), 1U);
+}
+
+// A target that reports absurd figures must stay within the bounds.
+TEST_F(WorkPlacementTest, BoundsTheFiguresOfATarget) {
+  for (int I = 0; I < 30; ++I)
+    report(0, std::chrono::hours(1000), 1e9);
+  const TargetStats &Stats = Table_.Targets_.at(Names[0]);
+  EXPECT_LE(Stats.CostRatio_, Table_.Options_.MaxCostRatio_);
+  EXPECT_LE(Stats.WorkUs_, 6.0 * 1e6 * 10);
+  report(0, Duration(-1), 1);
+  EXPECT_GE(Stats.WorkUs_, 0);
+}
+
+// One target in ten that reports a cost of an hour must not change what is
+// expected of the others.
+TEST(ReportedCost, IsNotShiftedByOneTargetWithFalseFigures) {
+  RouteCost Table;
+  for (int I = 0; I < 500; ++I)
+    recordReportedCost(Table, "route",
+                       I % 10 == 9 ? Duration(std::chrono::hours(1))
+                                   : milliseconds(200));
+  EXPECT_LT(expectedCost(Table, "route"), milliseconds(300));
+  EXPECT_NEAR(recordReportedCost(Table, "route", milliseconds(200)), 1, 0.4);
+}
