--- a/src/RolloutControl.cpp
+++ b/src/RolloutControl.cpp
@@ -18,6 +18,9 @@
 /// Between two messages with the verdicts, for daemons that missed them.
 constexpr Duration FinishedStatesInterval = seconds(5);
 
+/// Services whose states are taken from peers.
+constexpr std::size_t MaxServices = 1000;
+
 std::string_view phaseName(wire::RolloutPhase Phase) {
   switch (Phase) {
   case wire::ROLLOUT_COMPLETED:
@@ -142,7 +145,9 @@
 void RolloutControl::receive(const wire::PeerMessage &Message, Now Time) {
   if (Message.has_rollout_state()) {
     const wire::RolloutState &State = Message.rollout_state();
-    if (State.service().empty() || State.share_permille() > FullSharePermille)
+    if (State.service().empty() || State.share_permille() > FullSharePermille ||
+        (Table_.Rollouts_.size() >= MaxServices &&
+         !Table_.Rollouts_.contains(State.service())))
       return;
     ++Counters_.StatesReceived_;
     if (!applyState(State, Message.sender(), Time))
@@ -158,11 +163,25 @@
     if (auto Held = Held_.find(Report.service()); Held != Held_.end())
       addRolloutReport(Held->second.Holder_, Message.sender(),
                        Message.process(), Report, Time.Monotonic_);
+    else
+      correctReporter(Report, Message.sender());
   } else if (Message.has_floor_query() && !Table_.Rollouts_.empty()) {
     sendStates(Message.sender());
   }
 }
 
+// A daemon that was cut off reports a roll-out that has ended meanwhile.
+void RolloutControl::correctReporter(const wire::RolloutReport &Report,
+                                     const std::string &Server) {
+  auto Known = Table_.Rollouts_.find(Report.service());
+  if (Known == Table_.Rollouts_.end() || !isFinished(Known->second.State_) ||
+      Report.step() >= Known->second.State_.step())
+    return;
+  wire::PeerMessage Message;
+  *Message.mutable_rollout_state() = Known->second.State_;
+  sendTo(Server, std::move(Message));
+}
+
 void RolloutControl::recordSent(std::uint64_t Ordinal,
                                 const std::string &Service,
                                 const std::string &Route,
@@ -287,7 +306,10 @@
 
 RolloutFleet RolloutControl::fleetOf(const RolloutOrder &Order) const {
   RolloutFleet Out;
-  Out.Servers_ = aliveServers(Control_.members());
+  // A suspect may be dead, and a daemon that is cut off ends by itself.
+  for (std::string &Server : aliveServers(Control_.members()))
+    if (findServer(Control_.members(), Server)->state() == wire::SERVER_ALIVE)
+      Out.Servers_.push_back(std::move(Server));
   for (const EligibleTarget &Target : eligibleTargets(
            Control_.members(), *Control_.snapshot(), Order.Service_))
     (Target.Version_ == Order.TargetVersion_ ? Out.NewSlots_ : Out.OldSlots_) +=
--- a/src/RolloutControl.h
+++ b/src/RolloutControl.h
@@ -82,6 +82,8 @@
   void spread(const wire::RolloutState &State, const std::string &Except);
   void sendStates(const std::string &Server);
   void sendTo(const std::string &Server, wire::PeerMessage Message);
+  void correctReporter(const wire::RolloutReport &Report,
+                       const std::string &Server);
   void tickReports(Now Time);
   void tickFinishedStates(Now Time);
   /// Position of this daemon among those that may hold the service's roll-out.
--- a/src/RolloutHolding.cpp
+++ b/src/RolloutHolding.cpp
@@ -99,8 +99,6 @@
     Next.set_phase(wire::ROLLOUT_ROLLED_BACK);
   else if (Decision.Action_ == RolloutAction::Complete)
     Next.set_phase(wire::ROLLOUT_COMPLETED);
-  else if (Falls)
-    Next.set_share_permille(Decision.SharePermille_);
   if (Decision.Action_ == RolloutAction::RollBack || Falls) {
     // Less for the new version takes effect at once, also without the store.
     Held.Pending_.reset();
--- a/test/platform/KvStoreTest.cpp
+++ b/test/platform/KvStoreTest.cpp
@@ -166,6 +166,26 @@
   EXPECT_EQ(Seen, (std::vector<std::string>{"1", "2", "3"}));
 }
 
+// A reader that begins to watch has to learn the orders written before, also
+// when they fill more than one page.
+TEST_F(KvStoreTest, AWatchOfAPrefixReportsEveryKeyAndItsChanges) {
+  Standin_->Faults_.PageItems_ = 2;
+  for (const char *Key : {"op/a", "op/b", "op/c", "other/d"})
+    Standin_->put(Key, "1");
+  std::vector<std::string> Seen;
+  auto Watch = Store_->watch(
+      "op/", 0,
+      [&](const KeyValue &Entry) { Seen.push_back(Entry.Key_ + Entry.Value_); },
+      [](const Error &Failure) { ADD_FAILURE() << describe(Failure); });
+  EXPECT_TRUE(Loop_.runUntil([&] { return Seen.size() == 3; }));
+  Standin_->put("other/d", "2");
+  Standin_->put("op/b", "2");
+  EXPECT_TRUE(Loop_.runUntil([&] { return Seen.size() == 4; }));
+  EXPECT_EQ(Seen,
+            (std::vector<std::string>{"op/a1", "op/b1", "op/c1", "op/b2"}));
+  EXPECT_EQ(Standin_->Calls_["GET /v1/kv-range"], 2U);
+}
+
 TEST_F(KvStoreTest, AWatchReadsTheKeyAgainAfterACompaction) {
   std::vector<std::string> Seen;
   auto Watch = Store_->watch(
--- a/test/platform/RolloutFleetTest.cpp
+++ b/test/platform/RolloutFleetTest.cpp
@@ -207,6 +207,24 @@
   EXPECT_GT(oldRequests(), Old);
 }
 
+// A bad version of one service must not stop another service's roll-out.
+TEST_F(RolloutFleet, TwoServicesRollOutAtOnce) {
+  startAll();
+  order("v2");
+  Store_->put("op/rollout/desk",
+              R"({"service":"desk","targetVersion":"v1","durationS":6})");
+  startNewServers(500);
+  auto Desk = [&]() -> std::string {
+    auto Found = Store_->Items_.find("status/rollout/desk");
+    return Found == Store_->Items_.end()
+               ? ""
+               : std::string(Json::parse(Found->second.Value_)["state"]);
+  };
+  ASSERT_TRUE(requestUntil(
+      [&] { return state() == "rolled_back" && Desk() == "completed"; }));
+  EXPECT_LT(monotonicNow() - OrderedAt_, seconds(6));
+}
+
 // A daemon that starts after the verdict learns it from its peers.
 TEST_F(RolloutFleet, ADaemonThatStartsLaterKnowsTheVerdict) {
   startAll();
