Apply quotas of tenants at entry daemons

Cause: a tenant could send any number of requests.

Change: QuotaControl holds a tenant's request until an owner has lent a token, refuses it with 429 and Retry-After over the quota, and returns the token of a request that did not run. Without a limited tenant nothing is sent.

--- a/include/sycamore/Events.h
+++ b/include/sycamore/Events.h
@@ -76,6 +76,8 @@
   RequestSuspected,
   RequestQuarantined,
   QuarantineEnded,
+  QuotaExceeded,
+  QuotaKept,
   // Requests at the entry daemon.
   RequestNoRoute,
   RequestRefused,
--- a/src/AdminApi.h
+++ b/src/AdminApi.h
@@ -6,6 +6,7 @@
 #include "EntryProxy.h"
 #include "KeyedProxy.h"
 #include "LoopWork.h"
+#include "QuotaControl.h"
 #include "TargetProxy.h"
 #include "sycamore/EtcdStore.h"
 #include "sycamore/HttpServer.h"
@@ -19,6 +20,7 @@
   TargetProxy &Targets_;
   EntryProxy &Entry_;
   KeyedProxy &Keys_;
+  const QuotaControl &Quotas_;
   Quarantine &Quarantine_;
   SpanBuffer &Spans_;
   const AnswerSender &Answers_;
--- a/src/Daemon.cpp
+++ b/src/Daemon.cpp
@@ -202,6 +202,15 @@
   Entry_->setKeyedHandler(
       [this](AcceptedRequest Request, const HttpExchangePointer &Exchange,
              Now At) { Keyed_->receive(std::move(Request), Exchange, At); });
+  Quotas_ = std::make_unique<QuotaControl>(
+      Settings_, *Control_, *Entry_,
+      [this](const std::string &Server, wire::PeerMessage &Message) {
+        Peers_->send(Server, Message, {}, monotonicNow());
+      },
+      Time);
+  Entry_->setQuotaHandler(
+      [this](AcceptedRequest Request, const HttpExchangePointer &Exchange,
+             Now At) { Quotas_->receive(std::move(Request), Exchange, At); });
 }
 
 AnswerSenderConfig DaemonImpl::answerSenderConfig() {
@@ -238,7 +247,7 @@
     Tokens = std::move(*Loaded);
   }
   Admin_ = std::make_unique<AdminApi>(
-      AdminContext{Settings_, *Control_, *Targets_, *Entry_, *Keyed_,
+      AdminContext{Settings_, *Control_, *Targets_, *Entry_, *Keyed_, *Quotas_,
                    Quarantine_, Spans_, *Answers_, *Peers_, *StoreCounters_,
                    Work_},
       std::move(Tokens));
@@ -373,6 +382,7 @@
   Targets_->tick(Time);
   Entry_->tick(Time);
   Keyed_->tick(Time);
+  Quotas_->tick(Time);
   expire(Quarantine_, Time.Wall_);
   for (const QuarantineEvent &Event : takeEvents(Quarantine_))
     logEvent(Event.Kind_ == QuarantineEventKind::Suspected
@@ -404,6 +414,16 @@
   case wire::PeerMessage::kBucketHandover:
     Keyed_->receiveHandover(Message.bucket_handover(), Time);
     break;
+  case wire::PeerMessage::kQuotaRequest: {
+    wire::PeerMessage Answer;
+    *Answer.mutable_quota_grant() =
+        Quotas_->receiveRequest(Message.quota_request(), Time);
+    Peers_->reply(Route, Answer, {});
+    break;
+  }
+  case wire::PeerMessage::kQuotaGrant:
+    Quotas_->receiveGrant(Message.sender(), Message.quota_grant(), Time);
+    break;
   case wire::PeerMessage::kLinkHeartbeat:
     if (!Message.link_heartbeat().answer()) {
       wire::PeerMessage Answer;
@@ -425,7 +445,9 @@
   case wire::PeerMessage::kCallCancel:
   case wire::PeerMessage::kCallQuery:
   case wire::PeerMessage::kCallQueryAnswer:
-  case wire::PeerMessage::kLinkHeartbeat: {
+  case wire::PeerMessage::kLinkHeartbeat:
+  case wire::PeerMessage::kQuotaRequest:
+  case wire::PeerMessage::kQuotaGrant: {
     // A call message matters to the membership only as a sign of life, when the
     // sender is unknown or not recorded as alive.
     const wire::ServerRecord *Record =
--- a/src/DaemonImpl.h
+++ b/src/DaemonImpl.h
@@ -8,6 +8,7 @@
 #include "KeyedProxy.h"
 #include "LoopWork.h"
 #include "PeerKeys.h"
+#include "QuotaControl.h"
 #include "TargetProxy.h"
 #include "sycamore/Daemon.h"
 #include "sycamore/EtcdStore.h"
@@ -95,6 +96,7 @@
   std::unique_ptr<TargetProxy> Targets_;
   std::unique_ptr<EntryProxy> Entry_;
   std::unique_ptr<KeyedProxy> Keyed_;
+  std::unique_ptr<QuotaControl> Quotas_;
   std::unique_ptr<AdminApi> Admin_;
   std::unique_ptr<HttpServer> CallerServer_;
   std::unique_ptr<HttpServer> AdminServer_;
--- a/src/DaemonMetrics.cpp
+++ b/src/DaemonMetrics.cpp
@@ -252,6 +252,26 @@
      &PlacementCounters::Ejections_},
 }};
 
+constexpr std::array<CounterRow<QuotaCounters>, 8> QuotaRows = {{
+    {"sycamore_quota_granted_total", "Requests of tenants run for a token.",
+     &QuotaCounters::Granted_},
+    {"sycamore_quota_denied_total", "Requests refused over a quota.",
+     &QuotaCounters::Denied_},
+    {"sycamore_quota_lapsed_total", "Tokens that were not used in time.",
+     &QuotaCounters::Lapsed_},
+    {"sycamore_quota_returned_total", "Tokens of requests that did not run.",
+     &QuotaCounters::Returned_},
+    {"sycamore_quota_fallback_total",
+     "Requests run for this daemon's own part of a quota, without an owner.",
+     &QuotaCounters::Fallback_},
+    {"sycamore_quota_waited_total", "Requests that waited for a token.",
+     &QuotaCounters::Waited_},
+    {"sycamore_quota_questions_total", "Requests for tokens sent to owners.",
+     &QuotaCounters::QuestionsSent_},
+    {"sycamore_quota_unanswered_total",
+     "Requests for tokens without an answer.", &QuotaCounters::Unanswered_},
+}};
+
 void writeStoreCalls(MetricsPage &Page, const StoreCounters &Counters) {
   for (const auto &[Kind, Outcomes] : Counters.Calls_)
     for (const auto &[Outcome, Count] : Outcomes)
@@ -322,6 +342,8 @@
              static_cast<double>(Control.members().Targets_.size()));
   writeGauge(Page, "sycamore_calls_in_flight", "Calls of callers.",
              static_cast<double>(Context.Entry_.inFlight()));
+  writeGauge(Page, "sycamore_quota_waiting", "Requests that wait for a token.",
+             static_cast<double>(Context.Quotas_.waiting()));
   writeGauge(Page, "sycamore_links", "Links dialled.",
              static_cast<double>(Context.Peers_.linkCount()));
   const AnswerPacing &Pacing = Context.Answers_.pacing();
@@ -362,6 +384,7 @@
              DelegationRows);
   writeTable(Page, Context.Keys_.buckets().Counters_, KeyRows);
   writeTable(Page, Context.Entry_.placement().Counters_, PlacementRows);
+  writeTable(Page, Context.Quotas_.counters(), QuotaRows);
   writeStoreCalls(Page, Context.StoreCounters_);
   writeAdmission(Page, Context.Targets_);
   for (wire::RunOutcome Run :
--- a/src/EntryProxy.h
+++ b/src/EntryProxy.h
@@ -32,6 +32,8 @@
   /// Set when no other request with this fingerprint may run meanwhile, because
   /// it is suspected of crashing targets.
   std::optional<std::uint64_t> TrialFingerprint_;
+  /// Called when the request is answered as not run; may be empty.
+  std::function<void()> OnNotRun_;
 };
 
 struct EntryProxyCounters {
@@ -49,7 +51,7 @@
   std::uint64_t AnswerPartsRejected_ = 0; ///< No such attempt, or damaged.
 };
 
-/// Handles a request with an idempotency key.
+/// Handles an accepted request in place of serve().
 using KeyedHandler =
     std::function<void(AcceptedRequest, const HttpExchangePointer &, Now)>;
 
@@ -63,6 +65,23 @@
 
   void setKeyedHandler(KeyedHandler Handler) { Keyed_ = std::move(Handler); }
 
+  /// Handler of the requests of tenants. It ends each by dispatch(), refuse()
+  /// or abandon().
+  void setQuotaHandler(KeyedHandler Handler) { Quota_ = std::move(Handler); }
+
+  /// Runs an accepted request, unless this daemon has begun to leave.
+  void dispatch(AcceptedRequest Request, const HttpExchangePointer &Exchange,
+                Now Time);
+
+  /// Answers an accepted request with a refusal.
+  void refuse(const HttpExchangePointer &Exchange,
+              const AcceptedRequest &Request, const CallResult &Refusal,
+              Now Time);
+
+  /// Forgets an accepted request whose caller has disconnected.
+  void abandon(const AcceptedRequest &Request,
+               const HttpExchangePointer &Exchange, Now Time);
+
   /// Handles a caller's request.
   void receive(const HttpExchangePointer &Exchange, Now Time);
 
@@ -148,6 +167,8 @@
   std::optional<CallResult> checkAcceptable() const;
   bool accept(const HttpExchangePointer &Exchange, AcceptedRequest &Request,
               Now Time);
+  void run(AcceptedRequest Request, const HttpExchangePointer &Exchange,
+           Now Time);
   /// Sets route, service and deadline; the refusal when no route matches.
   std::optional<CallResult> findRoute(const HttpRequest &Http, EntryCall &Call,
                                       Now Time);
@@ -193,6 +214,7 @@
   CallSender Send_;
   std::function<void(const std::string &)> CloseLink_;
   KeyedHandler Keyed_;
+  KeyedHandler Quota_;
   CallPolicy Policy_;
   EntryCalls Calls_;
   Placement Placement_;
--- a/src/EntryRequests.cpp
+++ b/src/EntryRequests.cpp
@@ -61,12 +61,45 @@
   }
   if (!accept(Exchange, Request, Time))
     return;
+  if (Quota_ && !Request.Call_.Tenant_.empty())
+    Quota_(std::move(Request), Exchange, Time);
+  else
+    run(std::move(Request), Exchange, Time);
+}
+
+void EntryProxy::run(AcceptedRequest Request,
+                     const HttpExchangePointer &Exchange, Now Time) {
   if (!Request.Key_.empty() && !Request.Call_.Idempotent_)
     Keyed_(std::move(Request), Exchange, Time);
   else
     serve(std::move(Request), Exchange, Time);
 }
 
+void EntryProxy::dispatch(AcceptedRequest Request,
+                          const HttpExchangePointer &Exchange, Now Time) {
+  EventTime_ = Time.Monotonic_;
+  if (auto Refusal = checkAcceptable())
+    refuse(Exchange, Request, *Refusal, Time);
+  else
+    run(std::move(Request), Exchange, Time);
+}
+
+void EntryProxy::refuse(const HttpExchangePointer &Exchange,
+                        const AcceptedRequest &Request,
+                        const CallResult &Refusal, Now Time) {
+  logRefusal(makeHistory(Exchange->request(), Request.Call_, Time), Refusal);
+  reply(Exchange, Request, Refusal);
+}
+
+void EntryProxy::abandon(const AcceptedRequest &Request,
+                         const HttpExchangePointer &Exchange, Now Time) {
+  ++Counters_.CallersDisconnected_;
+  logAbandoned(makeHistory(Exchange->request(), Request.Call_, Time),
+               Time.Monotonic_);
+  if (Request.TrialFingerprint_)
+    endSuspectRun(Quarantine_, *Request.TrialFingerprint_);
+}
+
 bool EntryProxy::accept(const HttpExchangePointer &Exchange,
                         AcceptedRequest &Request, Now Time) {
   const HttpRequest &Http = Exchange->request();
@@ -282,6 +315,8 @@
   recordServerSpan(Request, Outcome);
   if (Request.TrialFingerprint_)
     endSuspectRun(Quarantine_, *Request.TrialFingerprint_);
+  if (Outcome.Run_ == wire::RUN_NOT_RUN && Request.OnNotRun_)
+    Request.OnNotRun_();
   HttpHeaders Headers = toHttpHeaders(Outcome.Answer_.headers());
   const HeaderNames &Names = Settings_.Headers_;
   addHeader(Headers, Names.Run_, std::string(runOutcomeName(Outcome.Run_)));
