--- a/include/sycamore/Events.h
+++ b/include/sycamore/Events.h
@@ -86,6 +86,8 @@
   RolloutDecided,
   RolloutStatusWritten,
   RolloutStoreFailed,
+  QuotaExceeded,
+  QuotaKept,
   // Requests at the entry daemon.
   RequestNoRoute,
   RequestRefused,
--- a/src/Daemon.cpp
+++ b/src/Daemon.cpp
@@ -209,6 +209,15 @@
   Entry_->setKeyedHandler(
       [this](AcceptedRequest Request, const HttpExchangePointer &Exchange,
              Now At) { Keyed_->receive(std::move(Request), Exchange, At); });
+  Quotas_ = std::make_unique<QuotaControl>(
+      Settings_, *Control_, *Entry_,
+      [this](const std::string &Server, wire::PeerMessage &Message) {
+        Peers_->send(Server, Message, {}, monotonicNow());
+      },
+      Time);
+  Entry_->setQuotaHandler(
+      [this](AcceptedRequest Request, const HttpExchangePointer &Exchange,
+             Now At) { Quotas_->receive(std::move(Request), Exchange, At); });
 }
 
 AnswerSenderConfig DaemonImpl::answerSenderConfig() {
@@ -246,7 +255,7 @@
   }
   HttpBudget_ = makeHttpBudget(Settings_.Limits_.RequestBufferBytes_);
   Admin_ = std::make_unique<AdminApi>(
-      AdminContext{Settings_, *Control_, *Targets_, *Entry_, *Keyed_,
+      AdminContext{Settings_, *Control_, *Targets_, *Entry_, *Keyed_, *Quotas_,
                    Quarantine_, Spans_, *Answers_, *Peers_, *StoreCounters_,
                    Work_, *Rollouts_, *HttpBudget_},
       std::move(Tokens));
@@ -387,6 +396,7 @@
   Entry_->tick(Time);
   Rollouts_->tick(Time);
   Keyed_->tick(Time);
+  Quotas_->tick(Time);
   expire(Quarantine_, Time.Wall_);
   for (const QuarantineEvent &Event : takeEvents(Quarantine_))
     logEvent(Event.Kind_ == QuarantineEventKind::Suspected
@@ -419,6 +429,16 @@
   case wire::PeerMessage::kBucketHandover:
     Keyed_->receiveHandover(Message.bucket_handover(), Time);
     break;
+  case wire::PeerMessage::kQuotaRequest: {
+    wire::PeerMessage Answer;
+    *Answer.mutable_quota_grant() =
+        Quotas_->receiveRequest(Message.quota_request(), Time);
+    Peers_->reply(Route, Answer, {});
+    break;
+  }
+  case wire::PeerMessage::kQuotaGrant:
+    Quotas_->receiveGrant(Message.sender(), Message.quota_grant(), Time);
+    break;
   case wire::PeerMessage::kLinkHeartbeat:
     if (!Message.link_heartbeat().answer()) {
       wire::PeerMessage Answer;
@@ -440,7 +460,9 @@
   case wire::PeerMessage::kCallCancel:
   case wire::PeerMessage::kCallQuery:
   case wire::PeerMessage::kCallQueryAnswer:
-  case wire::PeerMessage::kLinkHeartbeat: {
+  case wire::PeerMessage::kLinkHeartbeat:
+  case wire::PeerMessage::kQuotaRequest:
+  case wire::PeerMessage::kQuotaGrant: {
     // A call message matters to the membership only as a sign of life, when the
     // sender is unknown or not recorded as alive.
     const wire::ServerRecord *Record =
--- a/src/Events.cpp
+++ b/src/Events.cpp
@@ -199,6 +199,10 @@
          RarePerSecond, false,
          "the state of a roll-out could not be read or written; it is tried "
          "again"},
+        {LogEvent::QuotaExceeded, "quota-exceeded", Warning, RarePerSecond,
+         false, "requests of the tenant over its quota are refused here"},
+        {LogEvent::QuotaKept, "quota-kept", Info, RarePerSecond, false,
+         "the tenant has kept its quota here for 5 s"},
         {LogEvent::RequestNoRoute, "request-no-route", Info, FrequentPerSecond,
          false, "answered 404: no route of the ticket matches"},
         {LogEvent::RequestRefused, "request-refused", Info, RefusalsPerSecond,
