--- a/src/RolloutPlan.cpp
+++ b/src/RolloutPlan.cpp
@@ -36,6 +36,9 @@
 constexpr double LatePart = 0.65;
 constexpr double LatePartWithoutEvidence = 0.75;
 constexpr double VerdictPart = 0.88;
+/// Least time from a verdict to the deadline: the verdict is stored, confirmed
+/// by all daemons and stated, with a store call of up to 0.5 s each.
+constexpr Duration ConclusionTime = milliseconds(1500);
 
 /// Answers of the new version on each route that speak for it. A version that
 /// fails a third of its requests passes this many with 0.8 % probability.
@@ -75,6 +78,12 @@
       static_cast<std::int64_t>(static_cast<double>(Value.count()) * Part));
 }
 
+/// Latest time for a verdict, from the order on.
+Duration verdictTime(Duration Whole) {
+  return std::min(partOf(Whole, VerdictPart),
+                  std::max(Whole - ConclusionTime, Whole / 2));
+}
+
 std::uint32_t toPermille(double Share) {
   return static_cast<std::uint32_t>(Share * FullSharePermille + 0.5);
 }
@@ -241,8 +250,7 @@
 
 RolloutDecision planLastStep(const RolloutHolder &Holder,
                              const RolloutFleet &Fleet, TimePoint Time) {
-  bool Late =
-      Time >= Holder.OrderedAt_ + partOf(Holder.Order_.Duration_, VerdictPart);
+  bool Late = Time >= Holder.OrderedAt_ + verdictTime(Holder.Order_.Duration_);
   if (Late && hasSuspicion(Holder, LateSuspicion))
     return {RolloutAction::RollBack, 0, "suspicion at the latest time"};
   bool Settled = Time - Holder.ShareSince_ >= LastStepTime &&
@@ -316,7 +324,7 @@
   if (Fleet.NewSlots_ == 0)
     return {};
   bool Verdict =
-      Time >= Holder.OrderedAt_ + partOf(Holder.Order_.Duration_, VerdictPart);
+      Time >= Holder.OrderedAt_ + verdictTime(Holder.Order_.Duration_);
   if (Verdict && hasSuspicion(Holder, RiseSuspicion))
     return {RolloutAction::RollBack, 0, "suspicion at the latest time"};
   if (Holder.Rising_ || mayLeaveObservation(Holder, Fleet, Time)) {
