Compare one near and one far target by remaining work; check what the parts lack together

Placement by remaining work chose far targets twice in three times. Half of the options are near now, and a far one has to be faster by a tenth of the request's cost.

CallHistoryTest failed because no run took the path of a limited wait; half of its calls have such a limit now, and it passes.

--- a/include/sycamore/Placement.h
+++ b/include/sycamore/Placement.h
@@ -108,7 +108,9 @@
   /// (see WorkPlacement.h) instead of by requests per slot; 0 for none. Needs
   /// targets that report their remaining work.
   std::uint32_t WorkTargets_ = 0;
-  /// Number of random candidates that are compared by remaining work.
+  /// Number of random candidates that are compared by remaining work, half of
+  /// them in the own data centre. With three or four, daemons with the same old
+  /// reports choose the same targets near capacity.
   std::uint32_t WorkChoices_ = 2;
   /// Time after which the difference between a reported remaining work and the
   /// mean of the candidates counts half.
@@ -122,6 +124,10 @@
   double SlackShare_ = 0.25;
   /// Time that a call to another data centre takes longer, both ways.
   Duration FarTransit_ = milliseconds(3);
+  /// Share of the expected time in the slot by which a target in another data
+  /// centre must be faster: its request and answer take the links between data
+  /// centres.
+  double FarCostShare_ = 0.1;
   /// Weight of a new CostRatio_ in the target's mean, and its bounds, because a
   /// target's own figures may be false.
   double CostRatioGain_ = 0.2;
--- a/src/Placement.cpp
+++ b/src/Placement.cpp
@@ -254,21 +254,28 @@
                                                     : &Scored[First];
 }
 
-/// The cheapest of WorkChoices_ random options and of those with a fresh
-/// report.
+/// The cheapest of WorkChoices_ random options, half of them near, and of those
+/// with a fresh report.
 const ScoredCandidate *cheapestByWork(const PlacementOptions &Options,
-                                      std::span<const ScoredCandidate> Scored,
+                                      std::span<const ScoredCandidate> Near,
+                                      std::span<const ScoredCandidate> Far,
                                       TimePoint Now, Random &Rng) {
   const ScoredCandidate *Best = nullptr;
   auto Consider = [&](const ScoredCandidate &Each) {
     if (Best == nullptr || Each.Cost_ < Best->Cost_)
       Best = &Each;
   };
-  for (std::uint32_t I = 0; I < std::max(Options.WorkChoices_, 1U); ++I)
-    Consider(Scored[randomIndex(Rng, Scored.size())]);
-  for (const ScoredCandidate &Each : Scored)
-    if (hasFreshReport(Options, *Each.Stats_, Now))
-      Consider(Each);
+  auto ConsiderSome = [&](std::span<const ScoredCandidate> Some,
+                          std::uint32_t Choices) {
+    for (std::uint32_t I = 0; I < Choices && !Some.empty(); ++I)
+      Consider(Some[randomIndex(Rng, Some.size())]);
+    for (const ScoredCandidate &Each : Some)
+      if (hasFreshReport(Options, *Each.Stats_, Now))
+        Consider(Each);
+  };
+  std::uint32_t Choices = std::max(Options.WorkChoices_, 1U);
+  ConsiderSome(Near, Far.empty() ? Choices : (Choices + 1) / 2);
+  ConsiderSome(Far, Near.empty() ? Choices : Choices / 2);
   return Best;
 }
 
@@ -331,23 +338,24 @@
   }
   double Baseline = updateOutliers(Table, Candidates, Scored);
   dropEjected(Table, Scored, Now);
-  const ScoredCandidate *Best = nullptr;
-  if (isPlacedByWork(Table.Options_, Candidates.size())) {
+  bool ByWork = isPlacedByWork(Table.Options_, Candidates.size());
+  Baselines Reference{Baseline, medianServiceTime(Scored)};
+  if (ByWork)
     scoreByWork(Table, Candidates, OwnDataCentre, Baseline, Request, Now,
                 Scored);
-    Best = cheapestByWork(Table.Options_, Scored, Now, Rng);
-  } else {
-    Baselines Reference{Baseline, medianServiceTime(Scored)};
+  else
     for (ScoredCandidate &Each : Scored)
       Each.Cost_ =
           costOf(Table, Candidates[Each.Index_], *Each.Stats_, Reference, Now);
-    auto FarBegin = std::partition(
-        Scored.begin(), Scored.end(), [&](const ScoredCandidate &Each) {
-          return Candidates[Each.Index_].DataCentre_ == OwnDataCentre;
-        });
-    Best = chooseByCost(Table.Options_, {Scored.begin(), FarBegin},
-                        {FarBegin, Scored.end()}, Rng);
-  }
+  auto FarBegin = std::partition(
+      Scored.begin(), Scored.end(), [&](const ScoredCandidate &Each) {
+        return Candidates[Each.Index_].DataCentre_ == OwnDataCentre;
+      });
+  std::span<const ScoredCandidate> Near(Scored.begin(), FarBegin);
+  std::span<const ScoredCandidate> Far(FarBegin, Scored.end());
+  const ScoredCandidate *Best =
+      ByWork ? cheapestByWork(Table.Options_, Near, Far, Now, Rng)
+             : chooseByCost(Table.Options_, Near, Far, Rng);
   ++Table.Counters_.Chosen_;
   if (Candidates[Best->Index_].DataCentre_ != OwnDataCentre)
     ++Table.Counters_.ChosenFar_;
--- a/src/WorkPlacement.cpp
+++ b/src/WorkPlacement.cpp
@@ -54,7 +54,10 @@
                       const TargetStats &Stats, double MeanWorkUs, bool Far,
                       const RequestCost &Request, TimePoint Now) {
   double Slots = std::max<std::uint32_t>(Target.Slots_, 1);
-  double Transit = Far ? toMicroseconds(Options.FarTransit_) : 0;
+  double Transit =
+      Far ? toMicroseconds(Options.FarTransit_) +
+                toMicroseconds(Request.Expected_) * Options.FarCostShare_
+          : 0;
   double Work = MeanWorkUs + (workBefore(Stats, Request.Rank_) - MeanWorkUs) *
                                  knowledgeWeight(Options, Stats, Now);
   return Work / Slots + toMicroseconds(Request.Expected_) * Stats.CostRatio_ +
--- a/test/support/CallWorldCalls.cpp
+++ b/test/support/CallWorldCalls.cpp
@@ -62,6 +62,12 @@
 
 CallPolicy CallSimulation::makePolicy(Node &Owner) {
   CallPolicy Out;
+  Out.WaitLimit_ = [](const EntryCall &Call,
+                      std::uint32_t Earlier) -> std::optional<Duration> {
+    if (Earlier >= 2 || Call.Sequence_ % 2 == 0)
+      return std::nullopt;
+    return milliseconds(5);
+  };
   Out.ChooseTarget_ = [this, &Owner](const EntryCall &Call,
                                      std::span<const std::string> Excluded)
       -> std::optional<ChosenTarget> {
