--- a/src/RolloutPlan.cpp
+++ b/src/RolloutPlan.cpp
@@ -4,6 +4,7 @@
 #include "RolloutEvidence.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace sycamore {
 namespace {
@@ -85,7 +86,7 @@
 }
 
 std::uint32_t toPermille(double Share) {
-  return static_cast<std::uint32_t>(Share * FullSharePermille + 0.5);
+  return static_cast<std::uint32_t>(std::lround(Share * FullSharePermille));
 }
 
 double seen(const RolloutHolder &Holder) {
