--- a/include/sycamore/Integration.h
+++ b/include/sycamore/Integration.h
@@ -5,6 +5,7 @@
 
 #include "sycamore/EtcdStore.h"
 #include "sycamore/HttpServer.h"
+#include "sycamore/Rollout.h"
 #include "sycamore/Settings.h"
 #include "sycamore/Snapshot.h"
 #include "sycamore/Store.h"
@@ -17,6 +18,7 @@
 struct TargetAnnouncement {
   std::string Name_;
   std::string Service_;
+  std::string Version_; ///< Of the target's software; empty when not stated.
   std::string Address_; ///< "IP:PORT" for requests.
   std::uint32_t Slots_ = 1;
   bool Leaving_ = false; ///< The target drains and accepts no new work.
@@ -48,12 +50,34 @@
   /// Key of the document that holds the complete configuration.
   virtual std::string configurationKey() const = 0;
 
+  /// Key or prefix (see Store::watch()) that covers configurationKey() and the
+  /// orders of roll-outs.
+  virtual std::string watchedKey() const { return configurationKey(); }
+
+  virtual bool isRolloutOrder(std::string_view /*Key*/) const { return false; }
+  /// Parses a value whose key isRolloutOrder(). Errors: InvalidArgument.
+  virtual Result<RolloutOrder>
+  parseRolloutOrder(const KeyValue & /*Entry*/) const {
+    return fail(ErrorKind::NotFound, "the platform has no roll-outs", "");
+  }
+  /// Key and value with which the system states the progress of a roll-out.
+  virtual KeyValue formatRolloutStatus(const std::string & /*Service*/,
+                                       const std::string & /*TargetVersion*/,
+                                       wire::RolloutPhase /*Phase*/) const {
+    return {};
+  }
+
   /// Parses the document stored under configurationKey(). Errors:
   /// InvalidTicket.
   virtual Result<FullState>
   parseConfiguration(std::string_view Text,
                      const ParsedDocument &Before) const = 0;
 
+  /// Whether a text that is not applied, because parseConfiguration() rejects
+  /// it or for its number, is known to hold every credential of InForce.
+  virtual bool keepsCredentials(std::string_view Text,
+                                const State &InForce) const = 0;
+
   /// Parses a request received on target.announce_listen. Errors:
   /// InvalidArgument; NotFound for a request that is neither an announcement
   /// nor a departure.
--- a/include/sycamore/Settings.h
+++ b/include/sycamore/Settings.h
@@ -95,6 +95,10 @@
   /// targets in other data centres are considered; at 1, a call would take the
   /// last free slot.
   double SpillCost_ = 0.6;
+  /// Requests for services with at least this many targets are placed by
+  /// remaining work; 0 for none. An entry daemon hears too rarely from each of
+  /// many targets for placement by requests per slot.
+  std::uint64_t WorkPlacementTargets_ = 0;
   /// Number of daemons in each data centre that watch the store.
   std::uint64_t ReadersPerDataCentre_ = 2;
 
@@ -156,6 +160,15 @@
   bool operator==(const RetrySettings &) const = default;
 };
 
+/// Bound on the time for which a withdrawn credential is accepted.
+struct RevocationSettings {
+  /// Requests with a credential are refused when the configuration has not been
+  /// confirmed for this long; see ConfigFreshness. 0: no bound.
+  milliseconds MaxAge_{0};
+
+  bool operator==(const RevocationSettings &) const = default;
+};
+
 /// Retention of records about calls.
 struct RecordSettings {
   /// Of answers and tombstones; longer than any caller's deadline.
@@ -222,6 +235,7 @@
   KeySettings Keys_;
   RetrySettings Retries_;
   RecordSettings Records_;
+  RevocationSettings Revocation_;
   milliseconds StopLimit_{30000}; ///< Maximum duration of a graceful stop.
   LogSettings Log_;
   TraceSettings Trace_;
--- a/src/AdminApi.h
+++ b/src/AdminApi.h
@@ -6,6 +6,7 @@
 #include "EntryProxy.h"
 #include "KeyedProxy.h"
 #include "LoopWork.h"
+#include "QuotaControl.h"
 #include "TargetProxy.h"
 #include "sycamore/EtcdStore.h"
 #include "sycamore/HttpServer.h"
@@ -19,12 +20,15 @@
   TargetProxy &Targets_;
   EntryProxy &Entry_;
   KeyedProxy &Keys_;
+  const QuotaControl &Quotas_;
   Quarantine &Quarantine_;
   SpanBuffer &Spans_;
   const AnswerSender &Answers_;
   const PeerTransport &Peers_;
   const StoreCounters &StoreCounters_;
   const LoopWork &Work_;
+  const RolloutControl &Rollouts_;
+  const HttpBudget &HttpBudget_;
 };
 
 class AdminApi {
--- a/src/Admission.cpp
+++ b/src/Admission.cpp
@@ -3,6 +3,7 @@
 #include "sycamore/Admission.h"
 
 #include "AdmissionSlots.h"
+#include "TenantShares.h"
 
 #include <algorithm>
 #include <cmath>
@@ -29,6 +30,8 @@
     return Counters.RefusedLatencyTarget_;
   case RefusalReason::NoFreeSlot:
     return Counters.RefusedNoFreeSlot_;
+  case RefusalReason::WaitLimit:
+    return Counters.RefusedWaitLimit_;
   case RefusalReason::Leaving:
     return Counters.RefusedLeaving_;
   case RefusalReason::NoSlots:
@@ -93,11 +96,16 @@
   }
   if (Table.Queue_.size() < Table.QueueLimit_)
     return true;
-  if (Table.Queue_.empty() ||
-      !displaces(Table, Request, Table.Queue_.back().Request_, Now))
+  auto Last = Table.Queue_.end();
+  if (!Table.Queue_.empty() &&
+      displaces(Table, Request, Table.Queue_.back().Request_, Now))
+    Last = std::prev(Table.Queue_.end());
+  else
+    Last = lastOfLargestTenant(Table, Request, Now);
+  if (Last == Table.Queue_.end())
     return false;
-  Table.Displaced_.push_back(Table.Queue_.back().Request_.Id_);
-  Table.Queue_.pop_back();
+  Table.Displaced_.push_back(Last->Request_.Id_);
+  Table.Queue_.erase(Last);
   ++Table.Counters_.Displaced_;
   return true;
 }
@@ -140,6 +148,8 @@
   Duration Wait = expectedWait(Table, View, Request, Now);
   if (isTooLate(Table, Request, Wait, Now))
     return refuse(Table, RefusalReason::TooLate);
+  if (Request.WaitLimit_ && Wait > *Request.WaitLimit_)
+    return refuse(Table, RefusalReason::WaitLimit);
   if (missesLatencyTarget(Table, Request, Now + Wait)) {
     bool InTime = !missesLatencyTarget(Table, Request, Now);
     bool RefusedRecently =
@@ -241,6 +251,7 @@
     noteRefusal(Table, RefusalReason::QueueFull);
   }
   sortQueue(Table, Now);
+  shareQueue(Table, Now);
   SlotView View = slotView(Table, Now);
   std::vector<QueuedRequest> Waiting;
   Waiting.reserve(Table.Queue_.size());
@@ -250,6 +261,7 @@
       refuseQueued(Table, Each, Reason, Refused);
     } else if (mayRun(View, Each.Request_)) {
       start(Table, Each.Request_, Now);
+      recordShare(Table, Each.Request_);
       countRunning(View, Each.Request_);
       Run.push_back(Each.Request_.Id_);
     } else {
@@ -257,6 +269,7 @@
     }
   }
   Table.Queue_ = std::move(Waiting);
+  balanceShares(Table);
   endOverload(Table);
 }
 
@@ -287,6 +300,27 @@
           static_cast<std::uint32_t>(Table.Queue_.size()), Table.Slots_};
 }
 
+Duration remainingWork(const Admission &Table, TimePoint Now) {
+  Duration Work{0};
+  for (const RunningRequest &Each : Table.Running_) {
+    Duration Cost = costOf(Table, Each.Request_);
+    auto Least = Duration(std::llround(static_cast<double>(Cost.count()) *
+                                       Table.Options_.RemainingShare_));
+    Work += std::max(Cost - (Now - Each.StartedAt_), Least);
+  }
+  for (const QueuedRequest &Each : Table.Queue_)
+    Work += costOf(Table, Each.Request_);
+  return Work;
+}
+
+std::array<Duration, WorkRanks> queuedWork(const Admission &Table) {
+  std::array<Duration, WorkRanks> Out{};
+  for (const QueuedRequest &Each : Table.Queue_)
+    Out[workRank(Each.Request_.Depth_, Each.Request_.Priority_)] +=
+        costOf(Table, Each.Request_);
+  return Out;
+}
+
 Duration retryAfter(const Admission &Table) {
   Duration Work{0};
   for (const RunningRequest &Each : Table.Running_)
--- a/src/AdmissionSlots.cpp
+++ b/src/AdmissionSlots.cpp
@@ -1,6 +1,8 @@
 // Rules that decide which slots of the local target are available to a request.
 #include "AdmissionSlots.h"
 
+#include "TenantShares.h"
+
 #include <algorithm>
 #include <cmath>
 #include <tuple>
@@ -109,17 +111,26 @@
     return Duration{0};
   bool IsLimited = isLimitedAsLong(Request);
   Duration Work{0};
+  int Competing = 0;
   for (const RunningRequest &Each : Table.Running_) {
     Duration Cost = costOf(Table, Each.Request_);
     // The remaining time is taken as half the expected time, regardless of how
     // long the request has run already.
-    if (isLimitedAsLong(Each.Request_) == IsLimited)
-      Work += Cost / 2;
+    if (isLimitedAsLong(Each.Request_) != IsLimited)
+      continue;
+    Work += Cost / 2;
+    ++Competing;
   }
+  // Of n requests with the same mean remaining time, the first is expected to
+  // end after an n-th of it.
+  if (Request.WaitForNextSlot_ && Competing > 0)
+    Work /= Competing;
   for (const QueuedRequest &Each : Table.Queue_)
     if (isLimitedAsLong(Each.Request_) == IsLimited &&
-        runsBefore(Table, Each.Request_, Request, Now))
+        runsBefore(Table, Each.Request_, Request, Now) &&
+        !shareSlots(Table, Each.Request_, Request, Now))
       Work += costOf(Table, Each.Request_);
+  Work += sharedWorkBefore(Table, Request, Now);
   std::uint32_t OpenSlots = View.DepthCap_[levelOf(Request)];
   OpenSlots = IsLimited ? std::min(OpenSlots, View.LongCap_)
                         : OpenSlots - std::min(OpenSlots - 1, View.Long_);
--- a/src/ControlPlaneWatch.cpp
+++ b/src/ControlPlaneWatch.cpp
@@ -89,14 +89,19 @@
   Duration Away = recordWatchStarted(WatchRetry_, Time);
   logEvent(LogEvent::WatchStarted, {{"away_ms", toMilliseconds(Away)}});
   Watch_ = Store_.watch(
-      configurationKey(), 0,
+      Integration_ ? Integration_->watchedKey() : headKey(), 0,
       [this](const KeyValue &Entry) {
         LoopTaskTimer Timer(Work_, LoopTask::StoreAnswer);
         ++Counters_.WatchEvents_;
+        if (Integration_ && Entry.Key_ != configurationKey()) {
+          onOtherKey(Entry);
+          return;
+        }
         if (!Integration_)
           applyHead(Entry.Value_, nullptr);
         else if (!Entry.Value_.empty())
           applyDocument(Entry.Value_);
+        recordStoredTicket(Entry.Value_, Entry.ModRevision_);
       },
       [this](const Error &Failure) { WatchFailure_ = Failure; });
 }
--- a/src/Daemon.cpp
+++ b/src/Daemon.cpp
@@ -192,16 +192,32 @@
       Settings_, *Control_, *Targets_, Quarantine_, Spans_, Rng_, Process_,
       SendCall,
       [this](const std::string &Server) { Peers_->closeLink(Server); });
+  Rollouts_ = std::make_unique<RolloutControl>(
+      Settings_, *Control_, *Store_, Integration_, Rng_, Process_, Send);
+  Entry_->setRollouts(*Rollouts_);
+  Control_->setKeyHandler([this](const KeyValue &Entry) {
+    Rollouts_->onStoreValue(Entry, readClocks());
+  });
   Keyed_ = std::make_unique<KeyedProxy>(
       Settings_, *Control_, *Entry_, *Targets_, *Store_, Rng_, Process_, Send);
   Store_->setRestorationHandler([this](const StoreRestoration &Restoration) {
     Now At = readClocks();
     Control_->onStoreRestored(Restoration, At);
     Keyed_->onStoreRestored(At);
+    Rollouts_->onStoreRestored();
   });
   Entry_->setKeyedHandler(
       [this](AcceptedRequest Request, const HttpExchangePointer &Exchange,
              Now At) { Keyed_->receive(std::move(Request), Exchange, At); });
+  Quotas_ = std::make_unique<QuotaControl>(
+      Settings_, *Control_, *Entry_,
+      [this](const std::string &Server, wire::PeerMessage &Message) {
+        Peers_->send(Server, Message, {}, monotonicNow());
+      },
+      Time);
+  Entry_->setQuotaHandler(
+      [this](AcceptedRequest Request, const HttpExchangePointer &Exchange,
+             Now At) { Quotas_->receive(std::move(Request), Exchange, At); });
 }
 
 AnswerSenderConfig DaemonImpl::answerSenderConfig() {
@@ -237,10 +253,11 @@
       return tl::unexpected<Error>(Loaded.error());
     Tokens = std::move(*Loaded);
   }
+  HttpBudget_ = makeHttpBudget(Settings_.Limits_.RequestBufferBytes_);
   Admin_ = std::make_unique<AdminApi>(
-      AdminContext{Settings_, *Control_, *Targets_, *Entry_, *Keyed_,
+      AdminContext{Settings_, *Control_, *Targets_, *Entry_, *Keyed_, *Quotas_,
                    Quarantine_, Spans_, *Answers_, *Peers_, *StoreCounters_,
-                   Work_},
+                   Work_, *Rollouts_, *HttpBudget_},
       std::move(Tokens));
 
   auto Caller = startHttpServer(
@@ -297,7 +314,9 @@
 DaemonImpl::startHttpServer(const std::string &Address,
                             const std::optional<ServerTlsSettings> &Tls,
                             HttpHandler Handler, std::string &Bound) {
-  auto Server = HttpServer::create(Base_, serverConfig(Settings_, Tls));
+  HttpServerConfig Config = serverConfig(Settings_, Tls);
+  Config.Budget_ = HttpBudget_;
+  auto Server = HttpServer::create(Base_, Config);
   if (!Server)
     return Server;
   (*Server)->setHandler(std::move(Handler));
@@ -308,7 +327,10 @@
   return Server;
 }
 
-bool DaemonImpl::isReady() const { return Control_->mayServe() && !Stopping_; }
+bool DaemonImpl::isReady() const {
+  return Control_->mayServe() && !Stopping_ &&
+         !Control_->isConfigurationStale(monotonicNow());
+}
 
 void DaemonImpl::handleNotice(const HttpExchangePointer &Exchange, Now Time) {
   auto Notice = Integration_->parseNotice(Exchange->request());
@@ -372,7 +394,9 @@
   Control_->tick(Time);
   Targets_->tick(Time);
   Entry_->tick(Time);
+  Rollouts_->tick(Time);
   Keyed_->tick(Time);
+  Quotas_->tick(Time);
   expire(Quarantine_, Time.Wall_);
   for (const QuarantineEvent &Event : takeEvents(Quarantine_))
     logEvent(Event.Kind_ == QuarantineEventKind::Suspected
@@ -397,6 +421,7 @@
                         !Route.Link_.empty(), Time);
   if (isForControlPlane(Message))
     Control_->receive(Message, Time);
+  Rollouts_->receive(Message, Time);
   switch (Message.body_case()) {
   case wire::PeerMessage::kGossip:
     mergeQuarantine(Message.gossip(), Time);
@@ -404,6 +429,16 @@
   case wire::PeerMessage::kBucketHandover:
     Keyed_->receiveHandover(Message.bucket_handover(), Time);
     break;
+  case wire::PeerMessage::kQuotaRequest: {
+    wire::PeerMessage Answer;
+    *Answer.mutable_quota_grant() =
+        Quotas_->receiveRequest(Message.quota_request(), Time);
+    Peers_->reply(Route, Answer, {});
+    break;
+  }
+  case wire::PeerMessage::kQuotaGrant:
+    Quotas_->receiveGrant(Message.sender(), Message.quota_grant(), Time);
+    break;
   case wire::PeerMessage::kLinkHeartbeat:
     if (!Message.link_heartbeat().answer()) {
       wire::PeerMessage Answer;
@@ -425,7 +460,9 @@
   case wire::PeerMessage::kCallCancel:
   case wire::PeerMessage::kCallQuery:
   case wire::PeerMessage::kCallQueryAnswer:
-  case wire::PeerMessage::kLinkHeartbeat: {
+  case wire::PeerMessage::kLinkHeartbeat:
+  case wire::PeerMessage::kQuotaRequest:
+  case wire::PeerMessage::kQuotaGrant: {
     // A call message matters to the membership only as a sign of life, when the
     // sender is unknown or not recorded as alive.
     const wire::ServerRecord *Record =
@@ -565,7 +602,10 @@
     return;
   NextTraceWrite_ = Time.Monotonic_ + TraceWriteInterval;
   std::ofstream File(Settings_.Trace_.File_, std::ios::app);
-  File << toOtlpJson(Spans_, Settings_.Server_).dump() << "\n";
+  // Attributes may hold bytes of a request's path that are not UTF-8.
+  File << toOtlpJson(Spans_, Settings_.Server_)
+              .dump(-1, ' ', false, Json::error_handler_t::replace)
+       << "\n";
   Spans_.Spans_.clear();
 }
 
--- a/src/DaemonImpl.h
+++ b/src/DaemonImpl.h
@@ -8,6 +8,7 @@
 #include "KeyedProxy.h"
 #include "LoopWork.h"
 #include "PeerKeys.h"
+#include "QuotaControl.h"
 #include "TargetProxy.h"
 #include "sycamore/Daemon.h"
 #include "sycamore/EtcdStore.h"
@@ -93,9 +94,12 @@
   std::unique_ptr<ControlPlane> Control_;
   std::unique_ptr<AnswerSender> Answers_;
   std::unique_ptr<TargetProxy> Targets_;
+  std::unique_ptr<RolloutControl> Rollouts_;
   std::unique_ptr<EntryProxy> Entry_;
   std::unique_ptr<KeyedProxy> Keyed_;
+  std::unique_ptr<QuotaControl> Quotas_;
   std::unique_ptr<AdminApi> Admin_;
+  std::shared_ptr<HttpBudget> HttpBudget_; ///< Of all listeners.
   std::unique_ptr<HttpServer> CallerServer_;
   std::unique_ptr<HttpServer> AdminServer_;
   std::unique_ptr<HttpServer> ReadyServer_;    ///< Null when not configured.
--- a/src/DaemonMetrics.cpp
+++ b/src/DaemonMetrics.cpp
@@ -1,5 +1,6 @@
 // Writes all metrics of the daemon.
 #include "AdminApi.h"
+#include "HttpBudget.h"
 
 #include "sycamore/Clock.h"
 #include "sycamore/Metrics.h"
@@ -24,7 +25,7 @@
     writeCounter(Page, Row.Name_, Row.Help_, Counters.*Row.Member_);
 }
 
-constexpr std::array<CounterRow<EntryProxyCounters>, 11> EntryRows = {{
+constexpr std::array<CounterRow<EntryProxyCounters>, 12> EntryRows = {{
     {"sycamore_requests_total", "Requests of callers.",
      &EntryProxyCounters::Requests_},
     {"sycamore_refused_no_floor_total", "Refused before the floor was known.",
@@ -38,6 +39,9 @@
     {"sycamore_unauthenticated_total",
      "Requests without the credential of a tenant on routes that need one.",
      &EntryProxyCounters::Unauthenticated_},
+    {"sycamore_refused_stale_total",
+     "Requests with a credential while the configuration was stale.",
+     &EntryProxyCounters::RefusedStale_},
     {"sycamore_refused_quarantine_total", "Refused by quarantine.",
      &EntryProxyCounters::Quarantined_},
     {"sycamore_callers_gone_total", "Callers that left before their answer.",
@@ -86,7 +90,7 @@
      &EntryCallsCounters::SilentLinks_},
 }};
 
-constexpr std::array<CounterRow<TargetProxyCounters>, 10> TargetRows = {{
+constexpr std::array<CounterRow<TargetProxyCounters>, 11> TargetRows = {{
     {"sycamore_announcements_total", "Announcements of local targets.",
      &TargetProxyCounters::Announcements_},
     {"sycamore_announcements_missed_total", "Targets that went silent.",
@@ -108,6 +112,9 @@
     {"sycamore_target_quarantine_refusals_total",
      "Attempts refused by quarantine beside the target.",
      &TargetProxyCounters::QuarantineRefusals_},
+    {"sycamore_target_stale_refusals_total",
+     "Requests of tenants refused while the configuration was stale.",
+     &TargetProxyCounters::RefusedStale_},
 }};
 
 constexpr std::array<CounterRow<PeerTransportCounters>, 13> PeerRows = {{
@@ -215,6 +222,23 @@
      &WatchDelegationCounters::PassesFailed_},
 }};
 
+constexpr std::array<CounterRow<ConfigFreshnessCounters>, 6> FreshnessRows = {{
+    {"sycamore_freshness_store_total", "Confirmations by the store.",
+     &ConfigFreshnessCounters::StoreConfirmations_},
+    {"sycamore_freshness_peers_total", "Newer confirmations from peers.",
+     &ConfigFreshnessCounters::PeerConfirmations_},
+    {"sycamore_freshness_sent_total", "Messages sent.",
+     &ConfigFreshnessCounters::Sent_},
+    {"sycamore_freshness_received_total", "Messages received.",
+     &ConfigFreshnessCounters::Received_},
+    {"sycamore_freshness_undated_total",
+     "Messages received whose age was not known.",
+     &ConfigFreshnessCounters::Undated_},
+    {"sycamore_freshness_mismatched_total",
+     "Confirmations of a ticket with another digest.",
+     &ConfigFreshnessCounters::Mismatched_},
+}};
+
 constexpr std::array<CounterRow<KeyedCallsCounters>, 10> KeyRows = {{
     {"sycamore_keys_run_total", "Keys run here.", &KeyedCallsCounters::Run_},
     {"sycamore_keys_joined_total", "Keys that waited for an earlier sending.",
@@ -237,6 +261,18 @@
      &KeyedCallsCounters::HandoversSent_},
 }};
 
+constexpr std::array<CounterRow<WaitLimitCounters>, 3> WaitLimitRows = {{
+    {"sycamore_wait_limit_accepted_total",
+     "Attempts with a limit of the wait that were not refused.",
+     &WaitLimitCounters::Accepted_},
+    {"sycamore_wait_limit_refused_total",
+     "Attempts with a limit of the wait that were refused.",
+     &WaitLimitCounters::Refused_},
+    {"sycamore_wait_limit_skipped_total",
+     "Calls without a limit of the wait because nearly all targets are busy.",
+     &WaitLimitCounters::SkippedBusy_},
+}};
+
 constexpr std::array<CounterRow<PlacementCounters>, 6> PlacementRows = {{
     {"sycamore_placements_total", "Targets chosen.",
      &PlacementCounters::Chosen_},
@@ -252,6 +288,72 @@
      &PlacementCounters::Ejections_},
 }};
 
+constexpr std::array<CounterRow<RolloutCounters>, 10> RolloutRows = {{
+    {"sycamore_rollout_orders_total", "Orders of roll-outs read.",
+     &RolloutCounters::Orders_},
+    {"sycamore_rollout_orders_rejected_total", "Orders that cannot be read.",
+     &RolloutCounters::OrdersRejected_},
+    {"sycamore_rollout_states_received_total", "States from peers.",
+     &RolloutCounters::StatesReceived_},
+    {"sycamore_rollout_reports_sent_total", "Reports to a holder.",
+     &RolloutCounters::ReportsSent_},
+    {"sycamore_rollout_reports_received_total", "Reports from peers.",
+     &RolloutCounters::ReportsReceived_},
+    {"sycamore_rollout_steps_total", "Shares and verdicts set by this holder.",
+     &RolloutCounters::StepsSet_},
+    {"sycamore_rollout_takeovers_total", "Roll-outs taken over.",
+     &RolloutCounters::Takeovers_},
+    {"sycamore_rollouts_completed_total", "Versions found good.",
+     &RolloutCounters::Completed_},
+    {"sycamore_rollouts_rolled_back_total", "Versions found bad.",
+     &RolloutCounters::RolledBack_},
+    {"sycamore_rollout_store_failures_total",
+     "Calls for the state of a roll-out that failed.",
+     &RolloutCounters::StoreFailures_},
+}};
+
+/// Only of services with a roll-out.
+void writeRollouts(MetricsPage &Page, const RolloutTable &Table) {
+  for (const auto &[Service, Entry] : Table.Rollouts_) {
+    MetricLabels Labels = {{"service", Service},
+                           {"target_version", Entry.State_.target_version()}};
+    writeGauge(Page, "sycamore_rollout_share",
+               "Part of the requests that goes to the new version.",
+               static_cast<double>(Entry.State_.share_permille()) /
+                   FullSharePermille,
+               Labels);
+    writeGauge(Page, "sycamore_rollout_phase",
+               "0 running, 1 completed, 2 rolled back.", Entry.State_.phase(),
+               Labels);
+    writeCounter(Page, "sycamore_rollout_new_requests_total",
+                 "Requests of this daemon to the new version.",
+                 Entry.New_.Sent_, Labels);
+    writeCounter(Page, "sycamore_rollout_old_requests_total",
+                 "Requests of this daemon to other versions.", Entry.Old_.Sent_,
+                 Labels);
+  }
+}
+
+constexpr std::array<CounterRow<QuotaCounters>, 8> QuotaRows = {{
+    {"sycamore_quota_granted_total", "Requests of tenants run for a token.",
+     &QuotaCounters::Granted_},
+    {"sycamore_quota_denied_total", "Requests refused over a quota.",
+     &QuotaCounters::Denied_},
+    {"sycamore_quota_lapsed_total", "Tokens that were not used in time.",
+     &QuotaCounters::Lapsed_},
+    {"sycamore_quota_returned_total", "Tokens of requests that did not run.",
+     &QuotaCounters::Returned_},
+    {"sycamore_quota_fallback_total",
+     "Requests run for this daemon's own part of a quota, without an owner.",
+     &QuotaCounters::Fallback_},
+    {"sycamore_quota_waited_total", "Requests that waited for a token.",
+     &QuotaCounters::Waited_},
+    {"sycamore_quota_questions_total", "Requests for tokens sent to owners.",
+     &QuotaCounters::QuestionsSent_},
+    {"sycamore_quota_unanswered_total",
+     "Requests for tokens without an answer.", &QuotaCounters::Unanswered_},
+}};
+
 void writeStoreCalls(MetricsPage &Page, const StoreCounters &Counters) {
   for (const auto &[Kind, Outcomes] : Counters.Calls_)
     for (const auto &[Outcome, Count] : Outcomes)
@@ -278,6 +380,9 @@
     writeCounter(Page, "sycamore_refused_too_late_total",
                  "Refused for their deadline.", Counters.RefusedTooLate_,
                  Labels);
+    writeCounter(Page, "sycamore_refused_wait_limit_total",
+                 "Refused for the limit of their wait.",
+                 Counters.RefusedWaitLimit_, Labels);
   }
 }
 
@@ -304,6 +409,18 @@
              static_cast<double>(Control.snapshot()->Number_));
   writeGauge(Page, "sycamore_serving", "1 when the floor is known.",
              Control.mayServe() ? 1 : 0);
+  const ConfigFreshness &Freshness = Control.freshness();
+  if (isBounded(Freshness)) {
+    TimePoint Time = monotonicNow();
+    auto Age = confirmationAge(Freshness, Time);
+    writeGauge(Page, "sycamore_configuration_age_seconds",
+               "Age of the store's last confirmation of the ticket in force; "
+               "-1 without any.",
+               Age ? std::chrono::duration<double>(*Age).count() : -1);
+    writeGauge(Page, "sycamore_configuration_stale",
+               "1 when requests with a credential are refused.",
+               isStale(Freshness, Time) ? 1 : 0);
+  }
   writeGauge(Page, "sycamore_stopping", "1 during a planned stop.",
              Context.Entry_.isStopping() ? 1 : 0);
   writeGauge(Page, "sycamore_rejected_ticket", "Last ticket refused; 0: none.",
@@ -322,8 +439,20 @@
              static_cast<double>(Control.members().Targets_.size()));
   writeGauge(Page, "sycamore_calls_in_flight", "Calls of callers.",
              static_cast<double>(Context.Entry_.inFlight()));
+  writeGauge(Page, "sycamore_quota_waiting", "Requests that wait for a token.",
+             static_cast<double>(Context.Quotas_.waiting()));
   writeGauge(Page, "sycamore_links", "Links dialled.",
              static_cast<double>(Context.Peers_.linkCount()));
+  const HttpBudget &Http = Context.HttpBudget_;
+  writeGauge(Page, "sycamore_request_bytes_held",
+             "Memory of requests that are not answered, on all listeners.",
+             static_cast<double>(Http.Bytes_));
+  writeCounter(Page, "sycamore_requests_dropped_total",
+               "Connections closed because requests took too much memory.",
+               Http.DroppedForBytes_);
+  writeCounter(Page, "sycamore_connections_evicted_total",
+               "Connections without progress closed for lack of descriptors.",
+               Http.ClosedForDescriptors_);
   const AnswerPacing &Pacing = Context.Answers_.pacing();
   writeGauge(Page, "sycamore_answer_bytes_waiting",
              "Bytes of large answers that wait for the link.",
@@ -360,8 +489,14 @@
   writeTable(Page, Context.Control_.counters(), ControlRows);
   writeTable(Page, Context.Control_.watchDelegation().Counters_,
              DelegationRows);
+  if (isBounded(Context.Control_.freshness()))
+    writeTable(Page, Context.Control_.freshness().Counters_, FreshnessRows);
   writeTable(Page, Context.Keys_.buckets().Counters_, KeyRows);
   writeTable(Page, Context.Entry_.placement().Counters_, PlacementRows);
+  writeTable(Page, Context.Rollouts_.counters(), RolloutRows);
+  writeRollouts(Page, Context.Rollouts_.table());
+  writeTable(Page, Context.Entry_.waitLimits().Counters_, WaitLimitRows);
+  writeTable(Page, Context.Quotas_.counters(), QuotaRows);
   writeStoreCalls(Page, Context.StoreCounters_);
   writeAdmission(Page, Context.Targets_);
   for (wire::RunOutcome Run :
--- a/src/EntryProxy.h
+++ b/src/EntryProxy.h
@@ -6,6 +6,7 @@
 #include "CallMessages.h"
 #include "ControlPlane.h"
 #include "RequestLog.h"
+#include "RolloutControl.h"
 #include "TargetProxy.h"
 #include "sycamore/CallerTimes.h"
 #include "sycamore/EntryCalls.h"
@@ -13,6 +14,8 @@
 #include "sycamore/Metrics.h"
 #include "sycamore/Placement.h"
 #include "sycamore/RetryPolicy.h"
+#include "sycamore/RouteCost.h"
+#include "sycamore/WaitLimits.h"
 
 #include <array>
 #include <set>
@@ -32,6 +35,8 @@
   /// Set when no other request with this fingerprint may run meanwhile, because
   /// it is suspected of crashing targets.
   std::optional<std::uint64_t> TrialFingerprint_;
+  /// Called when the request is answered as not run; may be empty.
+  std::function<void()> OnNotRun_;
 };
 
 struct EntryProxyCounters {
@@ -41,6 +46,7 @@
   std::uint64_t RefusedLimit_ = 0;
   std::uint64_t NoRoute_ = 0;
   std::uint64_t Unauthenticated_ = 0;
+  std::uint64_t RefusedStale_ = 0;
   std::uint64_t Quarantined_ = 0;
   std::uint64_t KeyedForwards_ = 0;
   std::uint64_t CallersDisconnected_ = 0;
@@ -49,7 +55,7 @@
   std::uint64_t AnswerPartsRejected_ = 0; ///< No such attempt, or damaged.
 };
 
-/// Handles a request with an idempotency key.
+/// Handles an accepted request in place of serve().
 using KeyedHandler =
     std::function<void(AcceptedRequest, const HttpExchangePointer &, Now)>;
 
@@ -62,6 +68,24 @@
              std::function<void(const std::string &Server)> CloseLink);
 
   void setKeyedHandler(KeyedHandler Handler) { Keyed_ = std::move(Handler); }
+  void setRollouts(RolloutControl &Rollouts) { Rollouts_ = &Rollouts; }
+
+  /// Handler of the requests of tenants. It ends each by dispatch(), refuse()
+  /// or abandon().
+  void setQuotaHandler(KeyedHandler Handler) { Quota_ = std::move(Handler); }
+
+  /// Runs an accepted request, unless this daemon has begun to leave.
+  void dispatch(AcceptedRequest Request, const HttpExchangePointer &Exchange,
+                Now Time);
+
+  /// Answers an accepted request with a refusal.
+  void refuse(const HttpExchangePointer &Exchange,
+              const AcceptedRequest &Request, const CallResult &Refusal,
+              Now Time);
+
+  /// Forgets an accepted request whose caller has disconnected.
+  void abandon(const AcceptedRequest &Request,
+               const HttpExchangePointer &Exchange, Now Time);
 
   /// Handles a caller's request.
   void receive(const HttpExchangePointer &Exchange, Now Time);
@@ -106,6 +130,7 @@
   std::size_t inFlight() const { return Calls_.Calls_.size(); }
   const EntryCalls &calls() const { return Calls_; }
   const Placement &placement() const { return Placement_; }
+  const WaitLimits &waitLimits() const { return WaitLimits_; }
   const RetryBudgets &retries() const { return Retries_; }
   const HedgePolicy &hedges() const { return Hedges_; }
   const EntryProxyCounters &counters() const { return Counters_; }
@@ -120,6 +145,9 @@
     wire::CallId Id_;
     std::uint64_t Link_ = 0; ///< 0 for this server.
     bool Hedge_ = false;
+    bool WaitLimited_ = false;
+    std::string CostKey_; ///< Empty unless placed by remaining work.
+    std::string Service_; ///< The same.
     TimePoint SentAt_;
     WallTime SentWall_;
     TraceContext Span_;
@@ -148,9 +176,15 @@
   std::optional<CallResult> checkAcceptable() const;
   bool accept(const HttpExchangePointer &Exchange, AcceptedRequest &Request,
               Now Time);
+  void run(AcceptedRequest Request, const HttpExchangePointer &Exchange,
+           Now Time);
   /// Sets route, service and deadline; the refusal when no route matches.
   std::optional<CallResult> findRoute(const HttpRequest &Http, EntryCall &Call,
                                       Now Time);
+  /// The refusal of a request with a credential while the configuration may be
+  /// too old to tell whether the credential was withdrawn.
+  std::optional<CallResult> checkFreshness(const HttpRequest &Http,
+                                           Now Time) const;
   /// Sets the tenant and the priority; the refusal when the credential is
   /// unknown or missing.
   static std::optional<CallResult> authenticate(const HttpRequest &Http,
@@ -166,6 +200,11 @@
   bool checkQuarantine(AcceptedRequest &Request, CallResult &Refusal, Now Time);
   CallPolicy makePolicy();
   std::uint64_t processOf(const std::string &Server) const;
+  RequestCost costOf(const EntryCall &Call) const;
+  std::optional<Duration> waitLimitOf(const EntryCall &Call,
+                                      std::uint32_t Earlier);
+  /// Whether limits.work_placement_targets applies to the call's service.
+  bool isPlacedByWork(const EntryCall &Call) const;
   std::optional<ChosenTarget> choose(const EntryCall &Call,
                                      std::span<const std::string> Excluded);
   void performActions(CallActions Actions, Now Time);
@@ -193,9 +232,13 @@
   CallSender Send_;
   std::function<void(const std::string &)> CloseLink_;
   KeyedHandler Keyed_;
+  RolloutControl *Rollouts_ = nullptr;
+  KeyedHandler Quota_;
   CallPolicy Policy_;
   EntryCalls Calls_;
   Placement Placement_;
+  RouteCost Costs_; ///< Means over the targets, as they report them.
+  WaitLimits WaitLimits_;
   RetryBudgets Retries_;
   HedgePolicy Hedges_;
   CallerTimes CallerTimes_;
--- a/src/EntryRequests.cpp
+++ b/src/EntryRequests.cpp
@@ -61,12 +61,45 @@
   }
   if (!accept(Exchange, Request, Time))
     return;
+  if (Quota_ && !Request.Call_.Tenant_.empty())
+    Quota_(std::move(Request), Exchange, Time);
+  else
+    run(std::move(Request), Exchange, Time);
+}
+
+void EntryProxy::run(AcceptedRequest Request,
+                     const HttpExchangePointer &Exchange, Now Time) {
   if (!Request.Key_.empty() && !Request.Call_.Idempotent_)
     Keyed_(std::move(Request), Exchange, Time);
   else
     serve(std::move(Request), Exchange, Time);
 }
 
+void EntryProxy::dispatch(AcceptedRequest Request,
+                          const HttpExchangePointer &Exchange, Now Time) {
+  EventTime_ = Time.Monotonic_;
+  if (auto Refusal = checkAcceptable())
+    refuse(Exchange, Request, *Refusal, Time);
+  else
+    run(std::move(Request), Exchange, Time);
+}
+
+void EntryProxy::refuse(const HttpExchangePointer &Exchange,
+                        const AcceptedRequest &Request,
+                        const CallResult &Refusal, Now Time) {
+  logRefusal(makeHistory(Exchange->request(), Request.Call_, Time), Refusal);
+  reply(Exchange, Request, Refusal);
+}
+
+void EntryProxy::abandon(const AcceptedRequest &Request,
+                         const HttpExchangePointer &Exchange, Now Time) {
+  ++Counters_.CallersDisconnected_;
+  logAbandoned(makeHistory(Exchange->request(), Request.Call_, Time),
+               Time.Monotonic_);
+  if (Request.TrialFingerprint_)
+    endSuspectRun(Quarantine_, *Request.TrialFingerprint_);
+}
+
 bool EntryProxy::accept(const HttpExchangePointer &Exchange,
                         AcceptedRequest &Request, Now Time) {
   const HttpRequest &Http = Exchange->request();
@@ -85,6 +118,12 @@
     reply(Exchange, Request, *Refusal);
     return false;
   }
+  if (auto Refusal = checkFreshness(Http, Time)) {
+    ++Counters_.RefusedStale_;
+    logRefusal(makeHistory(Http, Request.Call_, Time), *Refusal);
+    reply(Exchange, Request, *Refusal);
+    return false;
+  }
   if (auto Refusal = authenticate(Http, Settings_.Headers_, Request.Call_)) {
     ++Counters_.Unauthenticated_;
     logRefusal(makeHistory(Http, Request.Call_, Time), *Refusal);
@@ -132,6 +171,21 @@
   return std::nullopt;
 }
 
+std::optional<CallResult> EntryProxy::checkFreshness(const HttpRequest &Http,
+                                                     Now Time) const {
+  const std::string &Name = Settings_.Headers_.Credential_;
+  if (!Control_.isConfigurationStale(Time.Monotonic_) || Name.empty() ||
+      !findHeader(Http.Headers_, Name))
+    return std::nullopt;
+  return refusal(503,
+                 {ErrorKind::Unavailable,
+                  "this daemon cannot tell whether the credential is still "
+                  "valid: the store has not confirmed the configuration for "
+                  "longer than revocation.max_age_ms allows",
+                  "send the request again, or send it to another daemon"},
+                 seconds(1));
+}
+
 std::optional<CallResult> EntryProxy::authenticate(const HttpRequest &Http,
                                                    const HeaderNames &Names,
                                                    EntryCall &Call) {
@@ -282,6 +336,8 @@
   recordServerSpan(Request, Outcome);
   if (Request.TrialFingerprint_)
     endSuspectRun(Quarantine_, *Request.TrialFingerprint_);
+  if (Outcome.Run_ == wire::RUN_NOT_RUN && Request.OnNotRun_)
+    Request.OnNotRun_();
   HttpHeaders Headers = toHttpHeaders(Outcome.Answer_.headers());
   const HeaderNames &Names = Settings_.Headers_;
   addHeader(Headers, Names.Run_, std::string(runOutcomeName(Outcome.Run_)));
--- a/src/TargetAnnouncements.cpp
+++ b/src/TargetAnnouncements.cpp
@@ -209,7 +209,8 @@
   if (!Target.Leaving_) {
     Target.Admission_.Admitting_ = true;
     announceTarget(Control_.members(), Announcement.Name_,
-                   Announcement.Service_, Announcement.Slots_, Time);
+                   Announcement.Service_, Announcement.Slots_, Time,
+                   Announcement.Version_);
   }
 }
 
@@ -335,7 +336,7 @@
   // Health responses are delayed and can be wrong, so only an explicit
   // statement that the target drains is used; a draining target would refuse
   // the requests anyway.
-  if (Response.OverLimit_)
+  if (Response.ServerRuns_)
     logEvent(LogEvent::HealthRejected,
              {{"target", Name}, {"error", Response.Reason_}});
   auto Found = Targets_.find(Name);
--- a/src/TargetProxy.cpp
+++ b/src/TargetProxy.cpp
@@ -27,13 +27,6 @@
          *Run == "not-run";
 }
 
-/// Key of the request in the cost table. It includes the depth, because a
-/// nested call of a route has a different cost than the outermost call.
-std::string costKey(const wire::CallRequest &Request) {
-  return Request.route() + " " + Request.method() + " " +
-         std::to_string(Request.depth());
-}
-
 AdmissionRequest admissionRequest(std::uint64_t Id, const PendingCall &Call,
                                   const RouteCost &Costs) {
   AdmissionRequest Out;
@@ -51,6 +44,10 @@
   Out.AcceptLate_ =
       Call.Request_.accept_late() || Call.Request_.target_left_us() == 0;
   Out.FreeSlotOnly_ = Call.Request_.spare_only();
+  Out.Tenant_ = Call.Request_.tenant();
+  if (Call.Request_.wait_limit_us() > 0)
+    Out.WaitLimit_ = Duration(Call.Request_.wait_limit_us());
+  Out.WaitForNextSlot_ = Call.Request_.placed_by_work();
   return Out;
 }
 
@@ -71,6 +68,10 @@
   case RefusalReason::NoFreeSlot:
     return {ErrorKind::Unavailable, "target " + Target + " has no free slot",
             "wait for the first attempt"};
+  case RefusalReason::WaitLimit:
+    return {ErrorKind::Unavailable,
+            "target " + Target + " has no slot within the limit of the wait",
+            "send the request again; another target may take it at once"};
   case RefusalReason::NoSlots:
     return {ErrorKind::Unavailable, "target " + Target + " has no slots",
             "check the slots that it announces"};
@@ -108,6 +109,22 @@
   Answer.set_leaving(Found->second.Leaving_);
 }
 
+void TargetProxy::addWork(wire::CallAnswer &Answer,
+                          const wire::CallRequest &Request, Now Time) const {
+  auto Found = Targets_.find(Request.target());
+  if (!Request.placed_by_work() || Found == Targets_.end())
+    return;
+  const Admission &Table = Found->second.Admission_;
+  Answer.set_remaining_work_us(static_cast<std::uint64_t>(
+      remainingWork(Table, Time.Monotonic_).count()));
+  Answer.set_expected_cost_us(static_cast<std::uint64_t>(
+      expectedCost(Costs_, costKey(Request)).count()));
+  if (Table.Queue_.empty())
+    return;
+  for (Duration Each : queuedWork(Table))
+    Answer.add_queued_work_us(static_cast<std::uint64_t>(Each.count()));
+}
+
 bool TargetProxy::accept(const wire::CallRequest &Request,
                          std::string_view Body, const ReplyRoute &Route,
                          Now Time) {
@@ -149,9 +166,23 @@
   wire::CallAnswer Answer =
       errorAnswer(Request.id(), wire::RUN_NOT_RUN, Status, Failure, RetryAfter);
   addLoad(Answer, Request.target());
+  addWork(Answer, Request, Time);
   answer(Answer, {}, Route, Request.priority(), Time);
 }
 
+std::optional<Error>
+TargetProxy::checkFreshness(const wire::CallRequest &Request, Now Time) {
+  if (Request.tenant().empty() ||
+      !Control_.isConfigurationStale(Time.Monotonic_))
+    return std::nullopt;
+  ++Counters_.RefusedStale_;
+  return Error{ErrorKind::Unavailable,
+               "the daemon beside target " + Request.target() +
+                   " has not had its configuration confirmed for longer than "
+                   "revocation.max_age_ms allows",
+               "send the request again; another target will take it"};
+}
+
 std::optional<Error>
 TargetProxy::checkRunnable(const wire::CallRequest &Request, Now Time) {
   auto Found = Targets_.find(Request.target());
@@ -170,7 +201,7 @@
                  "wait for the time in Retry-After, or ask an operator to run "
                  "`sycamorectl quarantine clear`"};
   }
-  return std::nullopt;
+  return checkFreshness(Request, Time);
 }
 
 void TargetProxy::run(const wire::CallRequest &Request, std::string Body,
@@ -323,8 +354,13 @@
 
 void TargetProxy::start(std::uint64_t Id, Now Time) {
   PendingCall &Call = Pending_.at(Id);
+  // The configuration may have become stale while the request waited.
+  if (auto Failure = checkFreshness(Call.Request_, Time)) {
+    refusePending(Id, "configuration-stale", *Failure, Time);
+    return;
+  }
   if (!recordRunning(Calls_, Call.Request_.id(), Time.Monotonic_)) {
-    refusePending(Id, Time);
+    refuseWithoutSlot(Id, Time);
     return;
   }
   Call.StartedAt_ = Time.Monotonic_;
@@ -390,7 +426,7 @@
     return;
   }
   if (Response.Outcome_ == HttpOutcome::Broken) {
-    if (Response.OverLimit_)
+    if (Response.ServerRuns_)
       completeBrokenCall(Id, Response.Reason_, /*Lost=*/false);
     else
       checkTargetLost(Id, std::move(Response.Reason_));
@@ -419,7 +455,7 @@
         // A terminating process may still accept a connection and then
         // close it.
         bool Closed =
-            Response.Outcome_ == HttpOutcome::Broken && !Response.OverLimit_;
+            Response.Outcome_ == HttpOutcome::Broken && !Response.ServerRuns_;
         completeBrokenCall(Id, Reason,
                            Closed || Response.Outcome_ == HttpOutcome::NotSent);
       });
@@ -490,6 +526,7 @@
   if (Target)
     finish(Target->Admission_, Id, ServiceTime, Time.Monotonic_);
   addLoad(Answer, Call.Target_);
+  addWork(Answer, Call.Request_, Time);
   answer(Answer, std::move(Body), Call.Route_, Call.Request_.priority(), Time);
   if (Target)
     runQueue(*Target, Time);
@@ -513,7 +550,20 @@
   recordSpan(Spans_, std::move(Finished));
 }
 
-void TargetProxy::refusePending(std::uint64_t Id, Now Time) {
+void TargetProxy::refuseWithoutSlot(std::uint64_t Id, Now Time) {
+  auto Found = Pending_.find(Id);
+  if (Found == Pending_.end())
+    return;
+  refusePending(Id, "no-slot-in-time",
+                {ErrorKind::Unavailable,
+                 "target " + Found->second.Target_ +
+                     " had no slot for the request in time",
+                 "send the request again after the time in Retry-After"},
+                Time);
+}
+
+void TargetProxy::refusePending(std::uint64_t Id, std::string_view Reason,
+                                const Error &Failure, Now Time) {
   auto Found = Pending_.find(Id);
   if (Found == Pending_.end())
     return;
@@ -528,13 +578,10 @@
       finish(TargetEntry->second.Admission_, Id, Duration(0), Time.Monotonic_);
     RetryDelay = retryAfter(TargetEntry->second.Admission_);
     logAttemptRefused(describeAttempt(Call), TargetEntry->second.Admission_,
-                      "no-slot-in-time", Time.Monotonic_);
+                      Reason, Time.Monotonic_);
   }
-  refuse(Call.Request_, Call.Route_, StatusUnavailable,
-         {ErrorKind::Unavailable,
-          "target " + Call.Target_ + " had no slot for the request in time",
-          "send the request again after the time in Retry-After"},
-         RetryDelay, Time);
+  refuse(Call.Request_, Call.Route_, StatusUnavailable, Failure, RetryDelay,
+         Time);
 }
 
 void TargetProxy::runQueue(LocalTarget &Target, Now Time) {
@@ -542,7 +589,7 @@
   std::vector<std::uint64_t> Refused;
   dequeueRunnable(Target.Admission_, Time.Monotonic_, Run, Refused);
   for (std::uint64_t Id : Refused)
-    refusePending(Id, Time);
+    refuseWithoutSlot(Id, Time);
   for (std::uint64_t Id : Run)
     if (Pending_.contains(Id))
       start(Id, Time);
