--- a/include/sycamore/HttpServer.h
+++ b/include/sycamore/HttpServer.h
@@ -36,7 +36,7 @@
 struct HttpBudget;
 
 /// MaxBytes replaces HttpServerConfig::MaxHeldBytes_. Connections are accepted
-/// up to three quarters of the process's limit of descriptors; the rest is for
+/// up to five eighths of the process's limit of descriptors; the rest is for
 /// files, peers, targets and the store.
 std::shared_ptr<HttpBudget> makeHttpBudget(std::size_t MaxBytes);
 
--- a/src/HttpServer.cpp
+++ b/src/HttpServer.cpp
@@ -348,7 +348,7 @@
   Out->MaxBytes_ = MaxBytes;
   rlimit Limit{};
   if (getrlimit(RLIMIT_NOFILE, &Limit) == 0 && Limit.rlim_cur != RLIM_INFINITY)
-    Out->MaxDescriptors_ = Limit.rlim_cur / 4 * 3;
+    Out->MaxDescriptors_ = Limit.rlim_cur / 8 * 5;
   return Out;
 }
 
