Render the bound of credentials with a plain placeholder

review/2 and review/3 could not run ("the daemons are not ready"): their renderer fills plain placeholders only, and the section in the template left settings that are not JSON. revocation.max_age_text takes the bound as text, empty for none.

--- a/src/Settings.cpp
+++ b/src/Settings.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <charconv>
 
 namespace sycamore {
 namespace {
@@ -189,6 +190,18 @@
     constexpr milliseconds MinMaxAge(1000);
     milliseconds &MaxAge = Out.Revocation_.MaxAge_;
     Section.duration("max_age_ms", MaxAge, 0, 600'000);
+    std::string Text;
+    Section.string("max_age_text", Text);
+    if (!Text.empty()) {
+      std::uint64_t Value = 0;
+      auto [End, Failure] =
+          std::from_chars(Text.data(), Text.data() + Text.size(), Value);
+      if (Failure != std::errc() || End != Text.data() + Text.size() ||
+          Value > 600'000)
+        Section.reportProblem("max_age_text", "is no number of milliseconds");
+      else
+        MaxAge = milliseconds(Value);
+    }
     if (MaxAge.count() > 0 && MaxAge < MinMaxAge)
       Section.reportProblem("max_age_ms", "is neither 0 nor at least 1000");
   });
