Log how long a ticket was known and how it was pulled before it was applied

A late ticket could not be told apart: offered late, or slow to arrive. The line ticket-applied now has known_ms, pulls and pull_timeouts, a timed-out store call names the bytes received, and a counter tells bodies packed for peers. DisseminationTest.RecordsHowANewTicketArrived.

--- a/include/sycamore/Dissemination.h
+++ b/include/sycamore/Dissemination.h
@@ -48,6 +48,15 @@
   std::uint64_t BusyReceived_ = 0;
   std::uint64_t SnapshotsSent_ = 0;
   std::uint64_t BodiesRejected_ = 0; ///< Includes bodies that do not parse.
+  std::uint64_t BodiesPacked_ = 0;   ///< Bodies compressed for a peer.
+};
+
+/// How a ticket newer than the one in force reached this daemon.
+struct TicketArrival {
+  /// When a peer first offered a newer ticket; unset while none has.
+  std::optional<TimePoint> OfferedAt_;
+  std::uint32_t Pulls_ = 0; ///< Sent since the ticket in force was applied.
+  std::uint32_t PullTimeouts_ = 0;
 };
 
 /// A peer that holds a newer ticket than this daemon.
@@ -68,6 +77,8 @@
   std::vector<TicketSource> Sources_; ///< In the order of their offers.
   std::optional<PullInFlight> Pull_;
   bool PullFailed_ = false; ///< Since the ticket in force was applied.
+  TicketArrival NextArrival_;
+  TicketArrival LastArrival_; ///< Of the ticket in force.
   /// Ticket in force; the fields below are about it.
   std::uint64_t Number_ = 0;
   std::uint32_t ServeTokens_ = 0; ///< Pulls that may be served now.
--- a/src/ControlPlane.cpp
+++ b/src/ControlPlane.cpp
@@ -139,8 +139,15 @@
             {"error", Failure ? describe(*Failure) : ""}});
 }
 
-void logApplied(std::uint64_t Number, std::string_view Source) {
-  logEvent(LogEvent::TicketApplied, {{"ticket", Number}, {"from", Source}});
+void logApplied(std::uint64_t Number, std::string_view Source,
+                const TicketArrival &Arrival, Now Time) {
+  Duration Known =
+      Arrival.OfferedAt_ ? Time.Monotonic_ - *Arrival.OfferedAt_ : Duration(0);
+  logEvent(LogEvent::TicketApplied, {{"ticket", Number},
+                                     {"from", Source},
+                                     {"known_ms", toMilliseconds(Known)},
+                                     {"pulls", Arrival.Pulls_},
+                                     {"pull_timeouts", Arrival.PullTimeouts_}});
 }
 
 Result<Snapshot> parseStoredSnapshot(const std::string &Text) {
@@ -217,7 +224,8 @@
       Dissemination_, Replica_, neighbours(Members_), Message, Time, Rng_, Out);
   for (const DisseminationEvent &Event : Events) {
     if (Event.Kind_ == DisseminationEventKind::Applied) {
-      logApplied(Event.Number_, Event.Source_);
+      logApplied(Event.Number_, Event.Source_, Dissemination_.LastArrival_,
+                 Time);
       AppliedAt_ = Time.Wall_;
       setOwnTicket(Members_, Replica_.Current_->Number_);
     } else {
@@ -419,11 +427,11 @@
   }
   if (Offer.Outcome_ != OfferOutcome::Applied)
     return;
-  logApplied(Offer.Number_, "store");
   AppliedAt_ = Time.Wall_;
   setOwnTicket(Members_, Offer.Number_);
   Outbox Out;
   announceTicket(Dissemination_, Replica_, announcementTargets(), Time, Out);
+  logApplied(Offer.Number_, "store", Dissemination_.LastArrival_, Time);
   send(Out);
 }
 
--- a/src/DaemonMetrics.cpp
+++ b/src/DaemonMetrics.cpp
@@ -166,7 +166,7 @@
      &MembershipCounters::Repairs_},
 }};
 
-constexpr std::array<CounterRow<DisseminationCounters>, 7> DisseminationRows = {
+constexpr std::array<CounterRow<DisseminationCounters>, 8> DisseminationRows = {
     {
         {"sycamore_ticket_offers_sent_total", "Tickets offered to peers.",
          &DisseminationCounters::OffersSent_},
@@ -178,6 +178,9 @@
          &DisseminationCounters::PullsServed_},
         {"sycamore_ticket_busy_sent_total", "Pulls refused as busy.",
          &DisseminationCounters::BusySent_},
+        {"sycamore_ticket_bodies_packed_total",
+         "Ticket bodies compressed for peers.",
+         &DisseminationCounters::BodiesPacked_},
         {"sycamore_ticket_snapshots_sent_total", "Snapshots sent to peers.",
          &DisseminationCounters::SnapshotsSent_},
         {"sycamore_ticket_bodies_rejected_total", "Tickets from peers refused.",
--- a/src/Dissemination.cpp
+++ b/src/Dissemination.cpp
@@ -5,6 +5,7 @@
 #include "Compression.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace sycamore {
 namespace {
@@ -60,6 +61,7 @@
   State.SnapshotJson_.clear();
   State.PullFailed_ = false;
   State.RelayServed_ = false;
+  State.LastArrival_ = std::exchange(State.NextArrival_, {});
   std::string Digest = offerDigest(*Replica.Current_);
   for (const TicketSource &Source : State.Sources_)
     if (Source.Number_ == Number && Source.Digest_ == Digest)
@@ -67,6 +69,8 @@
   std::erase_if(State.Sources_, [Number](const TicketSource &Source) {
     return Source.Number_ <= Number;
   });
+  if (!State.Sources_.empty())
+    State.NextArrival_.OfferedAt_ = State.LastArrival_.OfferedAt_;
   if (State.Pull_ && State.Sources_.empty())
     State.Pull_.reset();
 }
@@ -137,6 +141,7 @@
   Pull.set_have_number(Replica.Current_->Number_);
   Pull.set_have_digest(Replica.Current_->Digest_.substr(0, PullDigestDigits));
   ++State.Counters_.PullsSent_;
+  ++State.NextArrival_.Pulls_;
 }
 
 /// Blocks pulls from a source until a given time, so that the next pull goes to
@@ -173,6 +178,8 @@
   const Snapshot &Current = *Replica.Current_;
   if (Number > Current.Number_) {
     recordSource(State, Sender, Number, Digest);
+    if (!State.NextArrival_.OfferedAt_)
+      State.NextArrival_.OfferedAt_ = Time.Monotonic_;
     startPull(State, Replica, Time, Out);
     return;
   }
@@ -230,6 +237,7 @@
   wire::TicketBodies Bodies;
   fillBodies(State, Replica, Pull, Bodies);
   Answer.set_packed(compress(Bodies.SerializeAsString()));
+  ++State.Counters_.BodiesPacked_;
   ++State.Counters_.PullsServed_;
 }
 
@@ -387,6 +395,7 @@
   if (State.Pull_ &&
       Time.Monotonic_ - State.Pull_->SentAt_ >= State.Config_.PullTimeout_) {
     ++State.Counters_.PullTimeouts_;
+    ++State.NextArrival_.PullTimeouts_;
     std::string Source = State.Pull_->Source_;
     deferSource(State, Source,
                 Time.Monotonic_ + jittered(State.Config_.PullTimeout_, Rng));
--- a/src/HttpClientPool.cpp
+++ b/src/HttpClientPool.cpp
@@ -404,7 +404,10 @@
     Response.ServerRuns_ = This->Connection_ && This->Connection_->overLimit();
   } else if (Now >= This->DeadlineAt_) {
     Response.Outcome_ = HttpOutcome::TimedOut;
-    Response.Reason_ = "the deadline passed";
+    std::size_t Received =
+        This->Connection_ ? This->Connection_->bytesRead() : 0;
+    Response.Reason_ = "the deadline passed, " + std::to_string(Received) +
+                       " bytes of the answer received";
   } else if (Now >= This->ConnectDeadlineAt_ && !Response.Sent_) {
     Response.Reason_ = "no connection within the time limit";
   } else {
--- a/src/HttpClientPool.h
+++ b/src/HttpClientPool.h
@@ -46,6 +46,8 @@
   bool isReusable() const;
   bool closed() const { return Closed_; }
   std::size_t bytesWritten() const { return BytesWritten_; }
+  /// Bytes received since the start of the call.
+  std::size_t bytesRead() const { return BytesRead_; }
   /// Bytes of the unfinished response that are in memory.
   std::size_t heldBytes() const { return HeldBytes_; }
   void releaseHeldBytes() { setHeldBytes(0); }
--- a/test/correctness/DisseminationTest.cpp
+++ b/test/correctness/DisseminationTest.cpp
@@ -87,6 +87,22 @@
             (std::vector<std::string>{"first", "second"}));
 }
 
+TEST(Dissemination, RecordsHowANewTicketArrived) {
+  SimStore Store;
+  AcceptedTicket First = Store.accept(makeChange(1), 7);
+  Node Node;
+  Node.offer("silent", 1, at(seconds(1)));
+  tickDissemination(Node.State_, Node.Replica_, {}, {}, at(milliseconds(1450)),
+                    Node.Rng_, Node.Out_);
+  offerTicket(Node.Replica_, First);
+  announceTicket(Node.State_, Node.Replica_, {}, at(seconds(2)), Node.Out_);
+  const TicketArrival &Arrival = Node.State_.LastArrival_;
+  EXPECT_EQ(Arrival.OfferedAt_, TimePoint(seconds(1)));
+  EXPECT_EQ(Arrival.Pulls_, 1U);
+  EXPECT_EQ(Arrival.PullTimeouts_, 1U);
+  EXPECT_FALSE(Node.State_.NextArrival_.OfferedAt_.has_value());
+}
+
 TEST(Dissemination, SendsASnapshotWhenTheGapIsTooWide) {
   SimStore Store;
   FleetOptions Options;
