--- a/test/support/FleetOptions.h
+++ b/test/support/FleetOptions.h
@@ -25,6 +25,19 @@
   return Text && Text == Rule;
 }
 
+/// What a large ticket costs each daemon; all zero unless set.
+struct TicketCosts {
+  Duration Pack_{0};    ///< The event loop is busy while it packs a body.
+  Duration Apply_{0};   ///< Likewise while it unpacks and applies one.
+  double LinkMbps_ = 0; ///< Of each server; 0 for no limit.
+  std::size_t StoredBytes_ = 0; ///< Of the store's answer with the ticket.
+  /// The first servers of each data centre, whose links are FastLink_ times as
+  /// fast and whose loops are FastLoop_ times as fast.
+  std::size_t FastServers_ = 0;
+  double FastLink_ = 20;
+  double FastLoop_ = 5;
+};
+
 struct FleetOptions {
   std::uint64_t Seed_ = 1;
   std::size_t DataCentres_ = 3;
@@ -43,6 +56,7 @@
   BootstrapConfig BootstrapConfig_;
   WatchDelegationConfig Delegation_;
   AcceptanceRequest Acceptance_; ///< Signs tickets when set.
+  TicketCosts Costs_;
 };
 
 /// Disables the rule that SYCAMORE_TEST_MUTATION names.
--- a/test/support/FleetSim.h
+++ b/test/support/FleetSim.h
@@ -38,7 +38,10 @@
   std::uint64_t HighestTicketRun_ = 0; ///< Over all restarts; for promise 1.
   Traffic Traffic_;
   MembershipEvents Events_;
-  std::string Target_; ///< Announced in every tick unless empty.
+  bool IsFast_ = false;     ///< See TicketCosts.
+  TimePoint SendsUntil_;    ///< When its link has sent all that was queued.
+  TimePoint ReceivesUntil_; ///< Likewise for what is received.
+  std::string Target_;      ///< Announced in every tick unless empty.
 };
 
 class FleetSim {
@@ -52,6 +55,8 @@
           "dc" + std::to_string(I % Options_.DataCentres_);
       Daemons_[I].Name_ = "server-" + std::to_string(I);
       Index_[Daemons_[I].Name_] = I;
+      Daemons_[I].IsFast_ =
+          I / Options_.DataCentres_ < Options_.Costs_.FastServers_;
       if (Options_.ClockSkew_)
         Daemons_[I].ClockOffset_ =
             milliseconds(static_cast<int>(randomIndex(Rng_, 1000)) - 500);
@@ -188,7 +193,7 @@
       int Copies = randomUnit(Rng_) < Options_.Loss_ ? 0 : 1;
       Copies += randomUnit(Rng_) < Options_.Duplicates_ ? 1 : 0;
       for (int I = 0; I < Copies; ++I)
-        schedule({Time_ + delay(From, To->second), 0, To->second, 0, Message,
+        schedule({arrival(From, To->second, Bytes), 0, To->second, 0, Message,
                   nullptr});
     }
     Out.clear();
@@ -299,6 +304,51 @@
            Duration(randomIndex(Rng_, Options_.ExtraDelay_.count() + 200));
   }
 
+  /// Time that a link takes for a message. Small ones pass between the packets
+  /// of the others.
+  Duration transferTime(const SimDaemon &Daemon, std::size_t Bytes) const {
+    constexpr std::size_t SmallMessage = 16U << 10U;
+    double Rate = Options_.Costs_.LinkMbps_ * 125000 *
+                  (Daemon.IsFast_ ? Options_.Costs_.FastLink_ : 1);
+    if (Rate == 0 || Bytes < SmallMessage)
+      return Duration(0);
+    return std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(static_cast<double>(Bytes) / Rate));
+  }
+
+  /// When a message that is sent now arrives.
+  TimePoint arrival(std::size_t From, std::size_t To, std::size_t Bytes) {
+    SimDaemon &Sender = Daemons_[From];
+    SimDaemon &Receiver = Daemons_[To];
+    TimePoint Departs = std::max(Time_, Sender.FrozenUntil_);
+    Duration Sending = transferTime(Sender, Bytes);
+    if (Sending > Duration(0))
+      Departs = Sender.SendsUntil_ =
+          std::max(Departs, Sender.SendsUntil_) + Sending;
+    TimePoint Out = Departs + delay(From, To);
+    Duration Receiving = transferTime(Receiver, Bytes);
+    if (Receiving > Duration(0))
+      Out = Receiver.ReceivesUntil_ =
+          std::max(Out, Receiver.ReceivesUntil_ + Receiving);
+    return Out;
+  }
+
+  /// Keeps the event loop busy for the work that was counted since.
+  void chargeWork(SimDaemon &Daemon, std::uint64_t PackedBefore,
+                  std::uint64_t AppliedBefore) {
+    Duration Work =
+        Options_.Costs_.Pack_ *
+            static_cast<int>(Daemon.Dissemination_.Counters_.BodiesPacked_ -
+                             PackedBefore) +
+        Options_.Costs_.Apply_ *
+            static_cast<int>(Daemon.Replica_.Counters_.Applied_ -
+                             AppliedBefore);
+    if (Daemon.IsFast_)
+      Work = std::chrono::duration_cast<Duration>(Work /
+                                                  Options_.Costs_.FastLoop_);
+    Daemon.FrozenUntil_ = std::max(Daemon.FrozenUntil_, Time_) + Work;
+  }
+
   /// The first servers of the own data centre and one of the next data centre.
   std::vector<wire::ServerRecord> bootstrapPeers(std::size_t I) const {
     std::vector<wire::ServerRecord> Out;
@@ -352,6 +402,8 @@
     Daemon.Traffic_.Tickets_ += isTicketMessage(Message) ? Bytes : 0;
     Now Time = now(Daemon);
     Outbox Out;
+    std::uint64_t Packed = Daemon.Dissemination_.Counters_.BodiesPacked_;
+    std::uint64_t Applied = Daemon.Replica_.Counters_.Applied_;
     recordEvents(Daemon,
                  receiveMembership(Daemon.Members_, Message, Time, Rng_, Out));
     receiveDissemination(Daemon.Dissemination_, Daemon.Replica_,
@@ -363,6 +415,7 @@
     receiveWatchDelegation(Daemon.Delegation_, Message, watchState(I), Time,
                            Out);
     setOwnTicket(Daemon.Members_, Daemon.Replica_.Current_->Number_);
+    chargeWork(Daemon, Packed, Applied);
     send(I, Out);
   }
 
@@ -471,16 +524,21 @@
   void deliverHead(std::size_t I, bool ForBootstrap) {
     TimePoint Started = Time_;
     callLater(
-        I, Store_.latency(),
+        I,
+        Store_.latency() +
+            transferTime(Daemons_[I], Options_.Costs_.StoredBytes_),
         [this, I, Started, ForBootstrap, Value = Store_.Head_,
          Base = Store_.base() ? std::optional(*Store_.base()) : std::nullopt,
          Seeds = Store_.Seeds_[Daemons_[I].DataCentre_]] {
           SimDaemon &Daemon = Daemons_[I];
+          std::uint64_t Applied = Daemon.Replica_.Counters_.Applied_;
           OfferResult Result =
               offerHead(Daemon.Replica_, Value, Base ? &*Base : nullptr);
           setOwnTicket(Daemon.Members_, Daemon.Replica_.Current_->Number_);
           addSeeds(Daemon.Members_, Seeds, now(Daemon));
           recordSeeds(Daemon.Bootstrap_, Seeds);
+          chargeWork(Daemon, Daemon.Dissemination_.Counters_.BodiesPacked_,
+                     Applied);
           Outbox Out;
           if (Result.Outcome_ == OfferOutcome::Applied) {
             auto Targets = delegatorsOf(Daemon.Delegation_);
