Forward a ticket's packed bodies instead of packing them for each peer

Callers got the answers of an older configuration for up to 3.7 s. Each daemon compressed the same bodies again for each pull: 507 times 93 ms of the event loop for nine versions at 70 daemons, once for each hop on the way. A daemon now sends on the bytes that it received, or packs once.

--- a/include/sycamore/Dissemination.h
+++ b/include/sycamore/Dissemination.h
@@ -72,6 +72,14 @@
   TimePoint SentAt_;
 };
 
+/// The packed bodies of the ticket in force, as sent to peers.
+struct PackedBodies {
+  std::string Bytes_; ///< Empty while they have not been packed.
+  /// Digest of the ticket that they follow, cut as in a pull; unset for a
+  /// snapshot, which follows any ticket.
+  std::optional<std::string> HaveDigest_;
+};
+
 struct Dissemination {
   DisseminationConfig Config_;
   std::vector<TicketSource> Sources_; ///< In the order of their offers.
@@ -86,7 +94,7 @@
   std::set<std::string> Holders_; ///< Servers known to hold the ticket.
   bool RelayServed_ = false;      ///< A relay has pulled the ticket from here.
   std::map<std::string, TimePoint> OfferedAt_;
-  std::string SnapshotJson_; ///< Built when a peer first needs it.
+  PackedBodies Packed_; ///< As received, or packed when a peer first asks.
   /// As last passed to tickDissemination().
   std::vector<std::string> Relays_;
   TimePoint NextSync_;
--- a/src/Dissemination.cpp
+++ b/src/Dissemination.cpp
@@ -58,7 +58,7 @@
   State.TokensRefilledAt_ = Time.Monotonic_;
   State.Holders_.clear();
   State.OfferedAt_.clear();
-  State.SnapshotJson_.clear();
+  State.Packed_ = {};
   State.PullFailed_ = false;
   State.RelayServed_ = false;
   State.LastArrival_ = std::exchange(State.NextArrival_, {});
@@ -193,31 +193,43 @@
     sendOffer(State, Replica, Sender, Time, Out);
 }
 
-/// The full-state document if there is one, else the snapshot in JSON, which is
-/// built once for each ticket.
-const std::string &snapshotJson(Dissemination &State,
-                                const ConfigReplica &Replica) {
-  if (!Replica.Document_.empty())
-    return Replica.Document_;
-  if (State.SnapshotJson_.empty())
-    State.SnapshotJson_ = toJson(*Replica.Current_).dump();
-  return State.SnapshotJson_;
-}
-
-void fillBodies(Dissemination &State, const ConfigReplica &Replica,
-                const wire::TicketPull &Pull, wire::TicketBodies &Bodies) {
+/// The tickets after the one that the peer has; unset if only a snapshot brings
+/// it up to date.
+std::optional<std::vector<std::string>>
+ticketsFor(const Dissemination &State, const ConfigReplica &Replica,
+           const wire::TicketPull &Pull) {
   auto Tickets = ticketsAfter(Replica, Pull.have_number(), Pull.have_digest());
   std::size_t Bytes = 0;
   if (Tickets)
     for (const std::string &Text : *Tickets)
       Bytes += Text.size();
-  if (Tickets && Bytes <= State.Config_.MaxBodyBytes_) {
+  if (Bytes > State.Config_.MaxBodyBytes_)
+    Tickets.reset();
+  return Tickets;
+}
+
+/// The packed bodies for a pull. Most pulls for one ticket need the same ones.
+const std::string &packedBodies(Dissemination &State,
+                                const ConfigReplica &Replica,
+                                const wire::TicketPull &Pull) {
+  auto Tickets = ticketsFor(State, Replica, Pull);
+  std::optional<std::string> HaveDigest;
+  if (Tickets)
+    HaveDigest = Pull.have_digest();
+  State.Counters_.SnapshotsSent_ += Tickets ? 0 : 1;
+  if (!State.Packed_.Bytes_.empty() && State.Packed_.HaveDigest_ == HaveDigest)
+    return State.Packed_.Bytes_;
+  wire::TicketBodies Bodies;
+  if (Tickets)
     for (std::string &Text : *Tickets)
       Bodies.add_accepted(std::move(Text));
-    return;
-  }
-  Bodies.set_snapshot(snapshotJson(State, Replica));
-  ++State.Counters_.SnapshotsSent_;
+  else
+    Bodies.set_snapshot(Replica.Document_.empty()
+                            ? toJson(*Replica.Current_).dump()
+                            : Replica.Document_);
+  State.Packed_ = {compress(Bodies.SerializeAsString()), std::move(HaveDigest)};
+  ++State.Counters_.BodiesPacked_;
+  return State.Packed_.Bytes_;
 }
 
 void receivePull(Dissemination &State, const ConfigReplica &Replica,
@@ -234,10 +246,7 @@
     ++State.Counters_.BusySent_;
     return;
   }
-  wire::TicketBodies Bodies;
-  fillBodies(State, Replica, Pull, Bodies);
-  Answer.set_packed(compress(Bodies.SerializeAsString()));
-  ++State.Counters_.BodiesPacked_;
+  Answer.set_packed(packedBodies(State, Replica, Pull));
   ++State.Counters_.PullsServed_;
 }
 
@@ -264,11 +273,10 @@
 
 /// Offers the bodies to the replica in order, up to the first that is rejected
 /// or leaves a gap. Returns the result of the last one offered.
-OfferResult offerBodies(ConfigReplica &Replica,
-                        const wire::TicketBodies &Compressed,
-                        const std::string &Source) {
+OfferResult offerBodies(ConfigReplica &Replica, std::string_view Packed,
+                        const std::string &Source, bool &IsSnapshot) {
   wire::TicketBodies Bodies;
-  auto Bytes = decompress(Compressed.packed(), MaxDecompressedBytes);
+  auto Bytes = decompress(Packed, MaxDecompressedBytes);
   if (!Bytes || !Bodies.ParseFromString(*Bytes)) {
     OfferResult Failed;
     Failed.Outcome_ = OfferOutcome::Rejected;
@@ -279,7 +287,8 @@
                           "check that the server runs the same version"};
     return Failed;
   }
-  if (!Bodies.snapshot().empty())
+  IsSnapshot = !Bodies.snapshot().empty();
+  if (IsSnapshot)
     return offerSnapshot(Replica, Bodies.snapshot(), Source);
   OfferResult Last;
   for (const std::string &Text : Bodies.accepted()) {
@@ -309,8 +318,10 @@
     startPull(State, Replica, Time, Out);
     return Events;
   }
-  std::uint64_t Before = Replica.Current_->Number_;
-  OfferResult Result = offerBodies(Replica, Message.ticket_bodies(), Sender);
+  SnapshotPointer Before = Replica.Current_;
+  const std::string &Packed = Message.ticket_bodies().packed();
+  bool IsSnapshot = false;
+  OfferResult Result = offerBodies(Replica, Packed, Sender, IsSnapshot);
   if (Result.Outcome_ == OfferOutcome::Rejected) {
     ++State.Counters_.BodiesRejected_;
     deferSource(State, Sender, Time.Monotonic_ + RejectedSourceDelay);
@@ -322,11 +333,16 @@
   } else if (State.Pull_ && State.Pull_->Source_ == Sender) {
     State.Pull_.reset();
   }
-  if (Replica.Current_->Number_ != Before) {
+  if (Replica.Current_->Number_ != Before->Number_) {
     Events.push_back({DisseminationEventKind::Applied,
                       Replica.Current_->Number_, Sender, std::nullopt});
     resetOnNewTicket(State, Replica, Time);
     State.Holders_.insert(Sender);
+    if (Result.Outcome_ == OfferOutcome::Applied) {
+      State.Packed_.Bytes_ = Packed;
+      if (!IsSnapshot)
+        State.Packed_.HaveDigest_ = Before->Digest_.substr(0, PullDigestDigits);
+    }
     announceTicket(State, Replica, Neighbours, Time, Out);
   }
   startPull(State, Replica, Time, Out);
--- a/test/correctness/DisseminationTest.cpp
+++ b/test/correctness/DisseminationTest.cpp
@@ -122,6 +122,60 @@
   EXPECT_EQ(Holder.State_.Counters_.SnapshotsSent_, 1U);
 }
 
+// Packing a large ticket takes a slow server longer than sending it.
+TEST(Dissemination, PacksATicketOnceInTheWholeFleet) {
+  SimStore Store;
+  Node Reader;
+  offerTicket(Reader.Replica_, Store.accept(makeChange(1, 500), 7));
+  announceTicket(Reader.State_, Reader.Replica_, {}, at(seconds(1)),
+                 Reader.Out_);
+  wire::PeerMessage Pull = messageFrom("next");
+  Pull.mutable_ticket_pull();
+  Reader.receive(Pull, at(seconds(1)));
+  Reader.receive(Pull, at(seconds(1)));
+  EXPECT_EQ(Reader.sentBodies(), 2U);
+  EXPECT_EQ(Reader.State_.Counters_.BodiesPacked_, 1U);
+
+  Node Next;
+  wire::PeerMessage Answer = Reader.Out_.back().Message_;
+  Answer.set_sender("reader");
+  Next.receive(Answer, at(seconds(1)));
+  Pull.set_sender("last");
+  Next.receive(Pull, at(seconds(1)));
+  EXPECT_EQ(Next.sentBodies(), 1U);
+  EXPECT_EQ(Next.State_.Counters_.BodiesPacked_, 0U);
+  Node Last;
+  Answer = Next.Out_.back().Message_;
+  Answer.set_sender("next");
+  Last.receive(Answer, at(seconds(1)));
+  EXPECT_EQ(Last.Replica_.Current_->Digest_, Store.Head_.Digest_);
+}
+
+// A server that missed more needs other bodies than most.
+TEST(Dissemination, PacksAgainForAServerThatIsFurtherBehind) {
+  SimStore Store;
+  Node Holder;
+  AcceptedTicket First = Store.accept(makeChange(1), 7);
+  offerTicket(Holder.Replica_, First);
+  offerTicket(Holder.Replica_, Store.accept(makeChange(2), 7));
+  for (bool HasFirst : {true, false}) {
+    wire::PeerMessage Pull = messageFrom("behind");
+    Node Behind;
+    if (HasFirst) {
+      offerTicket(Behind.Replica_, First);
+      Pull.mutable_ticket_pull()->set_have_number(1);
+      Pull.mutable_ticket_pull()->set_have_digest(First.Digest_.substr(0, 16));
+    } else {
+      Pull.mutable_ticket_pull();
+    }
+    Holder.receive(Pull, at(seconds(1)));
+    wire::PeerMessage Answer = Holder.Out_.back().Message_;
+    Answer.set_sender("holder");
+    Behind.receive(Answer, at(seconds(1)));
+    EXPECT_EQ(Behind.Replica_.Current_->Digest_, Store.Head_.Digest_);
+  }
+}
+
 RC_GTEST_PROP(Dissemination, IgnoresBodiesThatCannotBeDecompressed,
               (const std::string &Bytes)) {
   Node Node;
