Choose the servers with the fastest links as readers of the store

A reader receives each ticket whole from the store, and hands it on first. The record of a server now states the rate of its link, also among the seeds; readers and delegates of the watch are the servers with the fastest ones. Equal links are ranked as before.

MembershipTest.TheServersWithTheFastestLinksAreReaders.

--- a/include/sycamore/Membership.h
+++ b/include/sycamore/Membership.h
@@ -24,6 +24,7 @@
   std::string PeerAddress_;   ///< At which other daemons reach this one.
   std::string PublicKey_;     ///< CURVE key of the peer endpoint; may be empty.
   std::uint64_t Process_ = 0; ///< See wire::ServerRecord::process.
+  double LinkMbps_ = 0;       ///< Rate of this server's link; 0 if not known.
 
   Duration GossipInterval_ = milliseconds(200);
   std::uint32_t GossipFanout_ = 3; ///< Neighbours that one round sends to.
@@ -317,6 +318,10 @@
 std::vector<std::string> aliveServers(const Membership &Members,
                                       std::string_view DataCentre = "");
 
+/// Class of the rate of a server's link, higher for faster ones. Each class
+/// spans a factor of two; 0 if the rate is not known.
+int linkClass(const wire::ServerRecord &Record);
+
 /// Null for a server that is unknown or whose record has expired.
 const wire::ServerRecord *findServer(const Membership &Members,
                                      std::string_view Name);
--- a/src/ControlPlane.cpp
+++ b/src/ControlPlane.cpp
@@ -20,6 +20,7 @@
   Out.PeerAddress_ = PeerAddress;
   Out.PublicKey_ = PublicKey;
   Out.Process_ = Process;
+  Out.LinkMbps_ = Config.Limits_.LinkMbps_;
   Out.GossipInterval_ = Config.Timing_.GossipInterval_;
   Out.ProbeInterval_ = Config.Timing_.ProbeInterval_;
   Out.ProbeTimeout_ = Config.Timing_.ProbeTimeout_;
--- a/src/Membership.cpp
+++ b/src/Membership.cpp
@@ -175,6 +175,7 @@
   Own.Record_.set_peer_address(Out.Config_.PeerAddress_);
   Own.Record_.set_public_key(Out.Config_.PublicKey_);
   Own.Record_.set_process(Out.Config_.Process_);
+  Own.Record_.set_link_mbps(static_cast<std::uint32_t>(Out.Config_.LinkMbps_));
   Own.Record_.set_incarnation(unixMicroseconds(Time));
   Own.Record_.set_started(unixMicroseconds(Time));
   Own.Record_.set_version(1);
--- a/src/MembershipTables.cpp
+++ b/src/MembershipTables.cpp
@@ -305,16 +305,17 @@
 
 namespace {
 
-/// Selects the readers of each data centre by rendezvous hash. Suspects rank
-/// last, so that if all readers fail together, others watch the store
-/// before the failed ones are declared dead.
+/// Selects the readers of each data centre: those with the fastest links, and
+/// by rendezvous hash among equals. Suspects rank last, so that if all readers
+/// fail together, others watch the store before the failed ones are declared
+/// dead.
 void selectReaders(const Membership &Members, Overlay &Out) {
-  using Rank = std::tuple<bool, std::uint64_t, std::string>;
+  using Rank = std::tuple<bool, int, std::uint64_t, std::string>;
   std::map<std::string, std::vector<Rank>> Ranked;
   for (const auto &[Name, Row] : Members.Servers_)
     if (isLive(Row.Record_) && Row.Record_.state() != wire::SERVER_LEAVING)
       Ranked[Row.Record_.data_centre()].emplace_back(
-          Row.Record_.state() != wire::SERVER_SUSPECT,
+          Row.Record_.state() != wire::SERVER_SUSPECT, linkClass(Row.Record_),
           hash64(Name, hash64(Row.Record_.data_centre())), Name);
   for (auto &[DataCentre, Scores] : Ranked) {
     std::size_t Count = std::min<std::size_t>(
@@ -323,7 +324,7 @@
                       Scores.begin() + static_cast<std::ptrdiff_t>(Count),
                       Scores.end(), std::greater<>());
     for (std::size_t I = 0; I < Count; ++I)
-      Out.Readers_[DataCentre].push_back(std::get<2>(Scores[I]));
+      Out.Readers_[DataCentre].push_back(std::get<std::string>(Scores[I]));
   }
 }
 
--- a/src/MembershipViews.cpp
+++ b/src/MembershipViews.cpp
@@ -2,6 +2,7 @@
 #include "MembershipInternal.h"
 
 #include <algorithm>
+#include <bit>
 
 namespace sycamore {
 
@@ -93,6 +94,10 @@
   return Out;
 }
 
+int linkClass(const wire::ServerRecord &Record) {
+  return static_cast<int>(std::bit_width(Record.link_mbps()));
+}
+
 const wire::ServerRecord *findServer(const Membership &Members,
                                      std::string_view Name) {
   auto Found = Members.Servers_.find(std::string(Name));
--- a/src/Seeds.cpp
+++ b/src/Seeds.cpp
@@ -16,6 +16,9 @@
   Reader.readString("data_centre", *Out.mutable_data_centre());
   Reader.readString("peer_address", *Out.mutable_peer_address());
   Reader.readString("public_key", *Out.mutable_public_key());
+  std::uint64_t LinkMbps = 0;
+  Reader.readUnsigned("link_mbps", LinkMbps, 0, UINT32_MAX);
+  Out.set_link_mbps(static_cast<std::uint32_t>(LinkMbps));
   if (Problems.empty() && !isValidName(Out.name()))
     Reader.reportProblem("name", "is not a name");
   if (Problems.empty() && !parseRemoteAddress(Out.peer_address()))
@@ -35,7 +38,8 @@
     Out.push_back({{"name", Seed.name()},
                    {"data_centre", Seed.data_centre()},
                    {"peer_address", Seed.peer_address()},
-                   {"public_key", Seed.public_key()}});
+                   {"public_key", Seed.public_key()},
+                   {"link_mbps", Seed.link_mbps()}});
   return Out.dump();
 }
 
--- a/src/WatchDelegation.cpp
+++ b/src/WatchDelegation.cpp
@@ -10,7 +10,8 @@
 
 /// Servers of the own data centre in the order in which they are asked: the
 /// other readers, which may have the store, then the ring from the server that
-/// was asked last.
+/// was asked last. Servers with faster
+/// links precede the others of the ring.
 std::vector<std::string> candidates(const WatchDelegation &State,
                                     const Membership &Members) {
   const std::string &Own = Members.Config_.Name_;
@@ -21,6 +22,14 @@
   if (Start == Ring.end())
     Start = std::find(Ring.begin(), Ring.end(), Own);
   std::rotate(Ring.begin(), Start, Ring.end());
+  auto ClassOf = [&](const std::string &Name) {
+    const wire::ServerRecord *Record = findServer(Members, Name);
+    return Record ? linkClass(*Record) : 0;
+  };
+  std::stable_sort(Ring.begin(), Ring.end(),
+                   [&](const std::string &A, const std::string &B) {
+                     return ClassOf(A) > ClassOf(B);
+                   });
   Out.insert(Out.end(), Ring.begin(), Ring.end());
   std::erase_if(Out, [&](const std::string &Name) {
     const wire::ServerRecord *Record = findServer(Members, Name);
--- a/test/correctness/MembershipTest.cpp
+++ b/test/correctness/MembershipTest.cpp
@@ -71,6 +71,25 @@
 
 // Without refutation, other daemons would keep the earlier records of a daemon
 // that left or restarted.
+// A reader receives each ticket whole from the store and passes it on first.
+TEST(Membership, TheServersWithTheFastestLinksAreReaders) {
+  Membership Members = makeMember("server-0");
+  std::vector<wire::ServerRecord> Others;
+  for (int I = 1; I < 24; ++I) {
+    wire::ServerRecord Record;
+    Record.set_name("server-" + std::to_string(I));
+    Record.set_data_centre("dalseo");
+    Record.set_link_mbps(I == 5 || I == 17 ? 140 : 7);
+    Others.push_back(Record);
+  }
+  addSeeds(Members, Others, at(seconds(1)));
+  Node Node{std::move(Members)};
+  tickMembership(Node.Members_, at(seconds(2)), Node.Rng_, Node.Out_);
+  std::vector<std::string> Readers = readersOf(Node.Members_, "dalseo");
+  std::sort(Readers.begin(), Readers.end());
+  EXPECT_EQ(Readers, (std::vector<std::string>{"server-17", "server-5"}));
+}
+
 TEST(Membership, RefutesASuspicionWithAHigherIncarnation) {
   Node Node{makeMember("a")};
   wire::ServerRecord Suspect = record(Node.Members_, "a");
--- a/test/correctness/SeedsTest.cpp
+++ b/test/correctness/SeedsTest.cpp
@@ -1,5 +1,6 @@
 // Guards against one odd entry among the seeds that hides the others or keeps a
 // starting daemon from its peers.
+#include "Seeds.h"
 #include "ControlPlane.h"
 #include "FakeStore.h"
 #include "sycamore/Clock.h"
@@ -66,6 +67,19 @@
   }
 }
 
+TEST(Seeds, HoldTheRateOfALink) {
+  wire::ServerRecord Seed;
+  Seed.set_name("s-2");
+  Seed.set_data_centre("z");
+  Seed.set_peer_address("127.0.0.1:2");
+  Seed.set_link_mbps(140);
+  std::vector<std::string> Problems;
+  auto Read = parseSeeds({"/seeds/z", encodeSeeds({{Seed}})}, Problems);
+  ASSERT_EQ(Read.size(), 1U);
+  EXPECT_EQ(Read.front().link_mbps(), 140U);
+  EXPECT_TRUE(Problems.empty());
+}
+
 TEST(Seeds, ADocumentThatIsNoArrayIsNoSeed) {
   for (const char *Text : {"", "[", "]", "{}", "[}", "[[]", "[\"", "[]]"})
     EXPECT_EQ(knownAfterReading(Text), std::vector<std::string>{"s-1"}) << Text;
--- a/test/support/FleetSim.h
+++ b/test/support/FleetSim.h
@@ -90,6 +90,7 @@
     Members.DataCentre_ = Daemon.DataCentre_;
     Members.PeerAddress_ = addressOf(I);
     Members.PublicKey_ = std::string(40, 'k');
+    Members.LinkMbps_ = linkMbps(Daemon);
     Daemon.Members_ = makeMembership(Members, Time);
     Daemon.Replica_ = makeConfigReplica(Options_.Replica_);
     Daemon.Dissemination_ =
@@ -304,12 +305,16 @@
            Duration(randomIndex(Rng_, Options_.ExtraDelay_.count() + 200));
   }
 
+  double linkMbps(const SimDaemon &Daemon) const {
+    return Options_.Costs_.LinkMbps_ *
+           (Daemon.IsFast_ ? Options_.Costs_.FastLink_ : 1);
+  }
+
   /// Time that a link takes for a message. Small ones pass between the packets
   /// of the others.
   Duration transferTime(const SimDaemon &Daemon, std::size_t Bytes) const {
     constexpr std::size_t SmallMessage = 16U << 10U;
-    double Rate = Options_.Costs_.LinkMbps_ * 125000 *
-                  (Daemon.IsFast_ ? Options_.Costs_.FastLink_ : 1);
+    double Rate = linkMbps(Daemon) * 125000;
     if (Rate == 0 || Bytes < SmallMessage)
       return Duration(0);
     return std::chrono::duration_cast<Duration>(
