Let an answer of the store take longer than its deadline while it arrives

A configuration of 5,000 routes takes 1.3 s and more on a link of 7 Mbit/s, but a read had to end within 1.0 s and a watch's answer within 1.5 s, so readers lost their watch of a store that answered, and started daemons their first read.

--- a/include/sycamore/HttpClient.h
+++ b/include/sycamore/HttpClient.h
@@ -23,6 +23,10 @@
   std::string Body_;
   /// Limit for the time from send() to the complete response.
   Duration Deadline_ = seconds(10);
+  /// When set, the response may take longer, up to MaxDuration_ from send(), as
+  /// long as it keeps arriving with pauses of at most MaxPause_.
+  Duration MaxPause_{0};
+  Duration MaxDuration_{0};
   /// When set, receives the body as it arrives, and HttpResponse::Body_ stays
   /// empty. MaxBodyBytes_ does not apply to such a body.
   std::function<void(std::string_view)> OnBodyPart_ = nullptr;
--- a/src/HttpClientPool.cpp
+++ b/src/HttpClientPool.cpp
@@ -222,6 +222,7 @@
   if (Info->n_added == 0 || !This->Call_ || !This->Request_)
     return;
   This->BytesRead_ += Info->n_added;
+  This->Call_->onProgress();
   This->checkStatusLine();
   This->followChunks(Info->n_added);
   if (This->exceedsLimits())
@@ -366,6 +367,8 @@
                        HttpClient::Callback Done)
     : Request_(std::move(Request)), Done_(std::move(Done)),
       DeadlineAt_(monotonicNow() + Request_.Deadline_),
+      LatestDeadlineAt_(DeadlineAt_ - Request_.Deadline_ +
+                        Request_.MaxDuration_),
       ConnectDeadlineAt_(TimePoint::max()), Core_(&Core),
       Timer_(evtimer_new(Core.Base_, onTimer, this)) {}
 
@@ -382,6 +385,14 @@
   evtimer_add(Timer_, &Wait);
 }
 
+void ClientCall::onProgress() {
+  if (Request_.MaxPause_ == Duration(0))
+    return;
+  TimePoint Extended =
+      std::min(monotonicNow() + Request_.MaxPause_, LatestDeadlineAt_);
+  DeadlineAt_ = std::max(DeadlineAt_, Extended);
+}
+
 void ClientCall::failDeferred(std::string Reason) {
   DeferredReason_ = std::move(Reason);
   timeval Wait{};
--- a/src/HttpClientPool.h
+++ b/src/HttpClientPool.h
@@ -124,6 +124,8 @@
 
   void cancel() override;
   void armTimer();
+  /// A part of the response has arrived, which may extend the deadline.
+  void onProgress();
   /// Fails the call in the next iteration of the event loop, as callbacks must
   /// not run inside send().
   void failDeferred(std::string Reason);
@@ -131,6 +133,7 @@
   HttpClientRequest Request_;
   HttpClient::Callback Done_;
   TimePoint DeadlineAt_;
+  TimePoint LatestDeadlineAt_;  ///< No part of the response extends it further.
   TimePoint ConnectDeadlineAt_; ///< Set when the call gets a connection.
   ClientPool *Pool_ = nullptr;
   ClientConnection *Connection_ = nullptr;
