Serve a ticket to as many servers at once as the link allows

Its capacity is now the bodies that its link sends in 250 ms, at least two and at most sixteen.

DisseminationTest.AServerWithAFastLinkServesMorePullsAtOnce.

--- a/include/sycamore/Dissemination.h
+++ b/include/sycamore/Dissemination.h
@@ -22,10 +22,15 @@
   /// A source that answered `busy`, or whose tickets left a gap, is not pulled
   /// from again for this long, varied by up to 25%.
   Duration BusyDelay_ = milliseconds(100);
-  /// Capacity of the token bucket that limits served pulls: the pulls served
-  /// in the first second after a ticket was applied. It gains one token a
-  /// second.
+  /// Least capacity of the token bucket that limits served pulls: the pulls
+  /// served in the first second after a ticket was applied. It gains half of
+  /// its capacity a second.
   std::uint32_t ServeBurst_ = 2;
+  /// With a rate of this server's link, the capacity is as many bodies as the
+  /// link sends in ServeTime_, up to MaxServeBurst_.
+  double LinkBytesPerSecond_ = 0; ///< 0 if not known.
+  Duration ServeTime_ = milliseconds(250);
+  std::uint32_t MaxServeBurst_ = 16;
   Duration SyncInterval_ = seconds(2); ///< Mean, between anti-entropy offers.
   /// Most bytes of accepted tickets in one answer; a snapshot is sent when the
   /// tickets are larger.
@@ -89,8 +94,8 @@
   TicketArrival LastArrival_; ///< Of the ticket in force.
   /// Ticket in force; the fields below are about it.
   std::uint64_t Number_ = 0;
-  std::uint32_t ServeTokens_ = 0; ///< Pulls that may be served now.
-  TimePoint TokensRefilledAt_;    ///< When ServeTokens_ was last refilled.
+  std::uint32_t TokensTaken_ = 0; ///< Of the capacity for served pulls.
+  TimePoint TokensRefilledAt_;    ///< When TokensTaken_ was last lowered.
   std::set<std::string> Holders_; ///< Servers known to hold the ticket.
   bool RelayServed_ = false;      ///< A relay has pulled the ticket from here.
   std::map<std::string, TimePoint> OfferedAt_;
--- a/src/ControlPlane.cpp
+++ b/src/ControlPlane.cpp
@@ -31,6 +31,13 @@
   return Out;
 }
 
+DisseminationConfig disseminationConfig(const Settings &Config) {
+  constexpr double BytesPerMegabit = 125'000;
+  DisseminationConfig Out;
+  Out.LinkBytesPerSecond_ = Config.Limits_.LinkMbps_ * BytesPerMegabit;
+  return Out;
+}
+
 ConfigReplicaConfig replicaConfig(const Settings &Config,
                                   const Integration *Adapter) {
   ConfigReplicaConfig Out;
@@ -172,7 +179,7 @@
       Members_(makeMembership(
           membershipConfig(Config, PeerAddress, PublicKey, Process), Time)),
       Replica_(makeConfigReplica(replicaConfig(Config, Adapter))),
-      Dissemination_(makeDissemination({}, Time)),
+      Dissemination_(makeDissemination(disseminationConfig(Config), Time)),
       Bootstrap_(makeBootstrap(bootstrapConfig(Config), Time, Rng)),
       Freshness_(makeConfigFreshness(freshnessConfig(Config, Process), Time)) {
   addSeeds(Members_, bootstrapRecords(Config), Time);
--- a/src/Dissemination.cpp
+++ b/src/Dissemination.cpp
@@ -54,7 +54,7 @@
   if (Number == State.Number_)
     return;
   State.Number_ = Number;
-  State.ServeTokens_ = State.Config_.ServeBurst_;
+  State.TokensTaken_ = 0;
   State.TokensRefilledAt_ = Time.Monotonic_;
   State.Holders_.clear();
   State.OfferedAt_.clear();
@@ -90,24 +90,43 @@
                      });
 }
 
+/// Pulls that may be served at once.
+std::uint32_t serveCapacity(const Dissemination &State) {
+  const DisseminationConfig &Config = State.Config_;
+  if (State.Packed_.Bytes_.empty())
+    return Config.ServeBurst_;
+  double Bodies = Config.LinkBytesPerSecond_ *
+                  std::chrono::duration<double>(Config.ServeTime_).count() /
+                  static_cast<double>(State.Packed_.Bytes_.size());
+  return std::max(Config.ServeBurst_,
+                  static_cast<std::uint32_t>(
+                      std::min<double>(Bodies, Config.MaxServeBurst_)));
+}
+
+void refillTokens(Dissemination &State, std::uint32_t Capacity, Now Time) {
+  auto FullSeconds =
+      std::chrono::floor<seconds>(Time.Monotonic_ - State.TokensRefilledAt_);
+  if (FullSeconds.count() <= 0)
+    return;
+  std::uint64_t Gained = std::max(1U, Capacity / 2) *
+                         static_cast<std::uint64_t>(FullSeconds.count());
+  State.TokensTaken_ -= static_cast<std::uint32_t>(
+      std::min<std::uint64_t>(Gained, State.TokensTaken_));
+  State.TokensRefilledAt_ += FullSeconds;
+}
+
 /// Takes one token for a served pull; false when none is left for this server.
 bool consumeServeToken(Dissemination &State, const std::string &Requester,
                        Now Time) {
-  auto FullSeconds =
-      std::chrono::floor<seconds>(Time.Monotonic_ - State.TokensRefilledAt_);
-  if (FullSeconds.count() > 0) {
-    std::uint64_t Refilled = State.ServeTokens_ + FullSeconds.count();
-    State.ServeTokens_ = static_cast<std::uint32_t>(
-        std::min<std::uint64_t>(Refilled, State.Config_.ServeBurst_));
-    State.TokensRefilledAt_ += FullSeconds;
-  }
+  std::uint32_t Capacity = serveCapacity(State);
+  refillTokens(State, Capacity, Time);
   if (!State.Config_.ServeCapForTest_)
     return true;
   bool ForRelay = isRelay(State, Requester);
   std::uint32_t Reserved = !ForRelay && reservesTokenForRelays(State) ? 1 : 0;
-  if (State.ServeTokens_ <= Reserved)
+  if (State.TokensTaken_ + Reserved >= Capacity)
     return false;
-  --State.ServeTokens_;
+  ++State.TokensTaken_;
   State.RelayServed_ = State.RelayServed_ || ForRelay;
   return true;
 }
@@ -355,7 +374,6 @@
   Dissemination Out;
   Out.Config_ = Config;
   Out.TokensRefilledAt_ = Time.Monotonic_;
-  Out.ServeTokens_ = Config.ServeBurst_;
   Out.NextSync_ = Time.Monotonic_;
   return Out;
 }
--- a/test/correctness/DisseminationTest.cpp
+++ b/test/correctness/DisseminationTest.cpp
@@ -76,6 +76,26 @@
   EXPECT_EQ(Holder.sentBodies(), 4U);
 }
 
+TEST(Dissemination, AServerWithAFastLinkServesMorePullsAtOnce) {
+  SimStore Store;
+  AcceptedTicket Large = Store.accept(makeChange(1, 100'000), 7);
+  auto ServedWith = [&](double LinkMbps) {
+    Node Holder;
+    Holder.State_.Config_.LinkBytesPerSecond_ = LinkMbps * 125'000;
+    offerTicket(Holder.Replica_, Large);
+    announceTicket(Holder.State_, Holder.Replica_, {}, at(seconds(10)),
+                   Holder.Out_);
+    wire::PeerMessage Pull = messageFrom("requester");
+    Pull.mutable_ticket_pull();
+    for (int I = 0; I < 30; ++I)
+      Holder.receive(Pull, at(seconds(10)));
+    return Holder.sentBodies();
+  };
+  EXPECT_EQ(ServedWith(0), 2U);
+  EXPECT_EQ(ServedWith(0.1), 2U);
+  EXPECT_EQ(ServedWith(140), 16U);
+}
+
 TEST(Dissemination, PullsFromAnotherSourceAfterATimeout) {
   Node Node;
   Node.offer("first", 5, at(seconds(1)));
--- a/test/support/FleetSim.h
+++ b/test/support/FleetSim.h
@@ -93,8 +93,9 @@
     Members.LinkMbps_ = linkMbps(Daemon);
     Daemon.Members_ = makeMembership(Members, Time);
     Daemon.Replica_ = makeConfigReplica(Options_.Replica_);
-    Daemon.Dissemination_ =
-        makeDissemination(Options_.DisseminationConfig_, Time);
+    DisseminationConfig Spread = Options_.DisseminationConfig_;
+    Spread.LinkBytesPerSecond_ = bytesPerSecond(Daemon);
+    Daemon.Dissemination_ = makeDissemination(Spread, Time);
     BootstrapConfig Boot = Options_.BootstrapConfig_;
     std::vector<wire::ServerRecord> Peers = bootstrapPeers(I);
     for (const wire::ServerRecord &Peer : Peers)
@@ -310,11 +311,16 @@
            (Daemon.IsFast_ ? Options_.Costs_.FastLink_ : 1);
   }
 
+  double bytesPerSecond(const SimDaemon &Daemon) const {
+    constexpr double BytesPerMegabit = 125'000;
+    return linkMbps(Daemon) * BytesPerMegabit;
+  }
+
   /// Time that a link takes for a message. Small ones pass between the packets
   /// of the others.
   Duration transferTime(const SimDaemon &Daemon, std::size_t Bytes) const {
     constexpr std::size_t SmallMessage = 16U << 10U;
-    double Rate = linkMbps(Daemon) * 125000;
+    double Rate = bytesPerSecond(Daemon);
     if (Rate == 0 || Bytes < SmallMessage)
       return Duration(0);
     return std::chrono::duration_cast<Duration>(
