Read the store when the readers of the data centre do not answer

A server that loses the readers but neither the store nor all other servers ran an older ticket until the cut ended: nobody in its group need be a ring neighbour of the readers, so nobody suspected them, and messages of the group kept it from being isolated. A server now probes a reader of its data centre, at most three servers in each probe interval for each reader, and watches the store itself after four unanswered probes.

--- a/include/sycamore/Membership.h
+++ b/include/sycamore/Membership.h
@@ -67,6 +67,7 @@
   bool ReturnDeparturesForTest_ = true;
   bool HeardPeersForTest_ = true;
   bool ConfirmReadersForTest_ = true;
+  bool ContactReadersForTest_ = true;
 };
 
 struct MembershipCounters {
@@ -183,6 +184,15 @@
   std::map<std::string, std::vector<std::string>> Readers_;
 };
 
+/// Whether the readers of the own data centre answer this server. Other servers
+/// may still answer it, and the readers them, so that the tables list all as
+/// alive while no ticket arrives.
+struct ReaderContact {
+  std::uint32_t UnansweredProbes_ = 0; ///< Since a reader was heard.
+  TimePoint NextProbe_;
+  bool Lost_ = false; ///< Until a reader is heard.
+};
+
 struct Membership {
   MembershipConfig Config_;
   std::map<std::string, ServerRow> Servers_; ///< Includes this server.
@@ -195,6 +205,7 @@
   bool Joined_ = false; ///< A complete table has arrived from a peer.
   /// Time of the last message from a peer; the start before the first one.
   TimePoint HeardAt_;
+  ReaderContact ReaderContact_;
   std::map<GossipKey, GossipItem> GossipQueue_;
   std::map<std::string, ProbeState> Probes_;
   std::map<std::uint64_t, RelayedProbe> RelayedProbes_;
@@ -309,8 +320,8 @@
 bool isReader(const Membership &Members);
 
 /// Whether nothing shows that tickets reach this server from its peers: no peer
-/// has been heard for two probe intervals, or the readers of its data centre
-/// are known from seeds alone.
+/// has been heard for two probe intervals, the readers of its data centre do
+/// not answer it, or they are known from seeds alone.
 bool isIsolated(const Membership &Members, Now Time);
 
 /// Names of alive and suspect servers; leaving, left and dead ones are
--- a/src/ControlPlane.cpp
+++ b/src/ControlPlane.cpp
@@ -211,6 +211,7 @@
         {{"data_centre", Settings_.DataCentre_},
          {"servers", Members_.Servers_.size()},
          {"isolated", isIsolated(Members_, Time)},
+         {"readers_silent", Members_.ReaderContact_.Lost_},
          {"unheard_ms", toMilliseconds(Time.Monotonic_ - Members_.HeardAt_)}});
   }
   if (ReaderActions.ReadHead_)
--- a/src/Membership.cpp
+++ b/src/Membership.cpp
@@ -189,6 +189,7 @@
     *Due = Time.Monotonic_;
   Out.ResumedAt_ = Time.Monotonic_ - seconds(60);
   Out.HeardAt_ = Time.Monotonic_;
+  Out.ReaderContact_.NextProbe_ = Time.Monotonic_ + Out.Config_.ProbeInterval_;
   enqueue(Out, {GossipKind::Server, Out.Config_.Name_, ""}, "");
   refreshOverlay(Out);
   return Out;
@@ -212,12 +213,12 @@
 MembershipEvents receiveMembership(Membership &Members,
                                    const wire::PeerMessage &Message, Now Time,
                                    Random &Rng, Outbox &Out) {
-  (void)Rng;
   MembershipEvents Events;
   if (Message.sender().empty() || isOwn(Members, Message.sender()))
     return Events;
   Members.Time_ = Time;
   Members.HeardAt_ = Time.Monotonic_;
+  recordReaderHeard(Members, Message.sender(), Rng);
   recoverIfFrozen(Members, Time, Events, Out);
   MergeContext Context{Time, Message.sender(), Events};
   switch (Message.body_case()) {
--- a/src/MembershipInternal.h
+++ b/src/MembershipInternal.h
@@ -88,6 +88,9 @@
 
 void tickProbes(Membership &Members, MergeContext &Context, Random &Rng,
                 Outbox &Out);
+/// A message from Sender has arrived.
+void recordReaderHeard(Membership &Members, const std::string &Sender,
+                       Random &Rng);
 void receiveProbe(Membership &Members, const wire::PeerMessage &Message,
                   Outbox &Out);
 void receiveProbeAck(Membership &Members, const wire::PeerMessage &Message,
--- a/src/MembershipProbes.cpp
+++ b/src/MembershipProbes.cpp
@@ -107,6 +107,42 @@
   });
 }
 
+/// Time until the next probe of a reader that answers. The servers of a large
+/// data centre probe less often, so that a reader's traffic is bounded; the
+/// first one that finds the readers silent passes tickets on to the others.
+Duration readerProbeInterval(const Membership &Members, std::size_t Readers,
+                             Random &Rng) {
+  constexpr double MaxProbesOfReader = 3; // In each ProbeInterval_.
+  double Share = static_cast<double>(Members.Overlay_.Ring_.size()) /
+                 (MaxProbesOfReader * static_cast<double>(Readers));
+  return jittered(std::chrono::duration_cast<Duration>(
+                      Members.Config_.ProbeInterval_ * std::max(1.0, Share)),
+                  Rng);
+}
+
+/// Probes the readers of the own data centre in turn, beginning with one that
+/// depends on this server. Counts probes, not time, so that a late event loop
+/// of this server does not look like silent readers.
+void tickReaderContact(Membership &Members, Now Time, Random &Rng,
+                       Outbox &Out) {
+  constexpr std::uint32_t MaxUnansweredProbes = 4;
+  ReaderContact &Contact = Members.ReaderContact_;
+  if (Time.Monotonic_ < Contact.NextProbe_)
+    return;
+  if (Contact.UnansweredProbes_ >= MaxUnansweredProbes)
+    Contact.Lost_ = true;
+  auto Found = Members.Overlay_.Readers_.find(Members.Config_.DataCentre_);
+  if (Found == Members.Overlay_.Readers_.end() || isReader(Members))
+    return;
+  const std::vector<std::string> &Readers = Found->second;
+  std::size_t First = ownRow(Members).RingHash_ % Readers.size();
+  sendProbe(Members,
+            Readers[(First + Contact.UnansweredProbes_) % Readers.size()],
+            Members.NextSequence_++, Out);
+  ++Contact.UnansweredProbes_;
+  Contact.NextProbe_ = Time.Monotonic_ + Members.Config_.ProbeTimeout_;
+}
+
 } // namespace
 
 void tickProbes(Membership &Members, MergeContext &Context, Random &Rng,
@@ -116,6 +152,7 @@
     Members.NextProbe_ = Time + Members.Config_.ProbeInterval_;
     startRounds(Members, Context, Out);
   }
+  tickReaderContact(Members, Context.Time_, Rng, Out);
   for (auto &[Name, State] : Members.Probes_) {
     if (State.Answered_ || State.Indirect_ ||
         Time - State.SentAt_ < Members.Config_.ProbeTimeout_)
@@ -126,6 +163,22 @@
   }
 }
 
+void recordReaderHeard(Membership &Members, const std::string &Sender,
+                       Random &Rng) {
+  ReaderContact &Contact = Members.ReaderContact_;
+  if (Contact.UnansweredProbes_ == 0)
+    return;
+  auto Found = Members.Overlay_.Readers_.find(Members.Config_.DataCentre_);
+  if (Found == Members.Overlay_.Readers_.end())
+    return;
+  const std::vector<std::string> &Readers = Found->second;
+  if (std::find(Readers.begin(), Readers.end(), Sender) == Readers.end())
+    return;
+  Contact = {};
+  Contact.NextProbe_ = Members.Time_.Monotonic_ +
+                       readerProbeInterval(Members, Readers.size(), Rng);
+}
+
 void receiveProbe(Membership &Members, const wire::PeerMessage &Message,
                   Outbox &Out) {
   appendMessage(Members, Out, Message.sender())
--- a/src/MembershipViews.cpp
+++ b/src/MembershipViews.cpp
@@ -74,6 +74,8 @@
   if (Config.HeardPeersForTest_ &&
       Time.Monotonic_ - Members.HeardAt_ >= 2 * Config.ProbeInterval_)
     return true;
+  if (Config.ContactReadersForTest_ && Members.ReaderContact_.Lost_)
+    return true;
   std::vector<std::string> Readers = readersOf(Members, Config.DataCentre_);
   // Only a server itself states its incarnation; seeds carry none.
   return Config.ConfirmReadersForTest_ &&
--- a/test/support/FleetOptions.h
+++ b/test/support/FleetOptions.h
@@ -70,6 +70,7 @@
       {"return-departures", &Members.ReturnDeparturesForTest_},
       {"heard-peers", &Members.HeardPeersForTest_},
       {"confirm-readers", &Members.ConfirmReadersForTest_},
+      {"contact-readers", &Members.ContactReadersForTest_},
       {"monotone", &Options.Replica_.MonotoneForTest_},
       {"signatures", &Options.Replica_.SignaturesForTest_},
       {"anti-entropy", &Options.DisseminationConfig_.AntiEntropyForTest_},
