--- a/src/Events.cpp
+++ b/src/Events.cpp
@@ -87,7 +87,8 @@
          "the configuration is at the floor: requests are served"},
         {LogEvent::ReaderBegan, "reader-began", Info, RarePerSecond, false,
          "this daemon watches the store for its data centre, or for itself "
-         "when isolated; unheard_ms since the last message of a peer"},
+         "when isolated; readers_silent when the readers do not answer it, "
+         "unheard_ms since the last message of a peer"},
         {LogEvent::ReaderEnded, "reader-ended", Info, RarePerSecond, false,
          "other daemons watch the store for this data centre"},
         {LogEvent::WatchStarted, "watch-started", Info, RarePerSecond, false,
--- a/src/WatchDelegation.cpp
+++ b/src/WatchDelegation.cpp
@@ -10,8 +10,7 @@
 
 /// Servers of the own data centre in the order in which they are asked: the
 /// other readers, which may have the store, then the ring from the server that
-/// was asked last. Servers with faster
-/// links precede the others of the ring.
+/// was asked last, with the faster links first.
 std::vector<std::string> candidates(const WatchDelegation &State,
                                     const Membership &Members) {
   const std::string &Own = Members.Config_.Name_;
--- a/test/failure/LargeTicketTest.cpp
+++ b/test/failure/LargeTicketTest.cpp
@@ -21,19 +21,11 @@
   }
 
   static FleetOptions options(std::uint64_t Seed) {
-    FleetOptions Out;
-    Out.Seed_ = Seed;
-    Out.PerDataCentre_ = 24;
-    Out.RemoteDelay_ = microseconds(500);
-    Out.Membership_.ProbeInterval_ = milliseconds(500);
-    Out.Membership_.ProbeTimeout_ = milliseconds(200);
-    Out.Membership_.SuspicionTimeout_ = milliseconds(1500);
+    FleetOptions Out = slowFleetOptions(Seed);
     // 5,000 routes on a tenth of a core.
     Out.Costs_.Pack_ = milliseconds(119);
     Out.Costs_.Apply_ = milliseconds(299);
-    Out.Costs_.LinkMbps_ = 7;
     Out.Costs_.StoredBytes_ = 1'150'000;
-    Out.Costs_.FastServers_ = 2;
     return Out;
   }
 };
--- a/test/failure/TicketAgeTest.cpp
+++ b/test/failure/TicketAgeTest.cpp
@@ -69,22 +69,14 @@
 
 private:
   static FleetOptions options(std::uint64_t Seed) {
-    FleetOptions Out;
-    Out.Seed_ = Seed;
-    Out.PerDataCentre_ = 24;
-    Out.RemoteDelay_ = microseconds(500);
-    Out.Membership_.ProbeInterval_ = milliseconds(500);
-    Out.Membership_.ProbeTimeout_ = milliseconds(200);
-    Out.Membership_.SuspicionTimeout_ = milliseconds(1500);
+    FleetOptions Out = slowFleetOptions(Seed);
     Out.BootstrapConfig_.MaxReadDelay_ = milliseconds(300);
     Out.BootstrapConfig_.MinRetryDelay_ = seconds(1);
     Out.BootstrapConfig_.MaxRetryDelay_ = seconds(2);
     Out.BootstrapConfig_.ReaderDelay_ = seconds(1);
     Out.Costs_.Pack_ = milliseconds(20);
     Out.Costs_.Apply_ = milliseconds(50);
-    Out.Costs_.LinkMbps_ = 7;
     Out.Costs_.StoredBytes_ = 100'000;
-    Out.Costs_.FastServers_ = 2;
     return Out;
   }
 
--- a/test/support/FleetOptions.h
+++ b/test/support/FleetOptions.h
@@ -59,6 +59,21 @@
   TicketCosts Costs_;
 };
 
+/// Three data centres with the probe times of the deployed settings, where all
+/// but two servers of each have slow links.
+inline FleetOptions slowFleetOptions(std::uint64_t Seed) {
+  FleetOptions Out;
+  Out.Seed_ = Seed;
+  Out.PerDataCentre_ = 24;
+  Out.RemoteDelay_ = microseconds(500);
+  Out.Membership_.ProbeInterval_ = milliseconds(500);
+  Out.Membership_.ProbeTimeout_ = milliseconds(200);
+  Out.Membership_.SuspicionTimeout_ = milliseconds(1500);
+  Out.Costs_.LinkMbps_ = 7;
+  Out.Costs_.FastServers_ = 2;
+  return Out;
+}
+
 /// Disables the rule that SYCAMORE_TEST_MUTATION names.
 inline FleetOptions withMutation(FleetOptions Options) {
   MembershipConfig &Members = Options.Membership_;
