--- a/review/8/case.py
+++ b/review/8/case.py
@@ -37,8 +37,10 @@
     await first.start()
     first.keep_beating()
     await asyncio.sleep(3)
-    for _ in range(40):
-        await mesh.request(entry, "POST", HOST, PREFIX + "lamp", 1500, b"lens")
+    for _ in range(20):
+        await asyncio.gather(*(
+            mesh.request(entry, "POST", HOST, PREFIX + "lamp", 1500, b"lens")
+            for _ in range(8)))
         if first.arrivals:
             break
     else:
