Keep a daemon running when its data centre has no reader left

Cause: refreshOverlay() looked the own data centre up with operator[], which created an empty list of readers once every server of it was leaving, had left or was dead. tickReaderContact() tested only for the entry and took a remainder by the list's size.

Evidence: the kernel's report of the division error and its address in the program; reader-began with "isolated" true in the log of a daemon that ended 60 ms later.

A data centre without readers has no entry now, and the probes of readers do nothing when there is none; isIsolated() already makes such a server read the store itself.

--- a/include/sycamore/Membership.h
+++ b/include/sycamore/Membership.h
@@ -180,7 +180,7 @@
   /// Neighbours in the own data centre.
   std::vector<std::string> LocalNeighbours_;
   std::vector<std::string> RemoteReaders_; ///< Empty unless a reader.
-  /// Readers by data centre.
+  /// Readers by data centre; one without readers has no entry.
   std::map<std::string, std::vector<std::string>> Readers_;
 };
 
--- a/src/MembershipProbes.cpp
+++ b/src/MembershipProbes.cpp
@@ -123,18 +123,19 @@
 /// Probes the readers of the own data centre in turn, beginning with one that
 /// depends on this server. Counts probes, not time, so that a late event loop
 /// of this server does not look like silent readers.
-void tickReaderContact(Membership &Members, Now Time, Random &Rng,
-                       Outbox &Out) {
+void tickReaderContact(Membership &Members, Now Time, Outbox &Out) {
   constexpr std::uint32_t MaxUnansweredProbes = 4;
   ReaderContact &Contact = Members.ReaderContact_;
   if (Time.Monotonic_ < Contact.NextProbe_)
     return;
   if (Contact.UnansweredProbes_ >= MaxUnansweredProbes)
     Contact.Lost_ = true;
-  auto Found = Members.Overlay_.Readers_.find(Members.Config_.DataCentre_);
-  if (Found == Members.Overlay_.Readers_.end() || isReader(Members))
+  std::vector<std::string> Readers =
+      readersOf(Members, Members.Config_.DataCentre_);
+  // A data centre has no readers while all its servers leave; each of them
+  // counts as isolated then and reads the store itself.
+  if (Readers.empty() || isReader(Members))
     return;
-  const std::vector<std::string> &Readers = Found->second;
   std::size_t First = ownRow(Members).RingHash_ % Readers.size();
   sendProbe(Members,
             Readers[(First + Contact.UnansweredProbes_) % Readers.size()],
@@ -152,7 +153,7 @@
     Members.NextProbe_ = Time + Members.Config_.ProbeInterval_;
     startRounds(Members, Context, Out);
   }
-  tickReaderContact(Members, Context.Time_, Rng, Out);
+  tickReaderContact(Members, Context.Time_, Out);
   for (auto &[Name, State] : Members.Probes_) {
     if (State.Answered_ || State.Indirect_ ||
         Time - State.SentAt_ < Members.Config_.ProbeTimeout_)
@@ -168,10 +169,8 @@
   ReaderContact &Contact = Members.ReaderContact_;
   if (Contact.UnansweredProbes_ == 0)
     return;
-  auto Found = Members.Overlay_.Readers_.find(Members.Config_.DataCentre_);
-  if (Found == Members.Overlay_.Readers_.end())
-    return;
-  const std::vector<std::string> &Readers = Found->second;
+  std::vector<std::string> Readers =
+      readersOf(Members, Members.Config_.DataCentre_);
   if (std::find(Readers.begin(), Readers.end(), Sender) == Readers.end())
     return;
   Contact = {};
--- a/src/MembershipTables.cpp
+++ b/src/MembershipTables.cpp
@@ -354,6 +354,13 @@
   Out.LocalNeighbours_.assign(Local.begin(), Local.end());
 }
 
+void linkRemoteReaders(Membership &Members) {
+  std::vector<std::string> &Remote = Members.Overlay_.RemoteReaders_;
+  for (const auto &[DataCentre, Names] : Members.Overlay_.Readers_)
+    if (DataCentre != Members.Config_.DataCentre_)
+      Remote.insert(Remote.end(), Names.begin(), Names.end());
+}
+
 } // namespace
 
 void refreshOverlay(Membership &Members) {
@@ -361,14 +368,10 @@
   selectReaders(Members, Out);
   buildRing(Members, Out);
   linkRing(Members, Out);
-  const auto &Own = Out.Readers_[Members.Config_.DataCentre_];
-  if (std::find(Own.begin(), Own.end(), Members.Config_.Name_) != Own.end())
-    for (const auto &[DataCentre, Names] : Out.Readers_)
-      if (DataCentre != Members.Config_.DataCentre_)
-        Out.RemoteReaders_.insert(Out.RemoteReaders_.end(), Names.begin(),
-                                  Names.end());
   Members.Overlay_ = std::move(Out);
   Members.OverlayStale_ = false;
+  if (isReader(Members))
+    linkRemoteReaders(Members);
 }
 
 } // namespace sycamore::membership
--- a/test/failure/MembershipFailureTest.cpp
+++ b/test/failure/MembershipFailureTest.cpp
@@ -41,6 +41,19 @@
     return Out;
   }
 
+  /// Daemon I begins a planned stop.
+  void startLeaving(std::size_t I) {
+    Outbox Out;
+    sycamore::startLeaving(Daemons_[I].Members_, now(Daemons_[I]), Out);
+    send(I, Out);
+  }
+
+  void finishLeaving(std::size_t I) {
+    Outbox Out;
+    sycamore::finishLeaving(Daemons_[I].Members_, now(Daemons_[I]), Out);
+    send(I, Out);
+  }
+
   /// Time until no other daemon would send work to the target of daemon I.
   std::optional<Duration> untilUnused(std::size_t I, Duration Limit) {
     return runUntil(
@@ -72,9 +85,7 @@
       Sim.runUntil([&] { return Sim.eligibleCount(Target) == 0; }, seconds(5));
   print("target unused", Span);
   EXPECT_TRUE(Span.has_value());
-  Outbox Out;
-  startLeaving(Sim.Daemons_[7].Members_, Sim.now(Sim.Daemons_[7]), Out);
-  Sim.send(7, Out);
+  Sim.startLeaving(7);
   auto Server = Sim.untilUnused(7, seconds(5));
   print("leaving server unused", Server);
   EXPECT_TRUE(Server.has_value());
@@ -122,9 +133,7 @@
       [&] { return Sim.eligibleCount(Sim.Daemons_[6].Target_) == 1; },
       seconds(8)));
   // A server leaves while the frozen daemon cannot receive messages.
-  Outbox Out;
-  finishLeaving(Sim.Daemons_[9].Members_, Sim.now(Sim.Daemons_[9]), Out);
-  Sim.send(9, Out);
+  Sim.finishLeaving(9);
   Sim.kill(9);
   Sim.run(seconds(40) - milliseconds(8000));
   auto Span = Sim.runUntil([&] { return Sim.allEligible(); }, seconds(15));
@@ -135,6 +144,69 @@
   EXPECT_GT(Sim.Daemons_[6].Members_.Counters_.Refutations_, 0U);
 }
 
+// A data centre of which every server leaves has no readers. A leaving daemon
+// that looked for one ended by a division by zero and broke off its calls.
+TEST(MembershipFailure, ServersLeaveWithoutReaders) {
+  for (std::size_t PerDataCentre : {1U, 3U})
+    for (std::size_t Leaving : {1U, 3U}) {
+      FleetOptions Options;
+      Options.Seed_ = testSeed(8);
+      Options.PerDataCentre_ = PerDataCentre;
+      Fleet Sim(Options);
+      Sim.run(seconds(10)); // Until the readers watch the store.
+      for (std::size_t I = 0; I < Sim.Daemons_.size(); ++I)
+        if (I % Options.DataCentres_ < Leaving)
+          Sim.startLeaving(I);
+      Sim.run(seconds(1));
+      Sim.acceptTicket();
+      Sim.run(seconds(3));
+      for (std::size_t I = 0; I < Sim.Daemons_.size(); ++I) {
+        const SimDaemon &Daemon = Sim.Daemons_[I];
+        // It still answers calls, so it follows the configuration.
+        EXPECT_EQ(Daemon.Replica_.Current_->Number_, Sim.Store_.Head_.Number_)
+            << Daemon.Name_ << " of " << PerDataCentre << " a data centre, "
+            << Leaving << " leave";
+        for (const auto &[Name, Readers] : Daemon.Members_.Overlay_.Readers_)
+          EXPECT_FALSE(Readers.empty()) << Name;
+      }
+    }
+}
+
+// Random servers, whole data centres and the whole fleet leave, end and start
+// again, in turn and at once.
+TEST(MembershipFailure, RandomStopsLeaveNoServerBehind) {
+  std::uint64_t First = testSeed(9);
+  for (std::uint64_t Seed = First; Seed < First + 20; ++Seed) {
+    FleetOptions Options;
+    Options.Seed_ = Seed;
+    Options.PerDataCentre_ = 1 + Seed % 4;
+    Options.Loss_ = 0.05;
+    Fleet Sim(Options);
+    for (int Round = 0; Round < 6; ++Round) {
+      std::size_t DataCentre = randomIndex(Sim.Rng_, 4); // 3: the whole fleet.
+      for (std::size_t I = 0; I < Sim.Daemons_.size(); ++I)
+        if (DataCentre == 3 || I % 3 == DataCentre) {
+          Sim.startLeaving(I);
+          Sim.run(milliseconds(randomIndex(Sim.Rng_, 2) * 300));
+        }
+      Sim.run(milliseconds(randomIndex(Sim.Rng_, 4000)));
+      for (std::size_t I = 0; I < Sim.Daemons_.size(); ++I)
+        if (DataCentre == 3 || I % 3 == DataCentre) {
+          if (randomIndex(Sim.Rng_, 3) > 0)
+            Sim.finishLeaving(I);
+          Sim.kill(I);
+          Sim.run(milliseconds(randomIndex(Sim.Rng_, 2) * 300));
+        }
+      Sim.run(milliseconds(randomIndex(Sim.Rng_, 8000)));
+      for (std::size_t I = 0; I < Sim.Daemons_.size(); ++I)
+        if (!Sim.Daemons_[I].Up_)
+          Sim.start(I);
+    }
+    EXPECT_TRUE(Sim.runUntil([&] { return Sim.allEligible(); }, seconds(60)))
+        << "seed " << Seed;
+  }
+}
+
 // With the store down, a daemon without bootstrap peers knows no other daemon.
 // The daemons that saw it leave must contact it first; otherwise it refuses all
 // requests until the store is available again.
