Record a departure for the process of the target that states it

Cause: for a target that it knew, TargetProxy recorded the start of the last announcement as departed, not that of the leaving notice; peers, store and the next process of the daemon learned the wrong start too.

Evidence: target-leaving with the start of the process that had crashed, then target-announced with that of the one that had left.

The entry takes over the start that the notice states. An announcement of a departed process is never used, also when the departure was learned while an earlier process was known, and does not replace other targets at its address. A late departure of an earlier process is logged and counted.

--- a/src/Events.cpp
+++ b/src/Events.cpp
@@ -142,7 +142,8 @@
          false, "a target beside this daemon may be used"},
         {LogEvent::AnnouncementLate, "announcement-late", Info,
          FrequentPerSecond, false,
-         "ignored: this process of the target has announced that it leaves"},
+         "ignored: a delayed notice of a target's process that has left or "
+         "restarted since"},
         {LogEvent::TargetReplaced, "target-replaced", Info, RarePerSecond,
          false, "another target took the address"},
         {LogEvent::TargetLeaving, "target-leaving", Info, RarePerSecond, false,
--- a/src/TargetAnnouncements.cpp
+++ b/src/TargetAnnouncements.cpp
@@ -97,6 +97,12 @@
   return UnixMs ? Json(*UnixMs) : Json();
 }
 
+void logLateNotice(const std::string &Target,
+                   const std::optional<std::int64_t> &StartedUnixMs) {
+  logEvent(LogEvent::AnnouncementLate,
+           {{"target", Target}, {"started_unix_ms", startTime(StartedUnixMs)}});
+}
+
 bool isSameProcess(const TargetAnnouncement &Announcement,
                    const LocalTarget &Known) {
   return Announcement.StartedUnixMs_ == Known.StartedUnixMs_;
@@ -147,9 +153,7 @@
 void TargetProxy::apply(const TargetAnnouncement &Announcement, Now Time) {
   if (!Targets_.contains(Announcement.Name_) && hasDeparted(Announcement)) {
     ++Counters_.AnnouncementsIgnored_;
-    logEvent(LogEvent::AnnouncementLate,
-             {{"target", Announcement.Name_},
-              {"started_unix_ms", startTime(Announcement.StartedUnixMs_)}});
+    logLateNotice(Announcement.Name_, Announcement.StartedUnixMs_);
     return;
   }
   for (const auto &[Name, Target] : Targets_)
@@ -165,13 +169,11 @@
     ++Counters_.AnnouncementsIgnored_;
     return;
   }
-  // A departure without a start time is that of a process that had started by
-  // then.
-  bool LateAfterDeparture = !Target.StartedUnixMs_ && hasDeparted(Announcement);
-  bool Restarted =
-      !New && !LateAfterDeparture && !isSameProcess(Announcement, Target);
-  replaceTargetsAtAddress(Announcement, Time);
-  if (New || Restarted || Target.Unreachable_)
+  bool Departed = hasDeparted(Announcement);
+  bool Restarted = !New && !Departed && !isSameProcess(Announcement, Target);
+  if (!Departed)
+    replaceTargetsAtAddress(Announcement, Time);
+  if (!Departed && (New || Restarted || Target.Unreachable_))
     logEvent(LogEvent::TargetAnnounced,
              {{"target", Announcement.Name_},
               {"service", Announcement.Service_},
@@ -192,17 +194,17 @@
   if (auto Service = Services.find(Announcement.Service_);
       Service != Services.end())
     setQueueLimit(Target.Admission_, Service->second.QueueLimit_);
-  // A target that stated its start time and announced that it leaves stays
-  // leaving until it restarts. A target without a start time, or one that
-  // leaves only because of missed announcements, returns with its next
-  // announcement.
-  if (!Announcement.StartedUnixMs_ || New || Restarted ||
-      !Target.AnnouncedLeaving_) {
+  // A process that stated its start time and announced that it leaves does not
+  // return, also if the departure was learned from a peer or the store. A
+  // target without a start time, or one that leaves only because of missed
+  // announcements, returns with its next announcement.
+  if (!Departed && (!Announcement.StartedUnixMs_ || New || Restarted ||
+                    !Target.AnnouncedLeaving_)) {
     Target.Leaving_ = Leaving_;
     Target.AnnouncedLeaving_ = false;
     Target.Replaced_ = false;
   }
-  if (Announcement.Leaving_) {
+  if (Announcement.Leaving_ || Departed) {
     setLeaving(Target, Time);
     recordDeparture(Target, Time);
   }
@@ -217,13 +219,23 @@
 void TargetProxy::handle(const TargetDeparture &Departure, Now Time) {
   auto [Found, New] = Targets_.try_emplace(Departure.Name_);
   LocalTarget &Target = Found->second;
-  if (!New && isEarlier(Departure.StartedUnixMs_, Target.StartedUnixMs_))
+  if (!New && isEarlier(Departure.StartedUnixMs_, Target.StartedUnixMs_)) {
+    ++Counters_.AnnouncementsIgnored_;
+    logLateNotice(Departure.Name_, Departure.StartedUnixMs_);
     return;
+  }
   if (New) {
     // The entry makes a delayed announcement of the same process be ignored.
     Target.Name_ = Departure.Name_;
     Target.LastSeenAt_ = Time.Monotonic_;
+  }
+  // The target may have restarted since its last announcement. The departure is
+  // that of the process that states it, so that a delayed announcement of this
+  // process is ignored too.
+  if (Departure.StartedUnixMs_ &&
+      Departure.StartedUnixMs_ != Target.StartedUnixMs_) {
     Target.StartedUnixMs_ = Departure.StartedUnixMs_;
+    Target.Sequence_.reset();
   }
   setLeaving(Target, Time);
   recordDeparture(Target, Time);
