Export the count of ignored announcements of targets

A delayed announcement or departure showed in the log only, whose lines are limited in number. sycamore_announcements_ignored_total counts them all; RestartedDaemonTest ALateDepartureLeavesALaterProcessInUse checks it.

--- a/src/DaemonMetrics.cpp
+++ b/src/DaemonMetrics.cpp
@@ -90,9 +90,12 @@
      &EntryCallsCounters::SilentLinks_},
 }};
 
-constexpr std::array<CounterRow<TargetProxyCounters>, 11> TargetRows = {{
+constexpr std::array<CounterRow<TargetProxyCounters>, 12> TargetRows = {{
     {"sycamore_announcements_total", "Announcements of local targets.",
      &TargetProxyCounters::Announcements_},
+    {"sycamore_announcements_ignored_total",
+     "Announcements and departures older than the known state of the target.",
+     &TargetProxyCounters::AnnouncementsIgnored_},
     {"sycamore_announcements_missed_total", "Targets that went silent.",
      &TargetProxyCounters::MissedAnnouncements_},
     {"sycamore_target_requests_total", "Attempts received.",
--- a/test/platform/RestartedDaemonTest.cpp
+++ b/test/platform/RestartedDaemonTest.cpp
@@ -197,5 +197,6 @@
   startAll();
   ASSERT_EQ(announce(0, "ready", 1, 2000), 200);
   ASSERT_EQ(deregister(0, 1000), 200);
+  EXPECT_EQ(metric(0, "sycamore_announcements_ignored_total"), 1);
   expectUsed(2, 2000);
 }
