Tests of the platform's fleet: let a daemon reach both targets by calls at once

startAll() waits until each daemon has reached both targets of a service, with six calls one after the other. Each of them goes to the target that costs less at the time, so a target with one slow answer got none for seconds. With six at a time both are needed. The condition is the same.

--- a/test/support/PlatformFleet.h
+++ b/test/support/PlatformFleet.h
@@ -152,6 +152,22 @@
     return send(Daemons_[Entry]->addresses().Caller_, std::move(Request));
   }
 
+  /// Sends calls at the same time and waits for all answers. One call at a time
+  /// would always go to the target that costs less.
+  void callTogether(std::size_t Entry, int Count) {
+    int Answered = 0;
+    for (int I = 0; I < Count; ++I) {
+      HttpClientRequest Request;
+      Request.Path_ = "/x/y";
+      Request.Headers_ = {{"Host", "a.example"},
+                          {"x-id", "id-" + std::to_string(I)},
+                          {"x-deadline", "2000"}};
+      Client_->send(Daemons_[Entry]->addresses().Caller_, std::move(Request),
+                    [&](const HttpResponse & /*Response*/) { ++Answered; });
+    }
+    Loop_.runUntil([&] { return Answered == Count; });
+  }
+
   int announce(std::size_t Index, const std::string &State = "ready",
                std::uint64_t Sequence = 1, std::int64_t Born = 1000) {
     HttpClientRequest Request;
@@ -230,8 +246,7 @@
       ASSERT_TRUE(eventually([&] {
         std::size_t First = Servers_[0]->Requests_.size();
         std::size_t Second = Servers_[1]->Requests_.size();
-        for (int I = 0; I < 6; ++I)
-          call(Entry, "GET", "/x/y");
+        callTogether(Entry, 6);
         return Servers_[0]->Requests_.size() > First &&
                Servers_[1]->Requests_.size() > Second;
       }));
