Soak: stop all daemons of a data centre, or of the fleet, at once

The soak stopped one daemon at a time, so a data centre without any server that stays was rare. SoakConfig::StopInterval_ stops a random data centre or all of them every few seconds, beside the other faults.

--- a/test/soak/Soak.cpp
+++ b/test/soak/Soak.cpp
@@ -19,6 +19,11 @@
 constexpr Duration RecoveryLimit = seconds(60);
 constexpr std::size_t MaxOpenRequests = 200; ///< Concurrent requests.
 
+/// Of the daemon with this index: two in each, in turn.
+std::string_view dataCentreOf(std::size_t Index) {
+  return DataCentres[Index / 2 % DataCentres.size()];
+}
+
 std::string makeBody(const std::string &Call) { return "body of " + Call; }
 
 } // namespace
@@ -75,8 +80,7 @@
         {"peer_address", NewMember.PeerProxy_->address()},
         {"store", {{"endpoints", {NewMember.StoreProxy_->address()}}}}};
     NewMember.Server_ = &Cluster_.addServer(
-        I % 2 == 0 ? "shelfview" : "reservedesk",
-        std::string(DataCentres[I / 2 % DataCentres.size()]),
+        I % 2 == 0 ? "shelfview" : "reservedesk", std::string(dataCentreOf(I)),
         {"--service-ms", "20"}, Settings);
     NewMember.PeerProxy_->setDestination(NewMember.Server_->Peer_);
   }
@@ -153,6 +157,31 @@
   Victim.PeerProxy_->setDestination(Victim.Server_->Peer_);
 }
 
+void Soak::stopDaemon(Member &Victim) {
+  logEvent("stop daemon " + Victim.Server_->Name_);
+  Victim.Stopping_ = true;
+  Victim.FaultedUntil_ = monotonicNow() + seconds(8);
+  Victim.Server_->Daemon_->signal(SIGTERM);
+  schedule(seconds(7), [this, &Victim] {
+    auto Exit = Victim.Server_->Daemon_->wait(Duration(0));
+    if (Exit && *Exit != 0)
+      addViolation("clean-stop", Victim.Server_->Name_ + " ended with status " +
+                                     std::to_string(*Exit));
+    restart(Victim);
+  });
+}
+
+void Soak::stopDataCentres() {
+  std::size_t Chosen = randomIndex(Rng_, DataCentres.size() + 1);
+  bool All = Chosen == DataCentres.size();
+  logEvent(All ? "stop all data centres"
+               : "stop data centre " + std::string(DataCentres[Chosen]));
+  for (std::size_t I = 0; I < Members_.size(); ++I)
+    if ((All || dataCentreOf(I) == DataCentres[Chosen]) &&
+        monotonicNow() >= Members_[I].FaultedUntil_)
+      stopDaemon(Members_[I]);
+}
+
 void Soak::injectProcessFault(Member &Victim) {
   Duration FaultLength = milliseconds(200 + randomIndex(Rng_, 2500));
   Victim.FaultedUntil_ = monotonicNow() + FaultLength + seconds(1);
@@ -170,17 +199,7 @@
              [&VictimServer] { VictimServer.Daemon_->signal(SIGCONT); });
     break;
   case 2:
-    logEvent("stop daemon " + VictimServer.Name_);
-    Victim.Stopping_ = true;
-    Victim.FaultedUntil_ = monotonicNow() + seconds(8);
-    VictimServer.Daemon_->signal(SIGTERM);
-    schedule(seconds(7), [this, &Victim, &VictimServer] {
-      auto Exit = VictimServer.Daemon_->wait(Duration(0));
-      if (Exit && *Exit != 0)
-        addViolation("clean-stop", VictimServer.Name_ + " ended with status " +
-                                       std::to_string(*Exit));
-      restart(Victim);
-    });
+    stopDaemon(Victim);
     break;
   case 3:
     logEvent("kill target " + VictimServer.Name_);
@@ -390,6 +409,10 @@
           NextRestoreAt_ = Now + Config_.RestoreInterval_;
           restoreStoreLater();
         }
+        if (Config_.StopInterval_ > Duration(0) && Now >= NextStopAt_) {
+          NextStopAt_ = Now + Config_.StopInterval_;
+          stopDataCentres();
+        }
         if (Now >= NextSampleAt_) {
           NextSampleAt_ = Now + milliseconds(500);
           sampleTickets();
--- a/test/soak/Soak.h
+++ b/test/soak/Soak.h
@@ -22,6 +22,9 @@
   /// Between two restorations of the store from a copy, beside those among the
   /// random faults; none if 0.
   Duration RestoreInterval_{0};
+  /// Between two stops of all daemons of a random data centre, or of all
+  /// daemons, at the same moment; none if 0.
+  Duration StopInterval_{0};
   /// Only for the test of the check itself: "done" answers are recorded as
   /// "not-run".
   bool RecordDoneAsNotRun_ = false;
@@ -61,6 +64,8 @@
                   const HttpResponse &Response);
   void injectFault();
   void injectProcessFault(Member &Victim);
+  void stopDaemon(Member &Victim);
+  void stopDataCentres();
   void injectLinkFault(Member &Victim);
   void injectStoreFault();
   void restoreStoreLater();
@@ -89,6 +94,7 @@
   TimePoint NextFaultAt_;
   TimePoint NextTicketAt_;
   TimePoint NextRestoreAt_;
+  TimePoint NextStopAt_;
   TimePoint NextSampleAt_;
   std::size_t OpenRequests_ = 0; ///< Requests without an answer.
   std::uint64_t AcceptedTicket_ = 0;
--- a/test/soak/SoakTest.cpp
+++ b/test/soak/SoakTest.cpp
@@ -66,6 +66,14 @@
   expectNoViolation(Config);
 }
 
+// While nobody of its data centre stays, a stopped daemon carries its calls to
+// the end and exits with status 0.
+TEST(Soak, NoViolationThoughWholeDataCentresAreStopped) {
+  SoakConfig Config = configFromEnvironment();
+  Config.StopInterval_ = seconds(4);
+  expectNoViolation(Config);
+}
+
 // The check must detect answers that say "not run" although the request ran.
 TEST(Soak, DetectsFalseNotRun) {
   SoakConfig Config;
