Tests of departures: call both targets at once to show that one is not used

Cause, by a trace of the costs: startAll() measures the targets with six calls at once, the test goes on with one at a time. The mean service time of the target that left stays at 272 us, that of the other one falls to 169 us, and with nothing else in flight the cheaper one gets every call. That is how placement is meant to work; the call reaches a server either way.

For the same reason a check that a departed target gets nothing proved little with one call at a time: the target might only have cost more. The checks of both kinds now send six calls at once, as startAll() does, so a target in use gets some of them. The conditions are the same.

--- a/test/platform/PlatformPathTest.cpp
+++ b/test/platform/PlatformPathTest.cpp
@@ -109,7 +109,7 @@
     std::uint64_t Sequence = 0;
     ASSERT_TRUE(eventually([&] {
       announce(3, "ready", ++Sequence);
-      call(2, "GET", "/x/y");
+      callTogether(2, 6);
       return !Servers_[3]->Requests_.empty();
     }));
   }
@@ -264,19 +264,19 @@
   ASSERT_EQ(announce(0, "draining", 2), 200);
   std::size_t RequestsBefore = Servers_[0]->Requests_.size();
   for (int I = 0; I < 20; ++I)
-    EXPECT_EQ(call(I % 3, "GET", "/x/y").Status_, 200);
+    EXPECT_EQ(callTogether(I % 3, 6), 6);
   EXPECT_EQ(Servers_[0]->Requests_.size(), RequestsBefore);
   // Neither a delayed nor a later announcement of the same process brings the
   // server back.
   ASSERT_EQ(announce(0, "ready", 1), 200);
   ASSERT_EQ(announce(0, "ready", 3), 200);
   for (int I = 0; I < 20; ++I)
-    call(I % 3, "GET", "/x/y");
+    callTogether(I % 3, 6);
   EXPECT_EQ(Servers_[0]->Requests_.size(), RequestsBefore);
   // An announcement of a new process under the same id does.
   ASSERT_EQ(announce(0, "ready", 1, 2000), 200);
   EXPECT_TRUE(eventually([&] {
-    call(2, "GET", "/x/y");
+    callTogether(2, 6);
     return Servers_[0]->Requests_.size() > RequestsBefore;
   }));
 }
@@ -310,7 +310,7 @@
   ASSERT_EQ(announce(3, "ready", 1000), 200);
   std::size_t RequestsBefore = Servers_[3]->Requests_.size();
   for (int I = 0; I < 20; ++I) {
-    call(2, "GET", "/x/y");
+    callTogether(2, 6);
     Loop_.runFor(milliseconds(10));
   }
   EXPECT_EQ(Servers_[3]->Requests_.size(), RequestsBefore);
@@ -350,7 +350,7 @@
   ASSERT_EQ(announce(3, "ready", 1000), 200);
   std::size_t RequestsBefore = Servers_[3]->Requests_.size();
   EXPECT_TRUE(eventually([&] {
-    call(2, "GET", "/x/y");
+    callTogether(2, 6);
     return Servers_[3]->Requests_.size() > RequestsBefore;
   }));
   Servers_[3]->HeldRequest_->reply(
--- a/test/platform/RestartedDaemonTest.cpp
+++ b/test/platform/RestartedDaemonTest.cpp
@@ -23,7 +23,7 @@
     std::size_t Before = Servers_[0]->Requests_.size();
     for (int I = 0; I < 30; ++I) {
       for (std::size_t Entry = 0; Entry < Daemons_.size(); ++Entry)
-        call(Entry, "GET", "/x/y");
+        callTogether(Entry, 6);
       Loop_.runFor(milliseconds(30));
     }
     EXPECT_EQ(Servers_[0]->Requests_.size(), Before);
--- a/test/support/PlatformFleet.h
+++ b/test/support/PlatformFleet.h
@@ -152,10 +152,12 @@
     return send(Daemons_[Entry]->addresses().Caller_, std::move(Request));
   }
 
-  /// Sends calls at the same time and waits for all answers. One call at a time
-  /// would always go to the target that costs less.
-  void callTogether(std::size_t Entry, int Count) {
+  /// Sends calls at the same time, waits for all answers and returns how many
+  /// of them have status 200. One call at a time would always go to the target
+  /// that costs less.
+  int callTogether(std::size_t Entry, int Count) {
     int Answered = 0;
+    int Succeeded = 0;
     for (int I = 0; I < Count; ++I) {
       HttpClientRequest Request;
       Request.Path_ = "/x/y";
@@ -163,9 +165,13 @@
                           {"x-id", "id-" + std::to_string(I)},
                           {"x-deadline", "2000"}};
       Client_->send(Daemons_[Entry]->addresses().Caller_, std::move(Request),
-                    [&](const HttpResponse & /*Response*/) { ++Answered; });
+                    [&](const HttpResponse &Response) {
+                      ++Answered;
+                      Succeeded += Response.Status_ == 200 ? 1 : 0;
+                    });
     }
     Loop_.runUntil([&] { return Answered == Count; });
+    return Succeeded;
   }
 
   int announce(std::size_t Index, const std::string &State = "ready",
