Soak: start a stopped daemon again once its process has ended

Cause: a stopped daemon was started again 7 s after its SIGTERM, though its process had ended after about 4 s. With stops of the whole fleet most of the 12 s passed without any process, and requests to closed ports, which fail at once, made up most of what was sent.

A stopped daemon now starts 0.5 s after its process has ended, at most 7 s after the SIGTERM as before. Stops, restarts and calls overlap more, and the bound stays.

--- a/test/soak/Soak.cpp
+++ b/test/soak/Soak.cpp
@@ -158,17 +158,29 @@
 }
 
 void Soak::stopDaemon(Member &Victim) {
+  constexpr Duration StopLimit = seconds(7);
   logEvent("stop daemon " + Victim.Server_->Name_);
   Victim.Stopping_ = true;
-  Victim.FaultedUntil_ = monotonicNow() + seconds(8);
+  Victim.FaultedUntil_ = monotonicNow() + StopLimit + seconds(1);
   Victim.Server_->Daemon_->signal(SIGTERM);
-  schedule(seconds(7), [this, &Victim] {
-    auto Exit = Victim.Server_->Daemon_->wait(Duration(0));
-    if (Exit && *Exit != 0)
-      addViolation("clean-stop", Victim.Server_->Name_ + " ended with status " +
-                                     std::to_string(*Exit));
-    restart(Victim);
-  });
+  restartOnceStopped(Victim, monotonicNow() + StopLimit);
+}
+
+void Soak::restartOnceStopped(Member &Victim, TimePoint Deadline) {
+  constexpr Duration PollInterval = milliseconds(100);
+  constexpr Duration RestartDelay = milliseconds(500);
+  auto Exit = Victim.Server_->Daemon_->wait(Duration(0));
+  if (!Exit && monotonicNow() < Deadline) {
+    schedule(PollInterval, [this, &Victim, Deadline] {
+      restartOnceStopped(Victim, Deadline);
+    });
+    return;
+  }
+  if (Exit && *Exit != 0)
+    addViolation("clean-stop", Victim.Server_->Name_ + " ended with status " +
+                                   std::to_string(*Exit));
+  Victim.FaultedUntil_ = monotonicNow() + RestartDelay + seconds(1);
+  schedule(RestartDelay, [this, &Victim] { restart(Victim); });
 }
 
 void Soak::stopDataCentres() {
--- a/test/soak/Soak.h
+++ b/test/soak/Soak.h
@@ -65,6 +65,8 @@
   void injectFault();
   void injectProcessFault(Member &Victim);
   void stopDaemon(Member &Victim);
+  /// Waits for the end of a stopped daemon, at most until Deadline.
+  void restartOnceStopped(Member &Victim, TimePoint Deadline);
   void stopDataCentres();
   void injectLinkFault(Member &Victim);
   void injectStoreFault();
