Soak: callers wait as long as a refusal tells them

Cause: after a stop of the whole fleet while the store fails, no daemon has a configuration. Each refuses at once with a Retry-After, and a closed port refuses the connection. The callers of the soak ignored both and sent up to 99,000 requests that were refused, beside 4,408 to 10,873 that were done.

A caller now waits for the Retry-After, or 0.5 s after a request that was not sent, as clients of the fleet do. The bound stays.

--- a/test/soak/Soak.cpp
+++ b/test/soak/Soak.cpp
@@ -4,6 +4,7 @@
 #include "TargetLedger.h"
 
 #include <array>
+#include <cmath>
 #include <csignal>
 #include <fstream>
 
@@ -17,13 +18,24 @@
 /// Time limit for each daemon to serve again after the last fault. Includes
 /// floor queries, suspicion and a lease of at most 30 s.
 constexpr Duration RecoveryLimit = seconds(60);
-constexpr std::size_t MaxOpenRequests = 200; ///< Concurrent requests.
+constexpr std::size_t MaxCallers = 200; ///< Each has one request at a time.
 
 /// Of the daemon with this index: two in each, in turn.
 std::string_view dataCentreOf(std::size_t Index) {
   return DataCentres[Index / 2 % DataCentres.size()];
 }
 
+/// Time that a caller waits after this answer before it sends again.
+Duration pauseBeforeRetry(const HttpResponse &Response) {
+  constexpr Duration AfterRefusedConnection = milliseconds(500);
+  if (Response.Outcome_ == HttpOutcome::NotSent)
+    return AfterRefusedConnection;
+  const std::string *RetryAfter = findHeader(Response.Headers_, "retry-after");
+  if (RetryAfter == nullptr)
+    return Duration(0);
+  return milliseconds(std::llround(std::stod(*RetryAfter) * 1000));
+}
+
 std::string makeBody(const std::string &Call) { return "body of " + Call; }
 
 } // namespace
@@ -118,6 +130,10 @@
 void Soak::onResponse(const history::Event &Sent, const std::string &Proxy,
                       const HttpResponse &Response) {
   --OpenRequests_;
+  if (Duration Pause = pauseBeforeRetry(Response); Pause > Duration(0)) {
+    ++WaitingCallers_;
+    schedule(Pause, [this] { --WaitingCallers_; });
+  }
   if (Response.Outcome_ != HttpOutcome::Answered) {
     ++Report_.Unknown_;
     return;
@@ -146,7 +162,8 @@
 }
 
 void Soak::sendRequests() {
-  while (OpenRequests_ < MaxOpenRequests && randomIndex(Rng_, 3) != 0)
+  while (OpenRequests_ + WaitingCallers_ < MaxCallers &&
+         randomIndex(Rng_, 3) != 0)
     sendRequest(randomIndex(Rng_, Members_.size()));
 }
 
--- a/test/soak/Soak.h
+++ b/test/soak/Soak.h
@@ -98,7 +98,8 @@
   TimePoint NextRestoreAt_;
   TimePoint NextStopAt_;
   TimePoint NextSampleAt_;
-  std::size_t OpenRequests_ = 0; ///< Requests without an answer.
+  std::size_t OpenRequests_ = 0;   ///< Requests without an answer.
+  std::size_t WaitingCallers_ = 0; ///< Told to come back later.
   std::uint64_t AcceptedTicket_ = 0;
 };
 
