--- /dev/null
+++ b/review/11/case.py
@@ -0,0 +1,76 @@
+"""A request that crashes its servers, and a planned restart of the daemons."""
+import asyncio
+import os
+import random
+import signal
+
+import fleet as lab
+
+LAYOUT = [("shelfview", "dalseo"), ("shelfview", "dalseo"),
+          ("shelfview", "suseong"), ("shelfview", "suseong"),
+          ("shelfview", "buk"), ("reservedesk", "buk"),
+          ("issuedesk", "dalseo")]
+CRASHING = "/shelf/lamp-7"
+CONFIG = lab.make_config(
+    ["shelfview", "reservedesk", "issuedesk"],
+    [lab.make_route("r-1", "/shelf/", "idempotent", "shelfview")])
+PLAY_S = 72.0
+
+
+async def scenario(fleet, record):
+    for server in fleet.servers:
+        server.crashing_path = CRASHING
+    entries = {}  # Request id: (daemon, whether it was in touch).
+    end = record.now() + PLAY_S
+
+    async def send_crashing_request():
+        """It comes again twice a second, at one machine after the other."""
+        number = 0
+        while record.now() < end:
+            daemon = fleet.daemons[number % len(fleet.daemons)]
+            number += 1
+            if daemon.is_in_touch(record.now()):
+                request, _ = await fleet.request(daemon, "GET", CRASHING)
+                entries[request] = daemon
+            await asyncio.sleep(0.5)
+
+    async def send_sound_requests():
+        while record.now() < end:
+            daemon = random.choice(fleet.daemons)
+            if daemon.is_in_touch(record.now()):
+                await fleet.request(daemon, "GET",
+                                    "/shelf/%08x" % random.getrandbits(32))
+            await asyncio.sleep(0.1)
+
+    async def restart_in_turn():
+        """One machine at a time, with 4.5 s from start to next SIGTERM."""
+        await asyncio.sleep(8)
+        for daemon in (fleet.daemons[:5] * 2)[:8]:
+            if not lab.TROUBLE or record.now() > end - 6:
+                return
+            await daemon.stop(signal.SIGTERM)
+            await asyncio.sleep(0.3)
+            await daemon.start()
+            await asyncio.sleep(5.5)
+
+    await asyncio.gather(send_crashing_request(), send_sound_requests(),
+                         restart_in_turn())
+    runs = sorted((run[0], run[1], server) for server in fleet.servers
+                  for run in server.runs if run[2] == CRASHING)
+    record.say("the request crashed servers %d times: %s s"
+               % (len(runs), ", ".join("%.1f" % run[0] for run in runs)))
+    if len(runs) < 3:
+        return True
+    late = set()
+    for at, request, server in runs:
+        entry = entries.get(request)
+        in_touch = (entry and entry.is_in_touch(at)
+                    and server.daemon.is_in_touch(at))
+        if at > runs[2][0] + lab.TOUCH_S and in_touch:
+            late.add(request)
+    record.say("retries by machines in touch that reached servers later than "
+               "3 s after the third crash: %d (at most 3)" % len(late))
+    return len(late) <= 3
+
+
+lab.play(os.path.dirname(os.path.abspath(__file__)), LAYOUT, CONFIG, scenario)
