--- a/review/11/case.py
+++ b/review/11/case.py
@@ -13,13 +13,16 @@
 CRASHING = "/shelf/lamp-7"
 CONFIG = lab.make_config(
     ["shelfview", "reservedesk", "issuedesk"],
-    [lab.make_route("r-1", "/shelf/", "idempotent", "shelfview")])
+    [lab.make_route("r-1", "/shelf/", "idempotent", "shelfview"),
+     lab.make_route("r-2", "/reserve/", "non_idempotent", "shelfview")])
 PLAY_S = 72.0
 
 
 async def scenario(fleet, record):
     for server in fleet.servers:
         server.crashing_path = CRASHING
+        server.work_s = 0.25
+    sound = {}  # Request id: status.
     entries = {}  # Request id: (daemon, whether it was in touch).
     end = record.now() + PLAY_S
 
@@ -34,13 +37,20 @@
                 entries[request] = daemon
             await asyncio.sleep(0.5)
 
+    async def reserve():
+        """A sound request that must not run twice."""
+        daemon = random.choice(fleet.daemons)
+        if daemon.is_in_touch(record.now()):
+            path = "/reserve/%08x" % random.getrandbits(32)
+            request, status = await fleet.request(daemon, "POST", path, b"1")
+            sound[request] = status
+
     async def send_sound_requests():
+        tasks = []
         while record.now() < end:
-            daemon = random.choice(fleet.daemons)
-            if daemon.is_in_touch(record.now()):
-                await fleet.request(daemon, "GET",
-                                    "/shelf/%08x" % random.getrandbits(32))
-            await asyncio.sleep(0.1)
+            tasks.append(asyncio.create_task(reserve()))
+            await asyncio.sleep(0.05)
+        await asyncio.gather(*tasks)
 
     async def restart_in_turn():
         """One machine at a time, with 4.5 s from start to next SIGTERM."""
@@ -61,6 +71,10 @@
                % (len(runs), ", ".join("%.1f" % run[0] for run in runs)))
     if len(runs) < 3:
         return True
+    ran = {run[1] for server in fleet.servers for run in server.runs}
+    lost = [r for r, status in sound.items() if r in ran and status != 200]
+    record.say("reservations of others that ran and got no success: %d of %d"
+               % (len(lost), len(sound)))
     late = set()
     for at, request, server in runs:
         entry = entries.get(request)
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,7 +1,6 @@
 """A server leaves while the store is down, then all daemons are killed."""
 import asyncio
 import os
-import signal
 
 import fleet as lab
 
